--- a/Schemas/Frames_generated.h
+++ b/Schemas/Frames_generated.h
@@ -643,6 +643,7 @@
 struct HeartbeatT : public flatbuffers::NativeTable {
   typedef Heartbeat TableType;
   uint64_t sequence = 0;
+  uint64_t echo = 0;
   int64_t settings_offset = -1LL;
   int64_t claim_tail = 0;
   bool platform_up = false;
@@ -658,14 +659,18 @@
   typedef HeartbeatBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SEQUENCE = 4,
-    VT_SETTINGS_OFFSET = 6,
-    VT_CLAIM_TAIL = 8,
-    VT_PLATFORM_UP = 10,
-    VT_DEMAND = 12
+    VT_ECHO = 6,
+    VT_SETTINGS_OFFSET = 8,
+    VT_CLAIM_TAIL = 10,
+    VT_PLATFORM_UP = 12,
+    VT_DEMAND = 14
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
   }
+  uint64_t echo() const {
+    return GetField<uint64_t>(VT_ECHO, 0);
+  }
   int64_t settings_offset() const {
     return GetField<int64_t>(VT_SETTINGS_OFFSET, -1LL);
   }
@@ -681,6 +686,7 @@
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ECHO, 8) &&
            VerifyField<int64_t>(verifier, VT_SETTINGS_OFFSET, 8) &&
            VerifyField<int64_t>(verifier, VT_CLAIM_TAIL, 8) &&
            VerifyField<uint8_t>(verifier, VT_PLATFORM_UP, 1) &&
@@ -701,6 +707,9 @@
   void add_sequence(uint64_t sequence) {
     fbb_.AddElement<uint64_t>(Heartbeat::VT_SEQUENCE, sequence, 0);
   }
+  void add_echo(uint64_t echo) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_ECHO, echo, 0);
+  }
   void add_settings_offset(int64_t settings_offset) {
     fbb_.AddElement<int64_t>(Heartbeat::VT_SETTINGS_OFFSET, settings_offset, -1LL);
   }
@@ -727,6 +736,7 @@
 inline flatbuffers::Offset<Heartbeat> CreateHeartbeat(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t sequence = 0,
+    uint64_t echo = 0,
     int64_t settings_offset = -1LL,
     int64_t claim_tail = 0,
     bool platform_up = false,
@@ -734,6 +744,7 @@
   HeartbeatBuilder builder_(_fbb);
   builder_.add_claim_tail(claim_tail);
   builder_.add_settings_offset(settings_offset);
+  builder_.add_echo(echo);
   builder_.add_sequence(sequence);
   builder_.add_demand(demand);
   builder_.add_platform_up(platform_up);
@@ -743,6 +754,7 @@
 inline flatbuffers::Offset<Heartbeat> CreateHeartbeatDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t sequence = 0,
+    uint64_t echo = 0,
     int64_t settings_offset = -1LL,
     int64_t claim_tail = 0,
     bool platform_up = false,
@@ -751,6 +763,7 @@
   return rattancart::wire::CreateHeartbeat(
       _fbb,
       sequence,
+      echo,
       settings_offset,
       claim_tail,
       platform_up,
@@ -930,6 +943,8 @@
   double link_bytes_per_second = 0.0;
   uint64_t link_delay_us = 0;
   uint64_t load_sequence = 0;
+  bool silent = false;
+  uint32_t age_ms = 0;
 };
 
 struct EndpointInfo FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -954,7 +969,9 @@
     VT_BATCH_SLOTS = 34,
     VT_LINK_BYTES_PER_SECOND = 36,
     VT_LINK_DELAY_US = 38,
-    VT_LOAD_SEQUENCE = 40
+    VT_LOAD_SEQUENCE = 40,
+    VT_SILENT = 42,
+    VT_AGE_MS = 44
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -1013,6 +1030,12 @@
   uint64_t load_sequence() const {
     return GetField<uint64_t>(VT_LOAD_SEQUENCE, 0);
   }
+  bool silent() const {
+    return GetField<uint8_t>(VT_SILENT, 0) != 0;
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -1040,6 +1063,8 @@
            VerifyField<double>(verifier, VT_LINK_BYTES_PER_SECOND, 8) &&
            VerifyField<uint64_t>(verifier, VT_LINK_DELAY_US, 8) &&
            VerifyField<uint64_t>(verifier, VT_LOAD_SEQUENCE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_SILENT, 1) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            verifier.EndTable();
   }
   EndpointInfoT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1108,6 +1133,12 @@
   void add_load_sequence(uint64_t load_sequence) {
     fbb_.AddElement<uint64_t>(EndpointInfo::VT_LOAD_SEQUENCE, load_sequence, 0);
   }
+  void add_silent(bool silent) {
+    fbb_.AddElement<uint8_t>(EndpointInfo::VT_SILENT, static_cast<uint8_t>(silent), 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(EndpointInfo::VT_AGE_MS, age_ms, 0);
+  }
   explicit EndpointInfoBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1139,7 +1170,9 @@
     uint32_t batch_slots = 0,
     double link_bytes_per_second = 0.0,
     uint64_t link_delay_us = 0,
-    uint64_t load_sequence = 0) {
+    uint64_t load_sequence = 0,
+    bool silent = false,
+    uint32_t age_ms = 0) {
   EndpointInfoBuilder builder_(_fbb);
   builder_.add_load_sequence(load_sequence);
   builder_.add_link_delay_us(link_delay_us);
@@ -1147,6 +1180,7 @@
   builder_.add_prefill_us(prefill_us);
   builder_.add_step_us(step_us);
   builder_.add_incarnation(incarnation);
+  builder_.add_age_ms(age_ms);
   builder_.add_batch_slots(batch_slots);
   builder_.add_queued(queued);
   builder_.add_active(active);
@@ -1158,6 +1192,7 @@
   builder_.add_data_center(data_center);
   builder_.add_address(address);
   builder_.add_id(id);
+  builder_.add_silent(silent);
   builder_.add_state(state);
   builder_.add_kind(kind);
   return builder_.Finish();
@@ -1183,7 +1218,9 @@
     uint32_t batch_slots = 0,
     double link_bytes_per_second = 0.0,
     uint64_t link_delay_us = 0,
-    uint64_t load_sequence = 0) {
+    uint64_t load_sequence = 0,
+    bool silent = false,
+    uint32_t age_ms = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto data_center__ = data_center ? _fbb.CreateString(data_center) : 0;
@@ -1210,7 +1247,9 @@
       batch_slots,
       link_bytes_per_second,
       link_delay_us,
-      load_sequence);
+      load_sequence,
+      silent,
+      age_ms);
 }
 
 flatbuffers::Offset<EndpointInfo> CreateEndpointInfo(flatbuffers::FlatBufferBuilder &_fbb, const EndpointInfoT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1218,6 +1257,7 @@
 struct EndpointUpdateT : public flatbuffers::NativeTable {
   typedef EndpointUpdate TableType;
   bool full = false;
+  uint64_t echo = 0;
   std::vector<std::unique_ptr<rattancart::wire::EndpointInfoT>> endpoints{};
   EndpointUpdateT() = default;
   EndpointUpdateT(const EndpointUpdateT &o);
@@ -1230,17 +1270,22 @@
   typedef EndpointUpdateBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_FULL = 4,
-    VT_ENDPOINTS = 6
+    VT_ECHO = 6,
+    VT_ENDPOINTS = 8
   };
   bool full() const {
     return GetField<uint8_t>(VT_FULL, 0) != 0;
   }
+  uint64_t echo() const {
+    return GetField<uint64_t>(VT_ECHO, 0);
+  }
   const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EndpointInfo>> *endpoints() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EndpointInfo>> *>(VT_ENDPOINTS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_FULL, 1) &&
+           VerifyField<uint64_t>(verifier, VT_ECHO, 8) &&
            VerifyOffset(verifier, VT_ENDPOINTS) &&
            verifier.VerifyVector(endpoints()) &&
            verifier.VerifyVectorOfTables(endpoints()) &&
@@ -1258,6 +1303,9 @@
   void add_full(bool full) {
     fbb_.AddElement<uint8_t>(EndpointUpdate::VT_FULL, static_cast<uint8_t>(full), 0);
   }
+  void add_echo(uint64_t echo) {
+    fbb_.AddElement<uint64_t>(EndpointUpdate::VT_ECHO, echo, 0);
+  }
   void add_endpoints(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EndpointInfo>>> endpoints) {
     fbb_.AddOffset(EndpointUpdate::VT_ENDPOINTS, endpoints);
   }
@@ -1275,8 +1323,10 @@
 inline flatbuffers::Offset<EndpointUpdate> CreateEndpointUpdate(
     flatbuffers::FlatBufferBuilder &_fbb,
     bool full = false,
+    uint64_t echo = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EndpointInfo>>> endpoints = 0) {
   EndpointUpdateBuilder builder_(_fbb);
+  builder_.add_echo(echo);
   builder_.add_endpoints(endpoints);
   builder_.add_full(full);
   return builder_.Finish();
@@ -1285,11 +1335,13 @@
 inline flatbuffers::Offset<EndpointUpdate> CreateEndpointUpdateDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     bool full = false,
+    uint64_t echo = 0,
     const std::vector<flatbuffers::Offset<rattancart::wire::EndpointInfo>> *endpoints = nullptr) {
   auto endpoints__ = endpoints ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::EndpointInfo>>(*endpoints) : 0;
   return rattancart::wire::CreateEndpointUpdate(
       _fbb,
       full,
+      echo,
       endpoints__);
 }
 
@@ -2005,6 +2057,7 @@
 
 inline HeartbeatT::HeartbeatT(const HeartbeatT &o)
       : sequence(o.sequence),
+        echo(o.echo),
         settings_offset(o.settings_offset),
         claim_tail(o.claim_tail),
         platform_up(o.platform_up) {
@@ -2014,6 +2067,7 @@
 
 inline HeartbeatT &HeartbeatT::operator=(HeartbeatT o) FLATBUFFERS_NOEXCEPT {
   std::swap(sequence, o.sequence);
+  std::swap(echo, o.echo);
   std::swap(settings_offset, o.settings_offset);
   std::swap(claim_tail, o.claim_tail);
   std::swap(platform_up, o.platform_up);
@@ -2031,6 +2085,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = echo(); _o->echo = _e; }
   { auto _e = settings_offset(); _o->settings_offset = _e; }
   { auto _e = claim_tail(); _o->claim_tail = _e; }
   { auto _e = platform_up(); _o->platform_up = _e; }
@@ -2046,6 +2101,7 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HeartbeatT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _sequence = _o->sequence;
+  auto _echo = _o->echo;
   auto _settings_offset = _o->settings_offset;
   auto _claim_tail = _o->claim_tail;
   auto _platform_up = _o->platform_up;
@@ -2053,6 +2109,7 @@
   return rattancart::wire::CreateHeartbeat(
       _fbb,
       _sequence,
+      _echo,
       _settings_offset,
       _claim_tail,
       _platform_up,
@@ -2145,6 +2202,8 @@
   { auto _e = link_bytes_per_second(); _o->link_bytes_per_second = _e; }
   { auto _e = link_delay_us(); _o->link_delay_us = _e; }
   { auto _e = load_sequence(); _o->load_sequence = _e; }
+  { auto _e = silent(); _o->silent = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
 }
 
 inline flatbuffers::Offset<EndpointInfo> EndpointInfo::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndpointInfoT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2174,6 +2233,8 @@
   auto _link_bytes_per_second = _o->link_bytes_per_second;
   auto _link_delay_us = _o->link_delay_us;
   auto _load_sequence = _o->load_sequence;
+  auto _silent = _o->silent;
+  auto _age_ms = _o->age_ms;
   return rattancart::wire::CreateEndpointInfo(
       _fbb,
       _id,
@@ -2194,17 +2255,21 @@
       _batch_slots,
       _link_bytes_per_second,
       _link_delay_us,
-      _load_sequence);
+      _load_sequence,
+      _silent,
+      _age_ms);
 }
 
 inline EndpointUpdateT::EndpointUpdateT(const EndpointUpdateT &o)
-      : full(o.full) {
+      : full(o.full),
+        echo(o.echo) {
   endpoints.reserve(o.endpoints.size());
   for (const auto &endpoints_ : o.endpoints) { endpoints.emplace_back((endpoints_) ? new rattancart::wire::EndpointInfoT(*endpoints_) : nullptr); }
 }
 
 inline EndpointUpdateT &EndpointUpdateT::operator=(EndpointUpdateT o) FLATBUFFERS_NOEXCEPT {
   std::swap(full, o.full);
+  std::swap(echo, o.echo);
   std::swap(endpoints, o.endpoints);
   return *this;
 }
@@ -2219,6 +2284,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = full(); _o->full = _e; }
+  { auto _e = echo(); _o->echo = _e; }
   { auto _e = endpoints(); if (_e) { _o->endpoints.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->endpoints[_i] = std::unique_ptr<rattancart::wire::EndpointInfoT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
@@ -2231,10 +2297,12 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EndpointUpdateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _full = _o->full;
+  auto _echo = _o->echo;
   auto _endpoints = _o->endpoints.size() ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::EndpointInfo>> (_o->endpoints.size(), [](size_t i, _VectorArgs *__va) { return CreateEndpointInfo(*__va->__fbb, __va->__o->endpoints[i].get(), __va->__rehasher); }, &_va ) : 0;
   return rattancart::wire::CreateEndpointUpdate(
       _fbb,
       _full,
+      _echo,
       _endpoints);
 }
 
--- /dev/null
+++ b/Source/Config/ControlSettings.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "Config/ProcessSettings.h"
+#include "Net/HttpServer.h"
+
+#include <string>
+#include <vector>
+
+namespace rattancart {
+
+/// Process settings of rattancart-control; docs/SETTINGS.md describes each field.
+struct ControlSettings {
+  ProcessSettings Process_;
+  /// Where routers and other control processes connect.
+  NetAddress FrameListen_;
+  /// Where the administration API, /v1/state, /healthz, /readyz and /metrics are served.
+  NetAddress AdminListen_;
+  NetAddress Platform_;
+  /// Frame addresses of the other control processes.
+  std::vector<NetAddress> Peers_;
+  /// Hash of the token that may write everything until operators are configured.
+  std::string BootstrapTokenHash_;
+  Duration PlatformTimeout_ = std::chrono::seconds(2);
+  Duration EndpointPoll_ = std::chrono::milliseconds(500);
+  Duration ListPoll_ = std::chrono::seconds(1);
+};
+
+/// Reads and checks a settings file. The result counts only if Faults stays empty.
+ControlSettings loadControlSettings(const std::string &File, SettingsFaults &Faults);
+
+} // namespace rattancart
--- a/Source/Core/Membership/Endpoint.h
+++ b/Source/Core/Membership/Endpoint.h
@@ -65,6 +65,8 @@
   LoadReport Load_;
   /// Rises with each new load report of one incarnation.
   std::uint64_t LoadSequence_ = 0;
+  /// The endpoint did not answer its polls since that report; a newer report clears it.
+  bool Silent_ = false;
 };
 
 } // namespace rattancart
--- a/Source/Core/Membership/EndpointTable.cpp
+++ b/Source/Core/Membership/EndpointTable.cpp
@@ -29,14 +29,35 @@
   // The list and the endpoint report at their own pace, so an update may know less than we do.
   const EndpointState State = std::max(Old.State_, Update.State_);
   const bool Raised = State != Old.State_;
-  if (Update.LoadSequence_ > Old.LoadSequence_) {
+  const bool Newer = Update.LoadSequence_ > Old.LoadSequence_;
+  const bool BecameSilent =
+      Update.LoadSequence_ == Old.LoadSequence_ && Update.Silent_ && !Old.Silent_;
+  if (Newer)
     Old = Update;
-    Known.HeardAt_ = std::max(Known.HeardAt_, Now);
-    Old.State_ = State;
-    return Raised ? changeTo(State) : EndpointChange::Updated;
-  }
   Old.State_ = State;
-  return Raised ? changeTo(State) : EndpointChange::None;
+  Old.Silent_ = Old.Silent_ || BecameSilent;
+  if (Update.LoadSequence_ >= Old.LoadSequence_)
+    Known.HeardAt_ = std::max(Known.HeardAt_, Now);
+  if (Raised)
+    return changeTo(State);
+  return Newer || BecameSilent ? EndpointChange::Updated : EndpointChange::None;
+}
+
+void EndpointTable::setDrained(const std::vector<EndpointId> &Drained) {
+  Drained_ = {Drained.begin(), Drained.end()};
+}
+
+EndpointChange EndpointTable::markSilent(const EndpointId &Id, Incarnation Run) {
+  const auto Place = Entries_.find(Id);
+  if (Place == Entries_.end())
+    return EndpointChange::None;
+  Endpoint &Known = Place->second.Endpoint_;
+  if (Known.Incarnation_ != Run)
+    return EndpointChange::Stale;
+  if (Known.Silent_)
+    return EndpointChange::None;
+  Known.Silent_ = true;
+  return EndpointChange::Updated;
 }
 
 EndpointChange EndpointTable::raise(const EndpointId &Id, Incarnation Run, EndpointState State) {
@@ -71,9 +92,24 @@
   return Place == Entries_.end() ? nullptr : &Place->second.Endpoint_;
 }
 
+bool EndpointTable::isStale(const Entry &Known) const {
+  return Time_ && Time_->now() - Known.HeardAt_ > FreshFor_;
+}
+
+bool EndpointTable::isStale(const EndpointId &Id) const {
+  const auto Place = Entries_.find(Id);
+  return Place == Entries_.end() || isStale(Place->second);
+}
+
+bool EndpointTable::mayTakeWork(const Entry &Known) const {
+  const Endpoint &E = Known.Endpoint_;
+  return E.State_ == EndpointState::Live && !E.Silent_ && !isStale(Known) &&
+         !Drained_.contains(E.Id_);
+}
+
 bool EndpointTable::mayTakeWork(const EndpointId &Id) const {
-  const Endpoint *Known = find(Id);
-  return Known && Known->State_ == EndpointState::Live;
+  const auto Place = Entries_.find(Id);
+  return Place != Entries_.end() && mayTakeWork(Place->second);
 }
 
 TimePoint EndpointTable::heardAt(const EndpointId &Id) const {
@@ -91,8 +127,8 @@
   std::vector<const Endpoint *> Found;
   for (const auto &[Id, Known] : Entries_) {
     const Endpoint &E = Known.Endpoint_;
-    if (E.Kind_ == EndpointKind::Engine && E.State_ == EndpointState::Live && E.Model_ == Model &&
-        E.Version_ == Version)
+    if (E.Kind_ == EndpointKind::Engine && E.Model_ == Model && E.Version_ == Version &&
+        mayTakeWork(Known))
       Found.push_back(&E);
   }
   return Found;
@@ -102,8 +138,7 @@
   std::vector<const Endpoint *> Found;
   for (const auto &[Id, Known] : Entries_) {
     const Endpoint &E = Known.Endpoint_;
-    if (E.Kind_ == EndpointKind::Service && E.State_ == EndpointState::Live &&
-        E.Service_ == Service)
+    if (E.Kind_ == EndpointKind::Service && E.Service_ == Service && mayTakeWork(Known))
       Found.push_back(&E);
   }
   return Found;
