--- /dev/null
+++ b/Source/Core/Settings/SettingsLog.cpp
@@ -0,0 +1,170 @@
+#include "Core/Settings/SettingsLog.h"
+
+#include "Core/Settings/SettingsRecord.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace rattancart {
+
+namespace json = boost::json;
+
+namespace {
+
+Decision rejected(Decision Outcome, Error Reason) {
+  Outcome.Kind_ = Decision::Kind::Rejected;
+  Outcome.Error_ = Reason.Code_;
+  Outcome.Detail_ = std::move(Reason.Detail_);
+  return Outcome;
+}
+
+/// The covered offset of a snapshot record at Offset, or NoOffset if there is none.
+LogOffset coveredOffset(LogOffset Offset, const json::object &Fields) {
+  const json::value *Covered = Fields.if_contains("covered");
+  if (!Covered || !Covered->is_int64() || Covered->as_int64() < 0 ||
+      Covered->as_int64() >= Offset.value())
+    return NoOffset;
+  return LogOffset(Covered->as_int64());
+}
+
+} // namespace
+
+Decision SettingsLog::apply(LogOffset Offset, std::string_view Body) {
+  Decision Outcome;
+  Outcome.Offset_ = Offset;
+  const SettingsRecord Record = decodeRecord(Body);
+  if (Stopped_ || Record.Kind_ == SettingsRecord::Kind::UnknownSchema) {
+    Stopped_ = true;
+    Outcome.Kind_ = Decision::Kind::Stopped;
+    Outcome.Error_ = ErrorCode::UnknownSchema;
+    Outcome.Detail_ = Record.Detail_;
+    return Outcome;
+  }
+  Offset_ = Offset;
+  if (Record.Kind_ == SettingsRecord::Kind::Malformed)
+    return rejected(std::move(Outcome), {ErrorCode::MalformedRecord, Record.Detail_});
+  if (Record.Kind_ == SettingsRecord::Kind::Snapshot) {
+    Outcome.Covered_ = coveredOffset(Offset, Record.Fields_);
+    if (Outcome.Covered_ == NoOffset)
+      return rejected(std::move(Outcome),
+                      {ErrorCode::MalformedRecord, "the covered offset is missing or too high"});
+    Outcome.Kind_ = Decision::Kind::Snapshot;
+    raiseFloor(Outcome.Covered_);
+    return Outcome;
+  }
+  const Result<SettingsChange> Change = parseChangeFields(Record.Fields_);
+  if (!Change)
+    return rejected(std::move(Outcome), Change.error());
+  return decide(Offset, *Change);
+}
+
+Decision SettingsLog::decide(LogOffset Offset, const SettingsChange &Change) {
+  Decision Outcome;
+  Outcome.Offset_ = Offset;
+  Outcome.Change_ = Change.Id_;
+  Outcome.Author_ = Change.Author_;
+  for (const SettingsEdit &Edit : Change.Edits_)
+    Outcome.Paths_.push_back(Edit.Path_);
+  if (const auto Earlier = Decided_.find(Change.Id_); Earlier != Decided_.end()) {
+    Outcome.Kind_ = Decision::Kind::Duplicate;
+    Outcome.Error_ = ErrorCode::DuplicateChange;
+    Outcome.Detail_ = fmt::format("decided at {}", Earlier->second.Offset_.value());
+    return Outcome;
+  }
+  std::optional<Error> Reason = refusal(Offset, Change);
+  if (!Reason)
+    Reason = applyEdits(Change);
+  // A copy of a change with a base below the floor is rejected for that, so its id may go.
+  if (Change.Base_ >= Floor_)
+    Decided_.emplace(Change.Id_, DecidedChange{Offset, Change.Base_,
+                                               Reason ? Reason->Code_ : std::error_code()});
+  if (Reason)
+    return rejected(std::move(Outcome), std::move(*Reason));
+  for (const SettingsEdit &Edit : Change.Edits_)
+    setRevision(Edit.Path_, Offset);
+  Revision_ = Offset;
+  Outcome.Kind_ = Decision::Kind::Accepted;
+  return Outcome;
+}
+
+std::optional<Error> SettingsLog::refusal(LogOffset Offset, const SettingsChange &Change) const {
+  if (Change.Base_ >= Offset)
+    return Error{ErrorCode::BadBase, fmt::format("base {}", Change.Base_.value())};
+  if (Change.Base_ < Floor_)
+    return Error{ErrorCode::BaseTooOld,
+                 fmt::format("base {}, floor {}", Change.Base_.value(), Floor_.value())};
+  const OperatorGrant *Grant = Compiler_.findOperator(Change.Author_);
+  const Result<SettingsPath> Prefix = SettingsPath::parse(Grant ? Grant->Prefix_ : "/");
+  if (!Grant && Change.Author_ != BootstrapOperator)
+    return Error{ErrorCode::OutsidePrefix,
+                 fmt::format("no operator {} is known", Change.Author_.str())};
+  for (const SettingsEdit &Edit : Change.Edits_) {
+    if (!Edit.Path_.isAtOrBelow(*Prefix))
+      return Error{ErrorCode::OutsidePrefix, Edit.Path_.str()};
+    const LogOffset Changed = revisionOf(Edit.Path_);
+    if (Changed > Change.Base_)
+      return Error{ErrorCode::Conflict, fmt::format("{} changed at {}, base {}", Edit.Path_.str(),
+                                                    Changed.value(), Change.Base_.value())};
+  }
+  return std::nullopt;
+}
+
+std::optional<Error> SettingsLog::applyEdits(const SettingsChange &Change) {
+  std::vector<SettingsTree::Replaced> Old;
+  std::vector<SettingsPath> Paths;
+  for (const SettingsEdit &Edit : Change.Edits_) {
+    Old.push_back(Tree_.replace(Edit.Path_, Edit.Leaves_));
+    Paths.push_back(Edit.Path_);
+  }
+  const std::vector<TreeFault> Faults = Compiler_.update(Tree_, Paths);
+  if (Faults.empty())
+    return std::nullopt;
+  std::for_each(Old.rbegin(), Old.rend(),
+                [this](const SettingsTree::Replaced &Item) { Tree_.restore(Item); });
+  return Error{Faults[0].Code_,
+               fmt::format("{}: expected {}", Faults[0].Path_.str(), Faults[0].Expected_)};
+}
+
+LogOffset SettingsLog::revisionOf(const SettingsPath &Path) const {
+  LogOffset Latest = NoOffset;
+  for (std::size_t Count = 0; Count <= Path.segments().size(); ++Count)
+    if (const auto Found = Revisions_.find(Path.prefix(Count).key()); Found != Revisions_.end())
+      Latest = std::max(Latest, Found->second);
+  const std::string Prefix = Path.childPrefix();
+  for (auto It = Revisions_.lower_bound(Prefix);
+       It != Revisions_.end() && It->first.starts_with(Prefix); ++It)
+    Latest = std::max(Latest, It->second);
+  return Latest;
+}
+
+void SettingsLog::setRevision(const SettingsPath &Path, LogOffset Offset) {
+  // Whoever would look at a path below finds this one too, and this one is newer.
+  const std::string Prefix = Path.childPrefix();
+  auto It = Revisions_.lower_bound(Prefix);
+  while (It != Revisions_.end() && It->first.starts_with(Prefix))
+    It = Revisions_.erase(It);
+  Revisions_[Path.key()] = Offset;
+}
+
+void SettingsLog::raiseFloor(LogOffset Covered) {
+  if (Policy_.KeepFloor_)
+    Floor_ = std::max(Floor_, Covered);
+  // No accepted base lies below the floor, so these can't decide anything any more.
+  std::erase_if(Revisions_, [&](const auto &Entry) {
+    return Entry.second <= Covered &&
+           !Tree_.contains(*SettingsPath::parse(Entry.first.empty() ? "/" : Entry.first));
+  });
+  std::erase_if(Decided_, [&](const auto &Entry) { return Entry.second.Base_ < Covered; });
+}
+
+std::optional<DecidedChange> SettingsLog::findChange(const ChangeId &Id) const {
+  const auto Found = Decided_.find(Id);
+  if (Found == Decided_.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+} // namespace rattancart
--- a/Source/Core/Settings/SettingsView.h
+++ b/Source/Core/Settings/SettingsView.h
@@ -3,6 +3,7 @@
 #include "Core/Common/Clock.h"
 #include "Core/Common/Ids.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -96,11 +97,17 @@
   Duration DedupWindow_ = std::chrono::hours(24);
 };
 
+/// The operator whose token stands in the process settings. It may write every path, and no grant
+/// in the tree may take its name.
+inline const OperatorId BootstrapOperator{"bootstrap"};
+/// The length of a token hash's text.
+inline constexpr std::size_t TokenHashLength = 36;
+
 /// An operator who may use the administration API.
 struct OperatorGrant {
   OperatorId Operator_;
-  /// Hex SHA-256 or the token itself is never kept; see docs/SETTINGS.md.
-  std::uint64_t TokenHash_ = 0;
+  /// The hash of the operator's token; the token itself is never kept. See docs/SETTINGS.md.
+  std::string TokenHash_;
   /// Writes are allowed at and below this path.
   std::string Prefix_;
 };
@@ -114,6 +121,7 @@
   CustomerLimit DefaultLimit_;
   std::vector<ModelSpec> Models_;
   std::map<ServiceId, ServiceTraits> Services_;
+  std::vector<OperatorGrant> Operators_;
   /// Endpoints that operators drain.
   std::vector<EndpointId> Drained_;
 
