--- /dev/null
+++ b/Source/Core/Routing/BaselinePolicies.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Core/Routing/ChainPolicy.h"
+
+#include <cstdint>
+
+/// Simple policies that the product's own is compared with.
+namespace rattancart {
+
+/// Walks the boundaries and takes one of the engines that begin there; which, the subclass says.
+class StepwisePolicy : public ChainPolicy {
+public:
+  std::vector<const Endpoint *> choose(const ChainQuery &Query, std::mt19937_64 &Random) final;
+
+protected:
+  /// Picks one of Engines. Precondition: there is at least one.
+  virtual const Endpoint *pick(const std::vector<const Endpoint *> &Engines,
+                               std::mt19937_64 &Random) = 0;
+};
+
+/// Any engine with the same probability.
+class RandomPolicy final : public StepwisePolicy {
+protected:
+  const Endpoint *pick(const std::vector<const Endpoint *> &Engines,
+                       std::mt19937_64 &Random) override;
+};
+
+/// One engine after the other.
+class RoundRobinPolicy final : public StepwisePolicy {
+protected:
+  const Endpoint *pick(const std::vector<const Endpoint *> &Engines,
+                       std::mt19937_64 &Random) override;
+
+private:
+  std::uint64_t Next_ = 0;
+};
+
+/// The engine that last reported the fewest requests.
+class LeastLoadPolicy final : public StepwisePolicy {
+protected:
+  const Endpoint *pick(const std::vector<const Endpoint *> &Engines,
+                       std::mt19937_64 &Random) override;
+};
+
+} // namespace rattancart
--- /dev/null
+++ b/Source/Core/Routing/ChainPlanner.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Core/Common/Result.h"
+#include "Core/Membership/EndpointTable.h"
+#include "Core/Routing/ChainPolicy.h"
+
+#include <memory>
+#include <random>
+#include <span>
+#include <string>
+
+namespace rattancart {
+
+/// What a chain is wanted for.
+struct PlanRequest {
+  const ModelSpec &Spec_;
+  SequenceSize Size_;
+  std::string Prefix_;
+  /// Engines that must not be in the chain.
+  std::span<const EndpointId> Excluded_;
+};
+
+/// Plans chains over the live engines of a model version. Not thread-safe.
+class ChainPlanner {
+public:
+  /// Precondition: Endpoints, Load and Random outlive the planner; Policy is not null.
+  ChainPlanner(const EndpointTable &Endpoints, const OwnLoad &Load,
+               std::unique_ptr<ChainPolicy> Policy, std::mt19937_64 &Random);
+
+  /// A chain that covers all layers once, without excluded engines and without any that may take
+  /// no new work. Errors: NoChain.
+  Result<Chain> plan(const PlanRequest &Request);
+
+private:
+  const EndpointTable &Endpoints_;
+  const OwnLoad &Load_;
+  std::unique_ptr<ChainPolicy> Policy_;
+  std::mt19937_64 &Random_;
+};
+
+} // namespace rattancart
--- /dev/null
+++ b/Source/Core/Routing/OwnLoad.cpp
@@ -0,0 +1,42 @@
+#include "Core/Routing/OwnLoad.h"
+
+#include <algorithm>
+
+namespace rattancart {
+
+void OwnLoad::begin(const Endpoint &Engine) {
+  estimate(Engine);
+  const auto [Place, Added] =
+      Engines_.try_emplace(Engine.Id_, Counts{0, 0, Engine.LoadSequence_, Engine.Incarnation_});
+  ++Place->second.InFlight_;
+}
+
+void OwnLoad::end(const EndpointId &Engine) {
+  const auto Place = Engines_.find(Engine);
+  if (Place == Engines_.end())
+    return;
+  if (--Place->second.InFlight_ == 0)
+    Engines_.erase(Place);
+}
+
+std::uint32_t OwnLoad::inFlight(const EndpointId &Engine) const {
+  const auto Place = Engines_.find(Engine);
+  return Place == Engines_.end() ? 0 : Place->second.InFlight_;
+}
+
+double OwnLoad::estimate(const Endpoint &Engine) const {
+  const double Reported = Engine.Load_.Active_ + Engine.Load_.Queued_;
+  const auto Place = Engines_.find(Engine.Id_);
+  if (Place == Engines_.end())
+    return Reported;
+  Counts &Own = Place->second;
+  if (Own.LoadSequence_ != Engine.LoadSequence_ || Own.Incarnation_ != Engine.Incarnation_) {
+    Own.AtReport_ = Own.InFlight_;
+    Own.LoadSequence_ = Engine.LoadSequence_;
+    Own.Incarnation_ = Engine.Incarnation_;
+  }
+  const double Since = static_cast<double>(Own.InFlight_) - Own.AtReport_;
+  return std::max(Reported + Since, static_cast<double>(Own.InFlight_));
+}
+
+} // namespace rattancart
--- /dev/null
+++ b/Source/Router/ModelHandler.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "Core/Pipeline/ModelRequest.h"
+#include "Core/Pipeline/StepDeadline.h"
+#include "Core/Routing/ChainPlanner.h"
+#include "Core/Routing/ShortestPathPolicy.h"
+#include "Core/Routing/SuspectList.h"
+#include "Router/RouteHandler.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+
+namespace rattancart {
+
+struct ModelHandlerOptions {
+  ModelRequestOptions Request_;
+  StepDeadlineOptions Deadline_;
+  ShortestPathOptions Path_;
+  std::size_t MaxPromptTokens_ = 32 * 1024;
+  /// Prompt bytes of all requests in flight; more are refused.
+  std::size_t MaxPromptBytes_ = 64 * 1024 * 1024;
+  /// A streaming caller that leaves more than this unread is cut off.
+  std::size_t MaxStreamBacklogBytes_ = 256 * 1024;
+  /// Tokens at the beginning of a prompt that name its prefix.
+  std::uint32_t PrefixTokens_ = 32;
+  Duration ConnectTimeout_ = std::chrono::milliseconds(500);
+  Duration SuspectHold_ = std::chrono::seconds(2);
+};
+
+struct ModelHandlerStats {
+  std::uint64_t Finished_ = 0;
+  std::uint64_t Failed_ = 0;
+  std::uint64_t Cancelled_ = 0;
+  std::uint64_t Attempts_ = 0;
+  std::uint64_t Steps_ = 0;
+  std::uint64_t StaleSteps_ = 0;
+  std::uint64_t ConnectionRetries_ = 0;
+  std::uint64_t Suspicions_ = 0;
+  std::uint64_t SlowReaders_ = 0;
+};
+
+/// What the sessions of one handler share.
+struct ModelSessionShared {
+  ModelSessionShared(RouterServices &Router, ModelHandlerOptions Settings);
+
+  RouterServices &Services_;
+  ModelHandlerOptions Options_;
+  OwnLoad Load_;
+  ChainPlanner Planner_;
+  StepDeadline Deadline_;
+  SuspectList Suspects_;
+  ModelHandlerStats Stats_;
+};
+
+class ModelSession;
+
+/// Serves model routes: drives each request through a chain of engines. Not thread-safe: use it on
+/// the event loop.
+class ModelHandler final : public RouteHandler {
+public:
+  /// Precondition: Services outlives the handler.
+  explicit ModelHandler(RouterServices &Services, ModelHandlerOptions Options = {});
+  ~ModelHandler() override;
+
+  void handle(RoutedRequest Request) override;
+  std::size_t inFlight() const override { return Sessions_.size(); }
+  boost::json::object state() const override;
+  void onViewChanged() override;
+  const ModelHandlerStats &stats() const { return Shared_.Stats_; }
+
+private:
+  void refuse(const RoutedRequest &Request, const Error &Reason, std::uint32_t Status);
+
+  ModelSessionShared Shared_;
+  std::unordered_map<RequestId, std::shared_ptr<ModelSession>> Sessions_;
+  std::size_t PromptBytes_ = 0;
+};
+
+} // namespace rattancart
