--- /dev/null
+++ b/Tests/Link/PeerLinkTest.cpp
@@ -0,0 +1,131 @@
+#include "Core/Common/ErrorCode.h"
+#include "Link/LinkDialer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+#include <random>
+
+using namespace rattancart;
+
+namespace {
+
+/// Counts what happens on links.
+class CountingOwner final : public PeerLinkOwner {
+public:
+  wire::HelloT makeHello() override {
+    wire::HelloT Hello;
+    Hello.protocol = Protocol_;
+    Hello.instance = "i1";
+    return Hello;
+  }
+  wire::HeartbeatT makeHeartbeat() override { return {}; }
+  void onLinkUp(const PeerLinkPtr &Link) override {
+    ++Ups_;
+    Last_ = Link;
+  }
+  void onLinkFrame(const PeerLinkPtr &Link, const wire::FrameT &Frame) override {
+    ++Frames_;
+    if (const auto *Beat = Frame.payload.AsHeartbeat())
+      LastMadeAfter_ = Link->madeAfter(Beat->echo);
+  }
+  void onLinkDown(const PeerLinkPtr &Link, std::error_code Reason) override {
+    ++Downs_;
+    Reason_ = Reason;
+    if (Last_ == Link)
+      Last_ = nullptr;
+  }
+
+  std::uint16_t Protocol_ = FrameProtocol;
+  int Ups_ = 0;
+  int Downs_ = 0;
+  int Frames_ = 0;
+  std::error_code Reason_;
+  TimePoint LastMadeAfter_{};
+  PeerLinkPtr Last_;
+};
+
+struct Fixture {
+  Fixture()
+      : Server_(Loop_, [this](FrameConnectionPtr Connection) {
+          std::make_shared<PeerLink>(Loop_, Time_, ServerOwner_, std::move(Connection))->start();
+        }) {
+    BOOST_REQUIRE(!Server_.listen(NetAddress("127.0.0.1:0")));
+  }
+
+  void runUntil(const std::function<bool()> &Condition) {
+    while (!Condition() && Loop_.run_one_for(std::chrono::seconds(30)))
+      ;
+    BOOST_REQUIRE(Condition());
+  }
+
+  boost::asio::io_context Loop_;
+  SystemClock Time_;
+  std::mt19937_64 Random_{1};
+  CountingOwner ServerOwner_;
+  CountingOwner ClientOwner_;
+  FrameServer Server_;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(HeartbeatsDateWhatThePeerSays, Fixture) {
+  LinkDialer Dialer(Loop_, Time_, ClientOwner_, Random_, {Server_.address()});
+  const TimePoint Before = Time_.now();
+  Dialer.start();
+  runUntil([&] { return ClientOwner_.LastMadeAfter_ > TimePoint{}; });
+  BOOST_TEST((ClientOwner_.LastMadeAfter_ >= Before));
+  BOOST_TEST((ClientOwner_.LastMadeAfter_ <= Time_.now()));
+  BOOST_TEST(Dialer.link()->isUp());
+}
+
+BOOST_FIXTURE_TEST_CASE(LostLinkIsOpenedAgain, Fixture) {
+  LinkDialer Dialer(Loop_, Time_, ClientOwner_, Random_, {Server_.address()});
+  Dialer.start();
+  runUntil([&] { return ServerOwner_.Ups_ == 1 && ClientOwner_.Ups_ == 1; });
+  ServerOwner_.Last_->close(ErrorCode::Cancelled);
+  runUntil([&] { return ClientOwner_.Ups_ == 2; });
+  BOOST_TEST(ClientOwner_.Downs_ == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(NextAddressIsTriedWhenTheFirstRefuses, Fixture) {
+  LinkDialer Dialer(Loop_, Time_, ClientOwner_, Random_,
+                    {NetAddress("127.0.0.1:1"), Server_.address()});
+  Dialer.start();
+  runUntil([&] { return ClientOwner_.Ups_ == 1; });
+  BOOST_TEST((Dialer.address() == Server_.address()));
+}
+
+BOOST_FIXTURE_TEST_CASE(OtherProtocolVersionIsRefused, Fixture) {
+  ClientOwner_.Protocol_ = FrameProtocol + 1;
+  LinkDialer Dialer(Loop_, Time_, ClientOwner_, Random_, {Server_.address()});
+  Dialer.start();
+  runUntil([&] { return ServerOwner_.Downs_ > 0; });
+  BOOST_TEST(ServerOwner_.Reason_ == ErrorCode::ProtocolVersion);
+  BOOST_TEST(ServerOwner_.Ups_ == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(MalformedFrameClosesTheLink, Fixture) {
+  FrameConnectionPtr Raw;
+  connectFrames(Loop_, Server_.address(), std::chrono::seconds(5),
+                [&](FrameConnectionPtr Connection, std::error_code) {
+                  Raw = std::move(Connection);
+                  Raw->setHandlers([](std::span<const std::uint8_t>) {}, [](std::error_code) {});
+                  Raw->send(std::vector<std::uint8_t>(64, 0xff));
+                });
+  runUntil([&] { return ServerOwner_.Downs_ == 1; });
+  BOOST_TEST(ServerOwner_.Reason_ == ErrorCode::MalformedFrame);
+}
+
+// A peer whose process is stopped keeps its connections open but sends nothing.
+BOOST_FIXTURE_TEST_CASE(SilentPeerIsClosed, Fixture) {
+  FrameConnectionPtr Raw;
+  connectFrames(Loop_, Server_.address(), std::chrono::seconds(5),
+                [&](FrameConnectionPtr Connection, std::error_code) {
+                  Raw = std::move(Connection);
+                  Raw->setHandlers([](std::span<const std::uint8_t>) {}, [](std::error_code) {});
+                });
+  runUntil([&] { return ServerOwner_.Downs_ == 1; });
+  BOOST_TEST(ServerOwner_.Reason_ == ErrorCode::HeartbeatMissed);
+}
