--- /dev/null
+++ b/Source/Process/MetricSet.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "Core/Common/Clock.h"
+
+#include <boost/json/object.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace rattancart {
+
+/// Counters and latency histograms of one process, by name and one label. Not thread-safe.
+class MetricSet {
+public:
+  MetricSet();
+  ~MetricSet();
+  MetricSet(const MetricSet &) = delete;
+  MetricSet &operator=(const MetricSet &) = delete;
+
+  /// Adds to a counter. Name follows Prometheus, for example "requests_total".
+  void count(std::string_view Name, std::string_view Label, std::uint64_t Step = 1);
+  /// Records one latency.
+  void observe(std::string_view Name, std::string_view Label, Duration Latency);
+
+  /// The metrics in Prometheus text format, each name with Prefix in front.
+  std::string prometheusText(std::string_view Prefix) const;
+  /// Counts and quantiles for the state dump.
+  boost::json::object state() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace rattancart
--- /dev/null
+++ b/Source/Process/StateServer.cpp
@@ -0,0 +1,55 @@
+#include "Process/StateServer.h"
+
+#include "Core/Common/ErrorCode.h"
+
+#include <boost/json/serialize.hpp>
+
+#include <utility>
+
+namespace rattancart {
+
+namespace {
+
+HttpResponse plain(std::uint32_t Status, std::string Type, std::string Body) {
+  HttpResponse Response;
+  Response.Status_ = Status;
+  Response.Headers_.add("Content-Type", std::move(Type));
+  Response.Body_ = std::move(Body);
+  return Response;
+}
+
+HttpResponse readiness(const StateSource &Source) {
+  const std::string Reason = Source.notReadyReason();
+  if (Reason.empty())
+    return plain(200, "text/plain", "ready\n");
+  return plain(503, "text/plain", "not ready: " + Reason + "\n");
+}
+
+HttpResponse notFound() {
+  boost::json::object Body;
+  Body["error"] = static_cast<int>(ErrorCode::NoSuchResource);
+  Body["message"] = std::string(errorInfo(ErrorCode::NoSuchResource).Text_);
+  return plain(404, "application/json", boost::json::serialize(Body) + "\n");
+}
+
+} // namespace
+
+void StateServer::handle(HttpRequest Request, HttpResponderPtr Responder) {
+  const std::string_view Path = Request.path();
+  if (Request.Method_ == "GET" || Request.Method_ == "HEAD") {
+    if (Path == "/v1/state")
+      return Responder->send(
+          plain(200, "application/json", boost::json::serialize(Source_.state()) + "\n"));
+    if (Path == "/healthz")
+      return Responder->send(plain(200, "text/plain", "ok\n"));
+    if (Path == "/readyz")
+      return Responder->send(readiness(Source_));
+    if (Path == "/metrics")
+      return Responder->send(plain(200, "text/plain; version=0.0.4", Source_.metricsText()));
+  }
+  if (Next_)
+    return Next_->handle(std::move(Request), std::move(Responder));
+  Responder->send(notFound());
+}
+
+} // namespace rattancart
--- a/Source/Router/RouteHandler.h
+++ b/Source/Router/RouteHandler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/Common/CallerAnswer.h"
 #include "Core/Common/Clock.h"
 #include "Core/Common/Ids.h"
 #include "Core/Common/Logger.h"
@@ -18,6 +19,15 @@
 
 namespace rattancart {
 
+/// How a routed request ended.
+struct RequestEnd {
+  /// The status that the caller got; 0 if it went away or was cut off.
+  std::uint32_t Status_ = 0;
+  Outcome Outcome_ = Outcome::Unknown;
+  /// Tokens that were produced; 0 for plain calls.
+  std::uint32_t Tokens_ = 0;
+};
+
 /// A request with the route that matched it.
 struct RoutedRequest {
   RequestId Id_;
@@ -33,7 +43,7 @@
   LogOffset ClaimPosition_{0};
   HttpResponderPtr Responder_;
   /// Called once when the request is over; gives its admission back.
-  std::function<void()> Finished_;
+  std::function<void(const RequestEnd &)> Finished_;
 };
 
 /// What a claim came to.
@@ -104,6 +114,6 @@
 };
 
 /// Sends a whole answer with the outcome headers.
-void sendAnswer(HttpResponder &Responder, const RequestId &Id, const struct CallerAnswer &Answer);
+void sendAnswer(HttpResponder &Responder, const RequestId &Id, const CallerAnswer &Answer);
 
 } // namespace rattancart
