Stand-ins for the platform, the engines and the plain services

Tests and the quickstart need something at the other end of each interface of docs/PROTOCOLS.md. Each stand-in is a core without I/O (FakeLog, FakeInstanceList, EngineModel, PrefixCache, ServiceModel) behind a thin HTTP front that applies the faults. Requests are delayed before they are served, so a delayed append or call takes effect after its sender gave up.

--- /dev/null
+++ b/Source/StandIns/EngineFront.cpp
@@ -0,0 +1,420 @@
+#include "StandIns/EngineFront.h"
+
+#include "StandIns/EngineMessages.h"
+#include "StandIns/JsonFields.h"
+
+#include <boost/json/serialize.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace rattancart {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view KvPrefix = "/v1/kv/";
+constexpr std::string_view TensorPrefix = "/v1/tensor/";
+constexpr Duration HousekeepingInterval = std::chrono::seconds(1);
+constexpr Duration SnapshotInterval = std::chrono::milliseconds(20);
+/// An answer that found no partner to be swapped with is sent as it is.
+constexpr Duration LongestCrossing = std::chrono::milliseconds(200);
+constexpr Duration WeightsRetry = std::chrono::milliseconds(500);
+
+std::uint32_t refusalStatus(StepRefusal Refusal) {
+  if (Refusal == StepRefusal::Full)
+    return 503;
+  return Refusal == StepRefusal::Malformed ? 400 : 409;
+}
+
+HttpResponse malformed() { return jsonAnswer(400, "{\"error\":\"malformed\"}\n"); }
+
+std::int64_t microseconds(Duration Time) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(Time).count();
+}
+
+/// A sequence named in a path as REQUEST/ATTEMPT.
+struct SequencePath {
+  RequestId Request_;
+  AttemptNumber Attempt_;
+};
+
+SequencePath parseSequencePath(std::string_view Path) {
+  const std::size_t Slash = Path.rfind('/');
+  if (Slash == std::string_view::npos)
+    return {};
+  std::uint32_t Attempt = 0;
+  std::from_chars(Path.data() + Slash + 1, Path.data() + Path.size(), Attempt);
+  return {RequestId(std::string(Path.substr(0, Slash))), AttemptNumber(Attempt)};
+}
+
+} // namespace
+
+EngineFront::EngineFront(boost::asio::io_context &Loop, Logger &Log, const Clock &Time,
+                         HttpClient &Client, EngineFrontConfig Config, EngineFaults Faults)
+    : StandInFront(Loop, Log), Time_(Time), Client_(Client), Config_(std::move(Config)),
+      Faults_(Faults), Model_(Config_.Engine_),
+      Link_(Config_.LinkBytesPerSecond_, Config_.LinkDelay_), History_(Config_.HistoryLimit_),
+      Batch_(Loop), Housekeeping_(Loop), Crossing_(Loop) {
+  Housekeeping_.every(HousekeepingInterval, [this] { Model_.expire(Time_.now()); });
+  Model_.setLeaving(Faults_.Leaving_);
+}
+
+bool EngineFront::isIdle() const {
+  const EngineOccupancy Occupancy = Model_.occupancy();
+  return Occupancy.Sequences_ == 0 && Occupancy.Queued_ == 0 && Occupancy.Running_ == 0;
+}
+
+bool EngineFront::setFaultText(const std::string &Text) {
+  const bool WasLeaving = Faults_.Leaving_;
+  if (!applyFaults(Faults_, Text))
+    return false;
+  if (Faults_.Leaving_ != WasLeaving)
+    Model_.setLeaving(Faults_.Leaving_);
+  if (Faults_.Common_.Down_)
+    goDown();
+  return true;
+}
+
+void EngineFront::goDown() {
+  Faults_.Common_.Down_ = true;
+  Batch_.cancel();
+  Model_.dropAll();
+  Model_.takeDropped();
+  for (const auto &[Id, Responders] : std::exchange(Waiting_, {}))
+    for (const HttpResponderPtr &Responder : Responders)
+      Responder->abort();
+  releaseCrossed();
+  Copies_.clear();
+  for (const HttpResponderPtr &Responder : std::exchange(Silent_, {}))
+    Responder->abort();
+}
+
+void EngineFront::serve(HttpRequest Request, HttpResponderPtr Responder) {
+  const std::string_view Path = Request.path();
+  if (Path == "/v1/step")
+    return serveStep(Request, Responder);
+  if (Path == "/v1/cancel")
+    return serveCancel(Request, Responder);
+  if (Path == "/v1/load")
+    return serveLoad(Responder);
+  if (Path == "/v1/cache-events")
+    return serveEvents(Request, Responder);
+  if (Path == "/v1/order")
+    return serveOrder(Request, Responder);
+  if (Path.starts_with(KvPrefix))
+    return serveKv(Request, Responder);
+  if (Path.starts_with(TensorPrefix))
+    return serveTensor(Request, Responder);
+  deliver(Responder, jsonAnswer(404, "{\"error\":\"no such resource\"}\n"));
+}
+
+void EngineFront::serveStep(const HttpRequest &Request, const HttpResponderPtr &Responder) {
+  const json::value Body = parseObject(Request.Body_);
+  if (!Body.is_object())
+    return deliver(Responder, malformed());
+  if (Faults_.FailSteps_ > 0) {
+    --Faults_.FailSteps_;
+    return deliver(Responder, jsonAnswer(500, "{\"error\":\"failed\"}\n"));
+  }
+  admitStep(Body.as_object(), Responder);
+  refuseDropped();
+}
+
+void EngineFront::admitStep(const json::object &Body, const HttpResponderPtr &Responder) {
+  StepAdmission Admission = Model_.admit(parseStep(Body), Time_.now());
+  switch (Admission.Kind_) {
+  case StepAdmission::Kind::Refused:
+    return deliver(Responder, jsonAnswer(refusalStatus(Admission.Refusal_),
+                                         refusalText(Admission.Refusal_, Admission.Expected_)));
+  case StepAdmission::Kind::Repeat:
+    return answerStep(Admission.Result_, {Responder});
+  case StepAdmission::Kind::Join:
+    Waiting_[Admission.Id_].push_back(Responder);
+    return;
+  case StepAdmission::Kind::Run:
+    Waiting_[Admission.Id_].push_back(Responder);
+    takeInput(Admission.Id_, Body);
+  }
+}
+
+void EngineFront::takeInput(StepId Id, const json::object &Body) {
+  const json::value *Input = Body.if_contains("input");
+  if (!Input || !Input->is_object()) {
+    Model_.abandon(Id);
+    return failStep(Id, 400, "input");
+  }
+  const json::object &Given = Input->as_object();
+  if (Given.contains("ref"))
+    return fetchInput(Id, {jsonText(Given, "ref"), NetAddress(jsonText(Given, "address"))});
+  supplyInput(Id, parseTensor(Given));
+}
+
+void EngineFront::fetchInput(StepId Id, const InputPlace &From) {
+  HttpRequest Request;
+  Request.Target_ = std::string(TensorPrefix) + From.Ref_;
+  Client_.send(From.Address_, std::move(Request), {}, [this, Id](const HttpResult &Outcome) {
+    const json::value Body = Outcome.Error_ ? json::value() : parseObject(Outcome.Response_.Body_);
+    if (!Body.is_object() || Outcome.Response_.Status_ != 200) {
+      Model_.abandon(Id);
+      return failStep(Id, 502, "input");
+    }
+    supplyInput(Id, parseTensor(Body.as_object()));
+  });
+}
+
+void EngineFront::supplyInput(StepId Id, Tensor Input) {
+  if (!Model_.supply(Id, std::move(Input)))
+    return failStep(Id, 409, "tensor");
+  startBatch();
+}
+
+void EngineFront::failStep(StepId Id, std::uint32_t Status, const std::string &Reason) {
+  const auto Place = Waiting_.find(Id);
+  if (Place == Waiting_.end())
+    return;
+  const std::vector<HttpResponderPtr> Responders = std::move(Place->second);
+  Waiting_.erase(Place);
+  for (const HttpResponderPtr &Responder : Responders)
+    deliver(Responder, jsonAnswer(Status, fmt::format("{{\"error\":\"{}\"}}\n", Reason)));
+}
+
+void EngineFront::refuseDropped() {
+  for (const StepId Id : Model_.takeDropped())
+    failStep(Id, 409, "attempt");
+}
+
+void EngineFront::startBatch() {
+  const std::optional<Duration> Time = Model_.startBatch();
+  if (!Time)
+    return;
+  const double Scaled = static_cast<double>(Time->count()) / Faults_.SpeedFactor_;
+  Batch_.after(Duration(static_cast<Duration::rep>(Scaled)), [this] { finishBatch(); });
+}
+
+void EngineFront::finishBatch() {
+  for (const FinishedStep &Step : Model_.finishBatch(Time_.now())) {
+    record(Step.Result_);
+    const auto Place = Waiting_.find(Step.Id_);
+    if (Place == Waiting_.end())
+      continue;
+    std::vector<HttpResponderPtr> Responders = std::move(Place->second);
+    Waiting_.erase(Place);
+    answerStep(Step.Result_, std::move(Responders));
+    if (Faults_.CutAfterSteps_ > 0 && --Faults_.CutAfterSteps_ == 0)
+      return goDown();
+  }
+  startBatch();
+}
+
+void EngineFront::record(const StepResult &Result) {
+  History_.add(layerRunText(Result, Config_.Engine_.Id_, History_.nextSequence()));
+}
+
+void EngineFront::answerStep(const StepResult &Result, std::vector<HttpResponderPtr> Responders) {
+  if (Faults_.DropStepAnswers_ > 0) {
+    --Faults_.DropStepAnswers_;
+    Silent_.insert(Silent_.end(), Responders.begin(), Responders.end());
+    return;
+  }
+  if (Crossed_) {
+    Crossing_.cancel();
+    const HeldStepAnswer Other = *std::exchange(Crossed_, std::nullopt);
+    sendStep(Result, Other.Responders_);
+    return sendStep(Other.Result_, Responders);
+  }
+  if (Faults_.CrossAnswers_ > 0) {
+    --Faults_.CrossAnswers_;
+    Crossed_ = HeldStepAnswer{Result, std::move(Responders)};
+    return Crossing_.after(LongestCrossing, [this] { releaseCrossed(); });
+  }
+  // A client of HTTP/1.1 meets a second copy of an answer in the place of the next one.
+  const RequestId &Request = Result.Step_.Request_;
+  const auto Copy = Copies_.find(Request);
+  if (Copy != Copies_.end()) {
+    sendStep(Copy->second, Responders);
+    Copies_.erase(Copy);
+    return;
+  }
+  if (Faults_.DuplicateStepAnswers_ && !Result.End_)
+    Copies_.emplace(Request, Result);
+  sendStep(Result, Responders);
+}
+
+void EngineFront::releaseCrossed() {
+  Crossing_.cancel();
+  if (const auto Held = std::exchange(Crossed_, std::nullopt))
+    sendStep(Held->Result_, Held->Responders_);
+}
+
+void EngineFront::sendStep(const StepResult &Result,
+                           const std::vector<HttpResponderPtr> &Responders) {
+  for (const HttpResponderPtr &Responder : Responders)
+    deliver(Responder, jsonAnswer(200, stepText(Result)));
+}
+
+std::string EngineFront::stepText(const StepResult &Result) const {
+  json::object Body{{"request", Result.Step_.Request_.str()},
+                    {"attempt", Result.Step_.Attempt_.value()},
+                    {"position", Result.Step_.Position_},
+                    {"count", Result.Step_.Count_},
+                    {"engine", Config_.Engine_.Id_.str()}};
+  if (Result.Ref_.empty()) {
+    Body["token"] = Result.Token_;
+    Body["end"] = Result.End_;
+  } else {
+    Body["output"] = {{"ref", Result.Ref_}, {"address", Address_.str()}};
+  }
+  return json::serialize(Body) + "\n";
+}
+
+void EngineFront::serveCancel(const HttpRequest &Request, const HttpResponderPtr &Responder) {
+  const json::value Body = parseObject(Request.Body_);
+  if (!Body.is_object())
+    return deliver(Responder, malformed());
+  const RequestId Id(jsonText(Body.as_object(), "request"));
+  Model_.cancel(
+      Id, AttemptNumber(static_cast<std::uint32_t>(jsonInteger(Body.as_object(), "attempt"))));
+  Copies_.erase(Id);
+  refuseDropped();
+  deliver(Responder, jsonAnswer(200, "{}\n"));
+}
+
+void EngineFront::serveLoad(const HttpResponderPtr &Responder) {
+  if (Faults_.LoadLag_.count() == 0) {
+    Snapshots_.clear();
+    return deliver(Responder, jsonAnswer(200, loadText()));
+  }
+  snapshotLoad();
+  const TimePoint Limit = Time_.now() - Faults_.LoadLag_;
+  while (Snapshots_.size() > 1 && Snapshots_[1].At_ <= Limit)
+    Snapshots_.pop_front();
+  deliver(Responder, jsonAnswer(200, Snapshots_.front().Text_));
+}
+
+void EngineFront::snapshotLoad() {
+  const TimePoint Now = Time_.now();
+  if (Snapshots_.empty() || Snapshots_.back().At_ + SnapshotInterval <= Now)
+    Snapshots_.push_back({Now, loadText()});
+}
+
+std::string EngineFront::loadText() {
+  const EngineConfig &Engine = Model_.config();
+  const EngineOccupancy Occupancy = Model_.occupancy();
+  const json::object Report{{"id", Engine.Id_.str()},
+                            {"incarnation", Config_.Incarnation_.value()},
+                            {"leaving", Model_.leaving()},
+                            {"model", Engine.Model_.str()},
+                            {"version", Engine.Version_.str()},
+                            {"layer_begin", Engine.Layers_.Begin_},
+                            {"layer_end", Engine.Layers_.End_},
+                            {"layer_count", Engine.LayerCount_},
+                            {"active", Occupancy.Sequences_},
+                            {"queued", Occupancy.Queued_},
+                            {"batch_slots", Engine.Slots_},
+                            {"step_us", microseconds(Engine.StepTime_)},
+                            {"prefill_us_per_token", microseconds(Engine.PrefillTime_)},
+                            {"link_bytes_per_second", Config_.LinkBytesPerSecond_},
+                            {"link_delay_us", microseconds(Config_.LinkDelay_)},
+                            {"cache_used", Model_.cache().used()},
+                            {"cache_limit", Model_.cache().limit()},
+                            {"sequence", ++LoadSequence_},
+                            {"checks_fencing", Config_.ChecksFencing_}};
+  return json::serialize(Report) + "\n";
+}
+
+void EngineFront::serveEvents(const HttpRequest &Request, const HttpResponderPtr &Responder) {
+  const std::string_view Text = Request.query("from");
+  std::uint64_t From = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), From);
+  deliver(Responder,
+          jsonAnswer(200, cacheEventsText(Model_.cache().events(
+                              From, Time_.now(), Faults_.EventLag_, Faults_.EventGapPercent_))));
+}
+
+void EngineFront::serveOrder(const HttpRequest &Request, const HttpResponderPtr &Responder) {
+  const json::value Body = parseObject(Request.Body_);
+  if (!Body.is_object())
+    return deliver(Responder, malformed());
+  const json::object &Order = Body.as_object();
+  const FencingNumber Fence(jsonInteger(Order, "fence"));
+  if (Config_.ChecksFencing_ && HighestFence_ && Fence < *HighestFence_)
+    return deliver(Responder,
+                   jsonAnswer(409, fmt::format("{{\"fence\":{}}}\n", HighestFence_->value())));
+  HighestFence_ = std::max(Fence, HighestFence_.value_or(Fence));
+  const std::string Kind = jsonText(Order, "kind");
+  if (Kind == "load")
+    return loadWeights(Order, Responder);
+  if (Kind == "leave") {
+    Model_.setLeaving(true);
+    announceLeaving();
+  } else if (Kind != "role") {
+    return deliver(Responder, malformed());
+  }
+  deliver(Responder, jsonAnswer(200, "{}\n"));
+}
+
+void EngineFront::loadWeights(const json::object &Order, const HttpResponderPtr &Responder) {
+  if (Config_.Platform_.empty())
+    return finishLoad(Order, Responder);
+  HttpRequest Request;
+  Request.Target_ =
+      fmt::format("/v1/weights/{}/{}/{}-{}", jsonText(Order, "model"), jsonText(Order, "version"),
+                  jsonInteger(Order, "layer_begin"), jsonInteger(Order, "layer_end"));
+  Client_.send(Config_.Platform_, std::move(Request), {},
+               [this, Order, Responder](const HttpResult &Outcome) {
+                 if (!Outcome.Error_ && Outcome.Response_.Status_ == 200)
+                   return finishLoad(Order, Responder);
+                 after(WeightsRetry, [this, Order, Responder] { loadWeights(Order, Responder); });
+               });
+}
+
+void EngineFront::finishLoad(const json::object &Order, const HttpResponderPtr &Responder) {
+  const LayerRange Layers{static_cast<std::uint32_t>(jsonInteger(Order, "layer_begin")),
+                          static_cast<std::uint32_t>(jsonInteger(Order, "layer_end"))};
+  if (Layers.Begin_ >= Layers.End_)
+    return deliver(Responder, malformed());
+  Model_.load(ModelId(jsonText(Order, "model")), ModelVersion(jsonText(Order, "version")), Layers,
+              Time_.now());
+  Batch_.cancel();
+  refuseDropped();
+  deliver(Responder, jsonAnswer(200, "{}\n"));
+}
+
+void EngineFront::serveKv(const HttpRequest &Request, const HttpResponderPtr &Responder) {
+  const SequencePath Of = parseSequencePath(Request.path().substr(KvPrefix.size()));
+  if (Request.Method_ == "PUT") {
+    const std::optional<KvImage> Image = parseKv(Request.Body_);
+    if (!Image)
+      return deliver(Responder, malformed());
+    const StepRefusal Refusal = Model_.importKv(Of.Request_, Of.Attempt_, *Image, Time_.now());
+    refuseDropped();
+    if (Refusal == StepRefusal::None)
+      return deliver(Responder, jsonAnswer(200, "{}\n"));
+    return deliver(Responder, jsonAnswer(refusalStatus(Refusal), refusalText(Refusal, 0)));
+  }
+  const std::optional<KvImage> Image = Model_.exportKv(Of.Request_, Of.Attempt_);
+  if (!Image)
+    return deliver(Responder, jsonAnswer(404, "{\"error\":\"no such sequence\"}\n"));
+  const std::uint64_t Bytes = Config_.KvBytesPerTokenAndLayer_ * Image->Tokens_.size() *
+                              (Image->Layers_.End_ - Image->Layers_.Begin_);
+  const std::string Text = kvText(*Image, Bytes);
+  after(Link_.transfer(Bytes, Time_.now()),
+        [this, Responder, Text] { deliver(Responder, jsonAnswer(200, Text)); });
+}
+
+void EngineFront::serveTensor(const HttpRequest &Request, const HttpResponderPtr &Responder) {
+  const Tensor *Output = Model_.tensor(std::string(Request.path().substr(TensorPrefix.size())));
+  if (!Output)
+    return deliver(Responder, jsonAnswer(404, "{\"error\":\"no such tensor\"}\n"));
+  const std::uint64_t Bytes = Config_.TensorBytesPerToken_ * Output->Tokens_.size();
+  const std::string Text = tensorText(*Output);
+  after(Link_.transfer(Bytes, Time_.now()),
+        [this, Responder, Text] { deliver(Responder, jsonAnswer(200, Text)); });
+}
+
+} // namespace rattancart
--- /dev/null
+++ b/Source/StandIns/FakeInstanceList.cpp
@@ -0,0 +1,60 @@
+#include "StandIns/FakeInstanceList.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattancart {
+
+namespace {
+
+constexpr std::size_t EditionsKept = 1000;
+
+bool sameEntry(const ListedInstance &A, const ListedInstance &B) {
+  return A.Id_ == B.Id_ && A.Kind_ == B.Kind_ && A.Address_ == B.Address_ &&
+         A.DataCenter_ == B.DataCenter_ && A.Leaving_ == B.Leaving_ &&
+         A.Incarnation_ == B.Incarnation_ && A.Service_ == B.Service_;
+}
+
+} // namespace
+
+void FakeInstanceList::put(ListedInstance Entry, TimePoint Now) {
+  InstanceList List = latest();
+  const auto Place = std::find_if(List.Instances_.begin(), List.Instances_.end(),
+                                  [&](const ListedInstance &Old) { return Old.Id_ == Entry.Id_; });
+  if (Place == List.Instances_.end())
+    List.Instances_.push_back(std::move(Entry));
+  else if (sameEntry(*Place, Entry))
+    return;
+  else
+    *Place = std::move(Entry);
+  publish(std::move(List), Now);
+}
+
+bool FakeInstanceList::remove(const EndpointId &Id, TimePoint Now) {
+  InstanceList List = latest();
+  const auto Removed =
+      std::erase_if(List.Instances_, [&](const ListedInstance &Old) { return Old.Id_ == Id; });
+  if (Removed == 0)
+    return false;
+  publish(std::move(List), Now);
+  return true;
+}
+
+InstanceList FakeInstanceList::view(TimePoint Now, Duration Lag, bool Backwards) {
+  std::size_t Place = Editions_.size();
+  while (Place > 0 && Editions_[Place - 1].At_ > Now - Lag)
+    --Place;
+  Odd_ = !Odd_;
+  if (Backwards && Odd_ && Place > 1)
+    --Place;
+  return Place == 0 ? InstanceList{} : Editions_[Place - 1].List_;
+}
+
+void FakeInstanceList::publish(InstanceList List, TimePoint Now) {
+  ++List.Version_;
+  Editions_.push_back({Now, std::move(List)});
+  if (Editions_.size() > EditionsKept)
+    Editions_.pop_front();
+}
+
+} // namespace rattancart
--- /dev/null
+++ b/Source/StandIns/HistoryBuffer.cpp
@@ -0,0 +1,26 @@
+#include "StandIns/HistoryBuffer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattancart {
+
+void HistoryBuffer::add(std::string Line) {
+  Line += '\n';
+  Lines_.push_back(std::move(Line));
+  if (Lines_.size() <= Limit_)
+    return;
+  Lines_.pop_front();
+  ++Dropped_;
+}
+
+std::string HistoryBuffer::text(std::uint64_t From) const {
+  std::string Text;
+  const std::uint64_t Skipped = From > Dropped_ + 1 ? From - Dropped_ - 1 : 0;
+  for (std::size_t Place = std::min<std::uint64_t>(Skipped, Lines_.size()); Place < Lines_.size();
+       ++Place)
+    Text += Lines_[Place];
+  return Text;
+}
+
+} // namespace rattancart
--- /dev/null
+++ b/Source/StandIns/HistoryBuffer.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string>
+
+namespace rattancart {
+
+/// The last events of a stand-in as JSON lines. Not thread-safe.
+class HistoryBuffer {
+public:
+  /// Keeps at most Limit lines.
+  explicit HistoryBuffer(std::size_t Limit) : Limit_(Limit) {}
+
+  /// The number of the line that is added next, from 1.
+  std::uint64_t nextSequence() const { return Dropped_ + Lines_.size() + 1; }
+  /// Adds a line, given without its end.
+  void add(std::string Line);
+  /// The lines from a number on.
+  std::string text(std::uint64_t From) const;
+
+private:
+  std::size_t Limit_;
+  std::uint64_t Dropped_ = 0;
+  std::deque<std::string> Lines_;
+};
+
+} // namespace rattancart
--- /dev/null
+++ b/Source/StandIns/PlatformFront.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "StandIns/FakeInstanceList.h"
+#include "StandIns/FakeLog.h"
+#include "StandIns/StandInFront.h"
+
+#include <list>
+#include <memory>
+
+namespace rattancart {
+
+/// The platform stand-in over HTTP. Not thread-safe.
+class PlatformFront final : public StandInFront {
+public:
+  /// WeightsPerSecond limits the weight store. Preconditions as StandInFront; Time outlives it.
+  PlatformFront(boost::asio::io_context &Loop, Logger &Log, const Clock &Time,
+                PlatformFaults Faults, double WeightsPerSecond);
+
+  void leave() override;
+  bool isIdle() const override { return Waiting_.empty(); }
+
+protected:
+  void serve(HttpRequest Request, HttpResponderPtr Responder) override;
+  const CommonFaults &commonFaults() const override { return Faults_.Common_; }
+  std::string faultText() const override { return describeFaults(Faults_); }
+  bool setFaultText(const std::string &Text) override;
+
+private:
+  /// A read that waits for a record.
+  struct WaitingRead {
+    std::string Stream_;
+    LogOffset From_;
+    std::size_t Max_ = 0;
+    HttpResponderPtr Responder_;
+    TimePoint Until_{};
+  };
+
+  void serveLog(const HttpRequest &Request, const HttpResponderPtr &Responder);
+  void append(const std::string &Stream, std::string Body, const HttpResponderPtr &Responder);
+  void appendNow(const std::string &Stream, std::string Body, const HttpResponderPtr &Responder);
+  void read(WaitingRead Read);
+  void answerRead(const WaitingRead &Read);
+  void answerWaiting(bool All);
+  void serveInstances(const HttpRequest &Request, const HttpResponderPtr &Responder);
+  void serveWeights(const HttpRequest &Request, const HttpResponderPtr &Responder);
+  /// When the next append may take effect.
+  Duration appendDelay();
+
+  const Clock &Time_;
+  PlatformFaults Faults_;
+  FakeLog Records_;
+  FakeInstanceList Instances_;
+  std::list<WaitingRead> Waiting_;
+  TimePoint NextAppend_{};
+  double WeightsPerSecond_;
+  TimePoint NextWeights_{};
+  bool Leaving_ = false;
+};
+
+} // namespace rattancart
--- /dev/null
+++ b/Source/StandIns/ServiceFront.cpp
@@ -0,0 +1,96 @@
+#include "StandIns/ServiceFront.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <charconv>
+#include <utility>
+
+namespace rattancart {
+
+namespace json = boost::json;
+
+namespace {
+
+ServiceCall parseCall(HttpRequest Request) {
+  ServiceCall Call;
+  Call.Method_ = Request.Method_;
+  Call.Path_ = std::string(Request.path());
+  Call.Key_ = IdempotencyKey(std::string(Request.Headers_.get("idempotency-key")));
+  Call.Call_ = RequestId(std::string(Request.Headers_.get("x-rattancart-call")));
+  const std::string_view Fence = Request.Headers_.get("x-rattancart-fence");
+  std::int64_t Number = 0;
+  if (std::from_chars(Fence.data(), Fence.data() + Fence.size(), Number).ec == std::errc())
+    Call.Fence_ = FencingNumber(Number);
+  Call.Body_ = std::move(Request.Body_);
+  return Call;
+}
+
+} // namespace
+
+ServiceFront::ServiceFront(boost::asio::io_context &Loop, Logger &Log, ServiceIdentity Identity,
+                           ServiceConfig Config, ServiceFaults Faults)
+    : StandInFront(Loop, Log), Identity_(std::move(Identity)), Faults_(Faults), Config_(Config),
+      Model_(Config), History_(Identity_.HistoryLimit_) {}
+
+void ServiceFront::serve(HttpRequest Request, HttpResponderPtr Responder) {
+  if (Request.path() == "/v1/load")
+    return deliver(Responder, jsonAnswer(200, loadText()));
+  if (chance(Faults_.FailPercent_))
+    return deliver(Responder, jsonAnswer(500, "{\"error\":\"failed before execution\"}\n"));
+  const ServiceCall Call = parseCall(std::move(Request));
+  const ServiceAnswer Answer = Model_.call(Call);
+  if (Answer.Executed_)
+    record(Call);
+  answer(Responder, Answer);
+}
+
+void ServiceFront::answer(const HttpResponderPtr &Responder, const ServiceAnswer &Answer) {
+  if (Answer.Executed_ && chance(Faults_.FailAfterPercent_))
+    return deliver(Responder, jsonAnswer(500, "{\"error\":\"failed after execution\"}\n"));
+  if (Faults_.LoseAnswers_ > 0) {
+    --Faults_.LoseAnswers_;
+    return Responder->abort();
+  }
+  if (Faults_.CutAnswers_ == 0)
+    return deliver(Responder, jsonAnswer(Answer.Status_, Answer.Body_));
+  --Faults_.CutAnswers_;
+  Responder->startChunked(jsonAnswer(Answer.Status_, {}));
+  Responder->sendChunk(std::string_view(Answer.Body_).substr(0, Answer.Body_.size() / 2));
+  // The first half is on its way before the connection closes.
+  after(std::chrono::milliseconds(5), [Responder] { Responder->abort(); });
+}
+
+bool ServiceFront::chance(std::uint32_t Percent) {
+  return Percent > 0 && Random_() % 100 < Percent;
+}
+
+void ServiceFront::record(const ServiceCall &Call) {
+  json::object Line{{"kind", "execution"},
+                    {"sequence", History_.nextSequence()},
+                    {"service", Identity_.Id_.str()},
+                    {"method", Call.Method_},
+                    {"path", Call.Path_},
+                    {"body", Call.Body_},
+                    {"key", Call.Key_.str()},
+                    {"call", Call.Call_.str()}};
+  if (Call.Fence_)
+    Line["fence"] = Call.Fence_->value();
+  History_.add(json::serialize(Line));
+}
+
+std::string ServiceFront::loadText() {
+  const json::object Report{{"id", Identity_.Id_.str()},
+                            {"service", Identity_.Service_.str()},
+                            {"incarnation", Identity_.Incarnation_.value()},
+                            {"leaving", Faults_.Leaving_},
+                            {"active", 0},
+                            {"queued", 0},
+                            {"batch_slots", 1},
+                            {"sequence", ++LoadSequence_},
+                            {"checks_fencing", Config_.ChecksFencing_},
+                            {"deduplicates", Config_.Deduplicates_}};
+  return json::serialize(Report) + "\n";
+}
+
+} // namespace rattancart
--- /dev/null
+++ b/Source/StandIns/ServiceModel.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "Core/Common/Ids.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace rattancart {
+
+/// A call as a plain service receives it.
+struct ServiceCall {
+  std::string Method_;
+  std::string Path_;
+  std::string Body_;
+  IdempotencyKey Key_;
+  RequestId Call_;
+  std::optional<FencingNumber> Fence_;
+};
+
+struct ServiceAnswer {
+  std::uint32_t Status_ = 200;
+  std::string Body_;
+  /// Whether the call was executed; false for refusals and for repeats answered from the first
+  /// result.
+  bool Executed_ = false;
+};
+
+struct ServiceConfig {
+  bool Deduplicates_ = false;
+  bool ChecksFencing_ = false;
+};
+
+/// Bookings, reminders and orders in memory. Each call received is executed once. Not thread-safe.
+class ServiceModel {
+public:
+  explicit ServiceModel(ServiceConfig Config) : Config_(Config) {}
+
+  ServiceAnswer call(const ServiceCall &Call);
+
+private:
+  ServiceAnswer execute(const ServiceCall &Call);
+  ServiceAnswer create(std::string_view Prefix, const std::string &Body);
+  ServiceAnswer lookUp(const std::string &Lift) const;
+
+  ServiceConfig Config_;
+  std::uint64_t NextId_ = 1;
+  std::map<std::string, std::uint32_t> Bookings_;
+  std::map<IdempotencyKey, ServiceAnswer> Results_;
+  std::map<IdempotencyKey, FencingNumber> Fences_;
+};
+
+} // namespace rattancart
--- /dev/null
+++ b/Source/StandIns/StandInFront.cpp
@@ -0,0 +1,109 @@
+#include "StandIns/StandInFront.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <charconv>
+#include <memory>
+
+namespace rattancart {
+
+namespace {
+
+std::uint64_t parseNumber(std::string_view Text) {
+  std::uint64_t Number = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Number);
+  return Number;
+}
+
+} // namespace
+
+HttpResponse jsonAnswer(std::uint32_t Status, std::string Body) {
+  HttpResponse Response;
+  Response.Status_ = Status;
+  Response.Headers_.add("Content-Type", "application/json");
+  if (Status == 503 || Status == 429)
+    Response.Headers_.add("Retry-After", "1");
+  Response.Body_ = std::move(Body);
+  return Response;
+}
+
+void StandInFront::handle(HttpRequest Request, HttpResponderPtr Responder) {
+  if (Request.path() == "/healthz")
+    return Responder->send(jsonAnswer(200, "{\"ok\":true}\n"));
+  if (Request.path() == "/faults")
+    return serveFaults(Request, *Responder);
+  if (Request.path() == "/v1/history") {
+    HttpResponse Response;
+    Response.Headers_.add("Content-Type", "application/x-ndjson");
+    Response.Body_ = historyText(parseNumber(Request.query("from")));
+    return Responder->send(std::move(Response));
+  }
+  const Duration Delay = commonFaults().Delay_;
+  if (Delay.count() == 0)
+    return pass(std::move(Request), std::move(Responder));
+  auto Held = std::make_shared<HeldRequest>(HeldRequest{std::move(Request), std::move(Responder)});
+  after(Delay, [this, Held] {
+    pass(std::move(Held->Request_), std::exchange(Held->Responder_, nullptr));
+  });
+}
+
+void StandInFront::pass(HttpRequest Request, HttpResponderPtr Responder) {
+  if (commonFaults().Down_)
+    return Responder->abort();
+  if (commonFaults().Hang_) {
+    HeldRequests_.push_back({std::move(Request), std::move(Responder)});
+    return;
+  }
+  serve(std::move(Request), std::move(Responder));
+}
+
+void StandInFront::serveFaults(const HttpRequest &Request, HttpResponder &Responder) {
+  if (Request.Method_ != "GET") {
+    if (!setFaultText(Request.Body_))
+      return Responder.send(jsonAnswer(400, "{\"error\":\"not a JSON object\"}\n"));
+    Log_.log(LogEvent::FaultSet, {{"faults", Request.Body_}});
+    release();
+  }
+  Responder.send(jsonAnswer(200, faultText()));
+}
+
+void StandInFront::release() {
+  if (commonFaults().Hang_ && !commonFaults().Down_)
+    return;
+  for (HeldRequest &Held : std::exchange(HeldRequests_, {}))
+    pass(std::move(Held.Request_), std::move(Held.Responder_));
+  for (HeldAnswer &Held : std::exchange(HeldAnswers_, {}))
+    deliver(Held.Responder_, std::move(Held.Response_));
+}
+
+void StandInFront::deliver(const HttpResponderPtr &Responder, HttpResponse Response) {
+  if (commonFaults().Down_)
+    return Responder->abort();
+  if (commonFaults().Hang_) {
+    HeldAnswers_.push_back({Responder, std::move(Response)});
+    return;
+  }
+  Responder->send(std::move(Response));
+}
+
+void StandInFront::after(Duration Delay, std::function<void()> Handler) {
+  if (Delay.count() <= 0)
+    return Handler();
+  auto Alarm = std::make_shared<boost::asio::steady_timer>(Loop_, Delay);
+  Alarm->async_wait([Alarm, Handler = std::move(Handler)](boost::system::error_code E) {
+    if (!E)
+      Handler();
+  });
+}
+
+void StandInFront::announceLeaving() const {
+  if (Leaving_)
+    Leaving_();
+}
+
+std::string StandInFront::historyText(std::uint64_t From) const {
+  (void)From;
+  return {};
+}
+
+} // namespace rattancart
--- /dev/null
+++ b/Source/StandIns/StandInFront.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "Core/Common/Clock.h"
+#include "Core/Common/Logger.h"
+#include "Net/HttpServer.h"
+#include "StandIns/Faults.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <deque>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace rattancart {
+
+/// What the HTTP fronts of the stand-ins share: /healthz, /faults and /v1/history, which no fault
+/// touches, and the common faults before everything else. Not thread-safe.
+class StandInFront : public HttpHandler {
+public:
+  /// Precondition: Loop and Log outlive the front.
+  StandInFront(boost::asio::io_context &Loop, Logger &Log) : Loop_(Loop), Log_(Log) {}
+
+  void handle(HttpRequest Request, HttpResponderPtr Responder) final;
+  /// Starts a graceful end: no new work is taken.
+  virtual void leave() = 0;
+  /// Whether all work is finished.
+  virtual bool isIdle() const = 0;
+  /// Tells the front the address that it is reached at.
+  virtual void setAddress(const NetAddress &Address) { (void)Address; }
+  /// Called when the front begins to leave by an order.
+  void onLeaving(std::function<void()> Handler) { Leaving_ = std::move(Handler); }
+
+protected:
+  virtual void serve(HttpRequest Request, HttpResponderPtr Responder) = 0;
+  virtual const CommonFaults &commonFaults() const = 0;
+  virtual std::string faultText() const = 0;
+  /// Takes new faults; false if the text is no JSON object.
+  virtual bool setFaultText(const std::string &Text) = 0;
+  virtual std::string historyText(std::uint64_t From) const;
+
+  /// Sends an answer as far as the faults let it.
+  void deliver(const HttpResponderPtr &Responder, HttpResponse Response);
+  /// Calls Handler after Delay, at once if it is zero.
+  void after(Duration Delay, std::function<void()> Handler);
+  void announceLeaving() const;
+
+  boost::asio::io_context &Loop_;
+  Logger &Log_;
+
+private:
+  struct HeldRequest {
+    HttpRequest Request_;
+    HttpResponderPtr Responder_;
+  };
+  struct HeldAnswer {
+    HttpResponderPtr Responder_;
+    HttpResponse Response_;
+  };
+  void serveFaults(const HttpRequest &Request, HttpResponder &Responder);
+  void pass(HttpRequest Request, HttpResponderPtr Responder);
+  void release();
+
+  std::deque<HeldRequest> HeldRequests_;
+  std::deque<HeldAnswer> HeldAnswers_;
+  std::function<void()> Leaving_;
+};
+
+/// An answer with a JSON body.
+HttpResponse jsonAnswer(std::uint32_t Status, std::string Body);
+
+} // namespace rattancart
--- /dev/null
+++ b/Source/StandIns/StandInOptions.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "StandIns/StandInProcess.h"
+
+#include <CLI/CLI.hpp>
+
+#include <cstddef>
+#include <string>
+
+namespace rattancart {
+
+/// Command line options that the stand-in programs have in common.
+struct CommonOptions {
+  StandInOptions Process_;
+  /// A JSON object of faults to begin with.
+  std::string Faults_ = "{}";
+  /// Lines of /v1/history that are kept.
+  std::size_t HistoryLimit_ = 1000000;
+  std::uint32_t LeaveTimeoutMs_ = 10000;
+};
+
+/// Adds the common options to a command line. Precondition: Options outlives App.
+inline void addCommonOptions(CLI::App &App, CommonOptions &Options) {
+  App.add_option("--listen", Options.Process_.Listen_,
+                 "IP:PORT to listen on; port 0 takes a free one");
+  App.add_option("--id", Options.Process_.Id_, "Id in the instance list");
+  App.add_option("--data-center", Options.Process_.DataCenter_, "Data centre of this instance");
+  App.add_option("--faults", Options.Faults_, "JSON object of faults to begin with");
+}
+
+/// Adds the options of the stand-ins that register themselves.
+inline void addEndpointOptions(CLI::App &App, CommonOptions &Options) {
+  App.add_option("--platform", Options.Process_.Platform_,
+                 "IP:PORT of the platform to register at");
+  App.add_option("--history-limit", Options.HistoryLimit_, "Lines of history that are kept");
+  App.add_option("--leave-timeout-ms", Options.LeaveTimeoutMs_,
+                 "Longest time that a leaving process waits for its work");
+}
+
+} // namespace rattancart
