--- a/Source/Router/ModelSession.cpp
+++ b/Source/Router/ModelSession.cpp
@@ -55,7 +55,8 @@
                             Spec.Version_,
                             Spec.LayerCount_,
                             Request_.Route_->Priority_,
-                            prefixHash(Prompt, Shared.Options_.PrefixTokens_)},
+                            prefixHash(Prompt, Shared.Options_.PrefixTokens_),
+               std::min(Prompt.size(), Shared.Options_.PrefixTokens_)},
       Machine_(Request_.Id_, std::move(Prompt), optionsFor(Shared.Options_.Request_, Spec)),
       DeadlineTimer_(Shared.Services_.Loop_), PlanTimer_(Shared.Services_.Loop_) {
   // The prompt lives on as tokens.
@@ -77,14 +78,10 @@
     if (const auto Self = Weak.lock())
       Self->dispatch(DeadlinePassed{});
   });
+  const auto Held = shared_from_this();
   Dispatching_ = true;
   carryOut(Machine_.start());
-  Dispatching_ = false;
-  if (Pending_.empty())
-    return;
-  ModelEvent First = std::move(Pending_.front());
-  Pending_.pop_front();
-  dispatch(std::move(First));
+  takePending();
 }
 
 void ModelSession::dispatch(ModelEvent Event) {
@@ -93,6 +90,10 @@
     return;
   const auto Held = shared_from_this();
   Dispatching_ = true;
+  takePending();
+}
+
+void ModelSession::takePending() {
   while (!Pending_.empty()) {
     const ModelEvent Next = std::move(Pending_.front());
     Pending_.pop_front();
@@ -160,8 +161,8 @@
   if (Effect.NewWork_) {
     Options.BeforeSend_ = [&Endpoints = Shared_.Services_.Endpoints_, Stage = Effect.Stage_] {
       const Endpoint *Engine = Endpoints.find(Stage.Endpoint_);
-      return Engine && Engine->State_ == EndpointState::Live &&
-             Engine->Incarnation_ == Stage.Incarnation_;
+      return Engine && Engine->Incarnation_ == Stage.Incarnation_ &&
+             Endpoints.mayTakeWork(Stage.Endpoint_);
     };
   }
   ++Shared_.Stats_.Steps_;
--- a/Source/Router/ModelSession.h
+++ b/Source/Router/ModelSession.h
@@ -29,6 +29,7 @@
 
 private:
   void dispatch(ModelEvent Event);
+  void takePending();
   void carryOut(const std::vector<ModelEffect> &Effects);
   void apply(const PlanChain &Effect);
   void apply(const SendStep &Effect);
--- a/Source/Router/ModelStepCodec.cpp
+++ b/Source/Router/ModelStepCodec.cpp
@@ -106,6 +106,7 @@
   Body["priority"] = Context.Priority_.value();
   Body["input"] = encodeInput(Step, Tokens);
   Body["prefix"] = Context.Prefix_;
+  Body["prefix_tokens"] = Context.PrefixTokens_;
   return post("/v1/step", Body);
 }
 
--- a/Source/Router/ModelStepCodec.h
+++ b/Source/Router/ModelStepCodec.h
@@ -20,6 +20,8 @@
   PriorityClass Priority_{0};
   /// Names the beginning of the prompt in prefix caches.
   std::string Prefix_;
+  /// The tokens that the prefix covers.
+  std::uint32_t PrefixTokens_ = 0;
 };
 
 /// The request of one step. The first stage gets its tokens from Tokens. Thread-safe.
--- /dev/null
+++ b/Tests/Router/ModelHandlerTest.cpp
@@ -0,0 +1,266 @@
+#include "Router/ModelHandler.h"
+
+#include "Core/Common/ErrorCode.h"
+#include "Tests/Router/FakeEngineHandler.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <memory>
+#include <optional>
+
+using namespace rattancart;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+constexpr std::uint32_t AnswerTokens = 5;
+
+class NoClaims final : public ClaimClient {
+public:
+  bool available() const override { return false; }
+  void claim(const RequestId &, const IdempotencyKey &, LogOffset,
+             std::function<void(const ClaimReply &)>) override {}
+  void abandon(const RequestId &) override {}
+  void finish(const RequestId &, const IdempotencyKey &, std::uint32_t, std::string) override {}
+  void release(const RequestId &, const IdempotencyKey &) override {}
+};
+
+/// Two engines for each half of the model, and a front that hands every request to the handler.
+struct Fixture : HttpHandler {
+  Fixture() : Client_(Loop_), Front_(Loop_, {}, *this, Log_) {
+    View_ = std::make_shared<SettingsView>();
+    View_->Models_.push_back({ModelId("brief"), ModelVersion("3"), 48, 4096, 64});
+    Route Model;
+    Model.Id_ = RouteId("brief");
+    Model.Model_ = ModelId("brief");
+    Model.Version_ = ModelVersion("3");
+    View_->Routes_.push_back(Model);
+    for (int Index = 0; Index < 4; ++Index)
+      addEngine(Index);
+    makeHandler(std::chrono::seconds(5));
+    BOOST_REQUIRE(!Front_.listen(NetAddress("127.0.0.1:0")));
+  }
+
+  /// Steps may be silent for the time Silence.
+  void makeHandler(Duration Silence) {
+    ModelHandlerOptions Options;
+    Options.Deadline_ = {Silence, Silence, Silence, 4, 1};
+    Handler_ = std::make_unique<ModelHandler>(Services_, Options);
+  }
+
+  void addEngine(int Index) {
+    const std::string Id = "e" + std::to_string(Index);
+    Engines_.push_back(std::make_unique<FakeEngineHandler>(Id, AnswerTokens));
+    Servers_.push_back(
+        std::make_unique<HttpServer>(Loop_, HttpServerOptions{}, *Engines_.back(), Log_));
+    BOOST_REQUIRE(!Servers_.back()->listen(NetAddress("127.0.0.1:0")));
+    Endpoint Engine;
+    Engine.Id_ = EndpointId(Id);
+    Engine.Kind_ = EndpointKind::Engine;
+    Engine.Address_ = Servers_.back()->address();
+    Engine.Model_ = ModelId("brief");
+    Engine.Version_ = ModelVersion("3");
+    Engine.Layers_ = Index % 2 == 0 ? LayerRange{0, 24} : LayerRange{24, 48};
+    // The first two are faster and thus chosen first.
+    Engine.Load_.StepTime_ = std::chrono::milliseconds(Index < 2 ? 1 : 10);
+    Engine.Load_.BatchSlots_ = 4;
+    Engine.LoadSequence_ = 1;
+    Table_.apply(Engine, Time_.now());
+  }
+
+  void handle(HttpRequest Request, HttpResponderPtr Responder) override {
+    RoutedRequest Routed;
+    Routed.Id_ = RequestId("r" + std::to_string(++Requests_));
+    Routed.Http_ = std::move(Request);
+    Routed.View_ = View_;
+    Routed.Route_ = &View_->Routes_.front();
+    Routed.ArrivedAt_ = Time_.now();
+    Routed.Deadline_ = Routed.ArrivedAt_ + Timeout_;
+    Routed.Responder_ = std::move(Responder);
+    Routed.Finished_ = [this] { ++Finished_; };
+    Handler_->handle(std::move(Routed));
+  }
+
+  HttpResult ask(const std::string &Body = "how do I tie a bowline") {
+    HttpRequest Request;
+    Request.Method_ = "POST";
+    Request.Target_ = "/brief";
+    Request.Body_ = Body;
+    std::optional<HttpResult> Got;
+    Client_.send(Front_.address(), std::move(Request), {},
+                 [&](HttpResult R) { Got = std::move(R); });
+    while (!Got)
+      Loop_.run_one();
+    return *Got;
+  }
+
+  void runUntil(const std::function<bool()> &Condition) {
+    while (!Condition())
+      Loop_.run_one();
+  }
+
+  Duration Timeout_ = std::chrono::seconds(20);
+  boost::asio::io_context Loop_;
+  SystemClock Time_;
+  NullLogger Log_;
+  HttpClient Client_;
+  EndpointTable Table_;
+  NoClaims Claims_;
+  std::mt19937_64 Random_{3};
+  RouterServices Services_{
+      Loop_, Time_, Log_, Client_, Table_, Claims_, Random_, DataCenterId("k"), InstanceId("i1")};
+  std::shared_ptr<SettingsView> View_;
+  std::vector<std::unique_ptr<FakeEngineHandler>> Engines_;
+  std::vector<std::unique_ptr<HttpServer>> Servers_;
+  std::unique_ptr<ModelHandler> Handler_;
+  HttpServer Front_;
+  int Requests_ = 0;
+  int Finished_ = 0;
+};
+
+std::string expectedText() {
+  return fakeAnswer({"how", "do", "I", "tie", "a", "bowline"}, AnswerTokens);
+}
+
+std::string wholeBody() {
+  return R"({"text":")" + expectedText() + R"(","tokens":5,"model":"brief","version":"3"})";
+}
+
+struct BodyCase {
+  const char *Body_;
+  std::uint32_t Status_;
+};
+std::ostream &operator<<(std::ostream &Out, const BodyCase &Case) { return Out << Case.Body_; }
+
+const BodyCase BodyCases[] = {
+    {R"({"prompt":"how do I tie a bowline"})", 200},
+    {R"( {"prompt":"how do  I tie a\nbowline", "more":1})", 200},
+    {"", 400},
+    {" \n ", 400},
+    {R"({"prompt":""})", 400},
+    {R"({"prompt":7})", 400},
+    {R"({"prompt":"how)", 400},
+    {R"({})", 400},
+    {"\xff\xfe", 400},
+};
+
+struct FaultCase {
+  const char *Name_;
+  void (*Plant_)(Fixture &);
+  std::uint32_t Attempts_;
+};
+std::ostream &operator<<(std::ostream &Out, const FaultCase &Case) { return Out << Case.Name_; }
+
+const FaultCase FaultCases[] = {
+    {"none", [](Fixture &) {}, 1},
+    {"first stage dies at prefill", [](Fixture &F) { F.Engines_[0]->DieAfterSteps_ = 0; }, 2},
+    {"first stage dies mid-answer", [](Fixture &F) { F.Engines_[0]->DieAfterSteps_ = 2; }, 2},
+    {"last stage dies at the first token", [](Fixture &F) { F.Engines_[1]->DieAfterSteps_ = 0; },
+     2},
+    {"last stage dies at the last token", [](Fixture &F) { F.Engines_[1]->DieAfterSteps_ = 4; }, 2},
+    {"first stage refuses connections", [](Fixture &F) { F.Servers_[0]->stop(); }, 2},
+    {"a connection goes silent",
+     [](Fixture &F) {
+       F.makeHandler(std::chrono::milliseconds(300));
+       F.Engines_[1]->SilentSteps_ = 1;
+     },
+     1},
+    {"a stage goes silent",
+     [](Fixture &F) {
+       F.makeHandler(std::chrono::milliseconds(300));
+       F.Engines_[1]->HoldSteps_ = true;
+     },
+     2},
+    {"an answer is crossed", [](Fixture &F) { F.Engines_[1]->CrossedAnswers_ = 1; }, 1},
+    {"the first plan's engine left",
+     [](Fixture &F) { F.Table_.markLeaving(EndpointId("e0"), Incarnation(0)); }, 1},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE_F(Fixture, BodyIsParsedOrRefused, data::make(BodyCases), Case) {
+  const HttpResult Got = ask(Case.Body_);
+  BOOST_TEST(Got.Response_.Status_ == Case.Status_);
+  if (Case.Status_ == 200)
+    BOOST_TEST(Got.Response_.Body_ == wholeBody());
+  else
+    BOOST_TEST(Got.Response_.Headers_.get("x-rattancart-error") == "312");
+  BOOST_TEST(Finished_ == 1);
+}
+
+BOOST_DATA_TEST_CASE_F(Fixture, AnswerIsWholeUnderFaults,
+                       data::make(FaultCases) * data::make({false, true}), Case, Streamed) {
+  View_->Routes_.front().Delivery_ = Streamed ? Delivery::Stream : Delivery::Whole;
+  // Prompt lengths differ between attempts, so each engine is told it.
+  for (const auto &Engine : Engines_)
+    Engine->Prompt_ = 6;
+  Case.Plant_(*this);
+  const HttpResult Got = ask();
+  BOOST_TEST(!Got.Error_);
+  BOOST_TEST(Got.Response_.Body_ == (Streamed ? expectedText() : wholeBody()));
+  BOOST_TEST(Got.Response_.Headers_.get("x-rattancart-outcome") == "done");
+  BOOST_TEST(Handler_->stats().Attempts_ == Case.Attempts_);
+  BOOST_TEST(Handler_->inFlight() == 0U);
+  BOOST_TEST(Finished_ == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(FailedStreamIsCutAndNeverClosedAsWhole, Fixture) {
+  View_->Routes_.front().Delivery_ = Delivery::Stream;
+  for (int Index : {1, 3})
+    Engines_[Index]->DieAfterSteps_ = 2;
+  const HttpResult Got = ask();
+  BOOST_TEST(Got.Error_);
+  BOOST_TEST(Handler_->stats().Failed_ == 1U);
+  BOOST_TEST(Finished_ == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(NoChainIsRefusedAsNotRun, Fixture) {
+  Table_.markLeaving(EndpointId("e1"), Incarnation(0));
+  Table_.markGone(EndpointId("e3"), Incarnation(0));
+  const HttpResult Got = ask();
+  BOOST_TEST(Got.Response_.Status_ == 503U);
+  BOOST_TEST(Got.Response_.Headers_.get("x-rattancart-outcome") == "not-run");
+  BOOST_TEST(Got.Response_.Headers_.get("x-rattancart-error") == "501");
+}
+
+BOOST_FIXTURE_TEST_CASE(DeadlineEndsTheRequest, Fixture) {
+  Timeout_ = std::chrono::milliseconds(20);
+  Engines_[0]->HoldSteps_ = true;
+  const HttpResult Got = ask();
+  BOOST_TEST(Got.Response_.Status_ == 504U);
+  BOOST_TEST(Got.Response_.Headers_.get("x-rattancart-outcome") == "unknown");
+  runUntil([&] { return Engines_[0]->Cancels_ == 1 && Engines_[1]->Cancels_ == 1; });
+}
+
+BOOST_FIXTURE_TEST_CASE(CallerGoneCancelsAllStages, Fixture) {
+  Engines_[1]->HoldSteps_ = true;
+  HttpRequest Request;
+  Request.Method_ = "POST";
+  Request.Body_ = "a b";
+  const HttpCallId Call = Client_.send(Front_.address(), Request, {}, [](const HttpResult &) {});
+  runUntil([&] { return Engines_[1]->Steps_ == 1; });
+  BOOST_TEST(Handler_->state().at("requests").as_array().size() == 1U);
+  Client_.cancel(Call);
+  runUntil([&] { return Engines_[0]->Cancels_ == 1 && Engines_[1]->Cancels_ == 1; });
+  BOOST_TEST(Handler_->stats().Cancelled_ == 1U);
+  BOOST_TEST(Finished_ == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(EndpointGoneEndsTheAttemptAtOnce, Fixture) {
+  for (const auto &Engine : Engines_)
+    Engine->Prompt_ = 6;
+  Engines_[1]->HoldSteps_ = true;
+  boost::asio::post(Loop_, [this] {
+    runUntil([&] { return Engines_[1]->Steps_ == 1; });
+    Table_.markGone(EndpointId("e1"), Incarnation(0));
+    Handler_->onViewChanged();
+  });
+  BOOST_TEST(ask().Response_.Body_ == wholeBody());
+  BOOST_TEST(Handler_->stats().ConnectionRetries_ == 0U);
+  BOOST_TEST(Handler_->stats().Attempts_ == 2U);
+}
