--- a/Source/Config/ControlSettings.cpp
+++ b/Source/Config/ControlSettings.cpp
@@ -2,6 +2,9 @@
 
 #include <yaml-cpp/yaml.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace rattancart {
 
 using std::chrono::milliseconds;
@@ -18,6 +21,12 @@
   Settings.AdminListen_ = Root.address("admin-listen", Presence::Required);
   Settings.Platform_ = Root.address("platform", Presence::Required);
   Settings.Peers_ = Root.addresses("peers", Presence::Optional);
+  for (std::string &Name : Root.texts("data-centers", Presence::Optional))
+    Settings.DataCenters_.emplace_back(std::move(Name));
+  const DataCenterId &Own = Settings.Process_.DataCenter_;
+  if (std::find(Settings.DataCenters_.begin(), Settings.DataCenters_.end(), Own) ==
+      Settings.DataCenters_.end())
+    Settings.DataCenters_.push_back(Own);
   Settings.BootstrapTokenHash_ = Root.text("bootstrap-token-hash", Presence::Optional);
   Settings.PlatformTimeout_ =
       Root.duration("platform-timeout", seconds(2), {milliseconds(50), seconds(60)});
--- a/Source/Config/ControlSettings.h
+++ b/Source/Config/ControlSettings.h
@@ -18,6 +18,8 @@
   NetAddress Platform_;
   /// Frame addresses of the other control processes.
   std::vector<NetAddress> Peers_;
+  /// All data centres of the deployment; the own one is added if it is missing.
+  std::vector<DataCenterId> DataCenters_;
   /// Hash of the token that may write everything until operators are configured.
   std::string BootstrapTokenHash_;
   Duration PlatformTimeout_ = std::chrono::seconds(2);
--- a/Source/Config/YamlSection.cpp
+++ b/Source/Config/YamlSection.cpp
@@ -190,31 +190,48 @@
 
 std::vector<NetAddress> YamlSection::addresses(std::string_view Name, Presence Wanted) {
   std::vector<NetAddress> Found;
-  const std::string Expected = "a list of " + std::string(AddressExpected);
+  for (std::string &Text :
+       list(Name, Wanted, ErrorCode::BadAddress, AddressExpected, [](const std::string &Item) {
+         return static_cast<bool>(parseAddress(NetAddress(Item)));
+       }))
+    Found.emplace_back(std::move(Text));
+  return Found;
+}
+
+std::vector<std::string> YamlSection::texts(std::string_view Name, Presence Wanted) {
+  return list(Name, Wanted, ErrorCode::OutOfRange, "a text that is not empty",
+              [](const std::string &Item) { return !Item.empty(); });
+}
+
+std::vector<std::string> YamlSection::list(std::string_view Name, Presence Wanted, ErrorCode Bad,
+                                           std::string_view Expected,
+                                           const std::function<bool(const std::string &)> &IsGood) {
+  std::vector<std::string> Found;
+  const std::string ListExpected = fmt::format("a list, each item {}", Expected);
   if (!has(Name)) {
     if (Wanted == Presence::Required)
-      report(Name, ErrorCode::MissingField, Expected);
+      report(Name, ErrorCode::MissingField, ListExpected);
     return Found;
   }
   const YAML::Node &Node = State_->Node_;
   const YAML::Node List = Node[std::string(Name)];
   if (!List.IsSequence()) {
-    report(Name, ErrorCode::WrongType, Expected);
+    report(Name, ErrorCode::WrongType, ListExpected);
     return Found;
   }
   for (std::size_t Index = 0; Index < List.size(); ++Index) {
     const YAML::Node Item = List[Index];
-    const NetAddress Address(Item.IsScalar() ? Item.Scalar() : std::string());
+    const std::string Text = Item.IsScalar() ? Item.Scalar() : std::string();
     const std::string Place =
         (State_->Path_.empty() ? "" : State_->Path_ + ".") + fmt::format("{}[{}]", Name, Index);
-    if (!parseAddress(Address))
-      State_->Faults_.push_back({State_->File_, lineOf(Item.Mark()), Place, ErrorCode::BadAddress,
-                                 std::string(AddressExpected)});
-    else if (std::find(Found.begin(), Found.end(), Address) != Found.end())
-      State_->Faults_.push_back({State_->File_, lineOf(Item.Mark()), Place,
-                                 ErrorCode::DuplicateField, "each address once"});
+    if (!IsGood(Text))
+      State_->Faults_.push_back(
+          {State_->File_, lineOf(Item.Mark()), Place, Bad, std::string(Expected)});
+    else if (std::find(Found.begin(), Found.end(), Text) != Found.end())
+      State_->Faults_.push_back(
+          {State_->File_, lineOf(Item.Mark()), Place, ErrorCode::DuplicateField, "each item once"});
     else
-      Found.push_back(Address);
+      Found.push_back(Text);
   }
   return Found;
 }
--- a/Source/Config/YamlSection.h
+++ b/Source/Config/YamlSection.h
@@ -5,6 +5,7 @@
 #include "Core/Membership/Endpoint.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -54,6 +55,8 @@
   NetAddress address(std::string_view Name, Presence Wanted);
   /// A sequence of addresses without duplicates.
   std::vector<NetAddress> addresses(std::string_view Name, Presence Wanted);
+  /// A sequence of texts without duplicates.
+  std::vector<std::string> texts(std::string_view Name, Presence Wanted);
   /// The index of one of Choices.
   std::size_t choice(std::string_view Name, std::size_t Default,
                      std::span<const std::string_view> Choices);
@@ -65,6 +68,9 @@
 private:
   struct State;
   bool has(std::string_view Name);
+  std::vector<std::string> list(std::string_view Name, Presence Wanted, ErrorCode Bad,
+                                std::string_view Expected,
+                                const std::function<bool(const std::string &)> &IsGood);
   std::optional<std::string> scalar(std::string_view Name, Presence Wanted,
                                     std::string_view Expected);
   void report(std::string_view Name, ErrorCode Code, std::string Expected);
--- /dev/null
+++ b/Source/Control/ControlFrames.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "Control/ControlIdentity.h"
+#include "Control/LocalState.h"
+
+#include "Frames_generated.h"
+
+namespace rattancart {
+
+/// The hello of a control process. Thread-safe.
+wire::HelloT makeControlHello(const ControlIdentity &Identity, const LocalState &State);
+/// The heartbeat of a control process, without sequence and echo.
+wire::HeartbeatT makeControlHeartbeat(const LocalState &State);
+/// The demand that a heartbeat carries. Thread-safe.
+std::vector<CustomerDemand> demandOf(const wire::HeartbeatT &Beat);
+
+} // namespace rattancart
--- a/Source/Net/HttpServer.cpp
+++ b/Source/Net/HttpServer.cpp
@@ -79,7 +79,9 @@
   }
 
   void closeIfIdle() {
-    if (Idle_)
+    boost::system::error_code E;
+    // A request that has arrived is answered, even if nothing of it was read yet.
+    if (Idle_ && Socket_.available(E) == 0)
       close();
   }
 
