--- /dev/null
+++ b/Source/Router/CallHandler.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "Core/Calls/RetryPermit.h"
+#include "Router/CallEndpoints.h"
+#include "Router/CallSession.h"
+#include "Router/RouteHandler.h"
+
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+
+namespace rattancart {
+
+/// Serves routes to plain services. Not thread-safe: use it on the router's event loop.
+class CallHandler final : public RouteHandler {
+public:
+  /// Precondition: Services and Permit outlive the handler.
+  CallHandler(RouterServices &Services, RetryPermit &Permit);
+
+  /// Precondition: the request's route names a service.
+  void handle(RoutedRequest Request) override;
+  /// Calls not yet over; among them calls whose caller was answered and whose endpoint's answer is
+  /// awaited to record it.
+  std::size_t inFlight() const override { return Sessions_.size(); }
+  boost::json::object state() const override;
+  const CallStats &stats() const { return Stats_; }
+
+private:
+  RouterServices &Services_;
+  RetryPermit &Permit_;
+  CallEndpoints Endpoints_;
+  CallStats Stats_;
+  std::uint64_t NextSession_ = 0;
+  std::unordered_map<std::uint64_t, std::shared_ptr<CallSession>> Sessions_;
+};
+
+} // namespace rattancart
