--- /dev/null
+++ b/Source/Control/SettingsFollower.cpp
@@ -0,0 +1,300 @@
+#include "Control/SettingsFollower.h"
+
+#include <boost/json/parse.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace rattancart {
+
+namespace json = boost::json;
+
+namespace {
+
+const std::string Stream = "settings";
+constexpr std::uint32_t MaxDoublings = 10;
+
+/// The oldest offset that the platform named when it refused a trimmed one.
+std::optional<LogOffset> firstKept(const std::string &Detail) {
+  boost::system::error_code Failure;
+  const json::value Body = json::parse(Detail, Failure);
+  if (Failure || !Body.is_object() || !Body.as_object().if_contains("first") ||
+      !Body.at("first").is_int64() || Body.at("first").as_int64() < 0)
+    return std::nullopt;
+  return LogOffset(Body.at("first").as_int64());
+}
+
+SubmitOutcome outcomeOf(const ChangeId &Id, LogOffset Offset, Error Reason) {
+  const auto State = Reason.Code_ ? SubmitOutcome::State::Rejected : SubmitOutcome::State::Accepted;
+  return {State, Id, Offset, std::move(Reason)};
+}
+
+} // namespace
+
+template <typename Function> auto SettingsFollower::guarded(Function Handler) {
+  return [Alive = std::weak_ptr<bool>(Alive_), Handler = std::move(Handler)](auto &&...Arguments) {
+    if (!Alive.expired())
+      Handler(std::forward<decltype(Arguments)>(Arguments)...);
+  };
+}
+
+SettingsFollower::SettingsFollower(Services Used, SettingsFollowerOptions Options,
+                                   SettingsListener &Listener)
+    : Used_(Used), Options_(std::move(Options)), Listener_(Listener),
+      History_(Options_.HistoryLimit_) {}
+
+SettingsFollower::~SettingsFollower() = default;
+
+void SettingsFollower::start() {
+  // The age of a snapshot found in the log is not known, so an earlier one is assumed.
+  SnapshotSeenAt_ = Used_.Clock_.now() - jittered(Options_.SnapshotAge_ / 2);
+  Scan_.emplace(LogOffset(0));
+  read();
+}
+
+void SettingsFollower::read() {
+  if (Reading_ || Replica_.stopped())
+    return;
+  Reading_ = true;
+  ReadAt_ = Used_.Clock_.now();
+  const LogOffset From = Scan_ ? Scan_->next() : Replica_.offset().next();
+  const Duration Wait = Scan_ ? Duration::zero() : Options_.ReadWait_;
+  // An answer that is too large fails like any other, so a page shrinks with each failure.
+  const std::size_t Max =
+      std::max<std::size_t>(1, Options_.PageRecords_ >> std::min(Failures_, MaxDoublings));
+  Used_.Log_.read(Stream, From, Max, Wait,
+                  guarded([this](Result<LogPage> Page) { onPage(std::move(Page)); }));
+}
+
+void SettingsFollower::onPage(Result<LogPage> Page) {
+  Reading_ = false;
+  if (!Page)
+    return onReadFailed(Page.error());
+  Failures_ = 0;
+  PlatformUp_ = true;
+  if (std::exchange(PlatformLostLogged_, false))
+    Used_.Logger_.log(LogEvent::PlatformBack, {{"stream", Stream}});
+  takePage(std::move(*Page));
+}
+
+void SettingsFollower::onReadFailed(const Error &Failure) {
+  if (Failure.Code_ == make_error_code(ErrorCode::OffsetTrimmed)) {
+    PlatformUp_ = true;
+    if (const std::optional<LogOffset> First = firstKept(Failure.Detail_)) {
+      const bool Again = Scan_ && *First <= Scan_->next();
+      Scan_.emplace(*First);
+      return Again ? readAgainLater() : read();
+    }
+  } else {
+    PlatformUp_ = false;
+    if (!std::exchange(PlatformLostLogged_, true))
+      Used_.Logger_.log(
+          LogEvent::PlatformLost,
+          {{"stream", Stream}, {"error", Failure.Code_.value()}, {"detail", Failure.Detail_}});
+  }
+  readAgainLater();
+}
+
+void SettingsFollower::readAgainLater() {
+  const Duration Full = std::min(Options_.RetryCap_,
+                                 Options_.RetryFloor_ * (1U << std::min(Failures_, MaxDoublings)));
+  ++Failures_;
+  Used_.Scheduler_.after(jittered(Full), guarded([this] { read(); }));
+}
+
+void SettingsFollower::takePage(LogPage Page) {
+  if (Scan_) {
+    if (!Scan_->add(std::move(Page))) {
+      reportGap(fmt::format("no record at {}", Scan_->next().value()));
+      Scan_.emplace(LogOffset(0));
+      return readAgainLater();
+    }
+    return Scan_->complete() ? finishScan() : read();
+  }
+  const bool Early = Page.Records_.empty() && Used_.Clock_.now() - ReadAt_ < Options_.ReadWait_ / 2;
+  for (const LogRecord &Record : Page.Records_) {
+    const ReplicaResult Applied = applyRecord(Record.Offset_, Record.Body_);
+    if (Applied.State_ == ReplicaResult::State::Stopped)
+      return;
+    if (Applied.State_ == ReplicaResult::State::Gap) {
+      reportGap(fmt::format("no record at {}", Replica_.offset().next().value()));
+      Scan_.emplace(LogOffset(0));
+      return readAgainLater();
+    }
+  }
+  considerSnapshot();
+  // A platform that does not wait for the next record must not be asked at once.
+  return Early ? readAgainLater() : read();
+}
+
+void SettingsFollower::finishScan() {
+  const SettingsScan Scan = std::move(*Scan_);
+  Scan_.reset();
+  if (!Scan.covers(Replica_.offset())) {
+    reportGap("no snapshot in the log can be used");
+    Scan_.emplace(LogOffset(0));
+    return readAgainLater();
+  }
+  if (Scan.newest() && Scan.newest()->Offset_ > Replica_.offset())
+    applyImage(Scan.newest()->Offset_, Scan.newest()->Body_);
+  for (const LogRecord &Record : Scan.records())
+    applyRecord(Record.Offset_, Record.Body_);
+  Ready_ = true;
+  GapLogged_ = false;
+  resolvePending();
+  considerSnapshot();
+  read();
+}
+
+void SettingsFollower::reportGap(std::string Detail) {
+  if (!std::exchange(GapLogged_, true))
+    Used_.Logger_.log(LogEvent::SettingsGap,
+                      {{"offset", Replica_.offset().value()}, {"detail", std::move(Detail)}});
+}
+
+ReplicaResult SettingsFollower::offerImage(LogOffset Offset, const std::string &Body) {
+  const bool WasStopped = Replica_.stopped();
+  ReplicaResult Outcome = applyImage(Offset, Body);
+  if (Outcome.State_ == ReplicaResult::State::Applied) {
+    Ready_ = true;
+    resolvePending();
+    if (WasStopped)
+      read();
+  }
+  return Outcome;
+}
+
+ReplicaResult SettingsFollower::offerRecord(LogOffset Offset, const std::string &Body) {
+  // Before the log was read or an image came, a first record says nothing about what follows it.
+  if (!Ready_ && Offset > Replica_.offset())
+    return {ReplicaResult::State::Gap, {}, ErrorCode::LogGap, {}};
+  return applyRecord(Offset, Body);
+}
+
+ReplicaResult SettingsFollower::applyImage(LogOffset Offset, const std::string &Body) {
+  ReplicaResult Outcome = Replica_.applyImage(Offset, Body);
+  if (Outcome.State_ == ReplicaResult::State::Ignored)
+    Used_.Logger_.log(LogEvent::StaleViewIgnored, {{"offset", Offset.value()}});
+  if (Outcome.State_ == ReplicaResult::State::Stopped)
+    noteStopped(Outcome.Detail_);
+  if (Outcome.State_ != ReplicaResult::State::Applied)
+    return Outcome;
+  StoppedLogged_ = false;
+  SnapshotCovered_ = std::max(SnapshotCovered_, Replica_.log().floor());
+  Used_.Logger_.log(LogEvent::SnapshotApplied, {{"offset", Offset.value()}});
+  Listener_.onSettingsImage();
+  return Outcome;
+}
+
+ReplicaResult SettingsFollower::applyRecord(LogOffset Offset, const std::string &Body) {
+  ReplicaResult Outcome = Replica_.applyRecord(Offset, Body);
+  if (Outcome.State_ == ReplicaResult::State::Stopped)
+    noteStopped(Outcome.Decision_ ? Outcome.Decision_->Detail_ : Outcome.Detail_);
+  if (Outcome.State_ != ReplicaResult::State::Applied)
+    return Outcome;
+  noteDecision(*Outcome.Decision_);
+  Listener_.onSettingsRecord(Offset, Body);
+  resolvePending();
+  return Outcome;
+}
+
+void SettingsFollower::noteStopped(const std::string &Detail) {
+  if (!std::exchange(StoppedLogged_, true))
+    Used_.Logger_.log(LogEvent::UnknownSchemaMet,
+                      {{"offset", Replica_.offset().next().value()}, {"detail", Detail}});
+}
+
+void SettingsFollower::noteDecision(const Decision &Item) {
+  if (Item.Kind_ == Decision::Kind::Snapshot) {
+    SnapshotSeen_ = Item.Offset_;
+    SnapshotCovered_ = std::max(SnapshotCovered_, Item.Covered_);
+    SnapshotSeenAt_ = Used_.Clock_.now();
+    return;
+  }
+  if (Item.Kind_ == Decision::Kind::Accepted)
+    Used_.Logger_.log(LogEvent::ChangeAccepted, {{"offset", Item.Offset_.value()},
+                                                 {"change", Item.Change_.str()},
+                                                 {"author", Item.Author_.str()}});
+  else
+    Used_.Logger_.log(LogEvent::ChangeRejected, {{"offset", Item.Offset_.value()},
+                                                 {"change", Item.Change_.str()},
+                                                 {"author", Item.Author_.str()},
+                                                 {"error", Item.Error_.value()},
+                                                 {"detail", Item.Detail_}});
+  History_.add(Item);
+}
+
+void SettingsFollower::submit(const SettingsChange &Change,
+                              std::function<void(const SubmitOutcome &)> Done) {
+  const std::uint64_t Ticket = NextTicket_++;
+  Pending_.emplace(Ticket, Pending{Change.Id_, std::move(Done)});
+  std::string Body = formatChange(Change);
+  const Result<SettingsChange> Parsed = parseChange(Body);
+  SubmitOutcome Known = findChange(Change.Id_);
+  if (!Parsed)
+    Known = outcomeOf(Change.Id_, NoOffset, Parsed.error());
+  if (Known.State_ != SubmitOutcome::State::Unknown) {
+    Used_.Scheduler_.after(Duration::zero(),
+                           guarded([this, Ticket, Known] { answer(Ticket, Known); }));
+    return;
+  }
+  Used_.Scheduler_.after(Options_.SubmitTimeout_, guarded([this, Ticket, Id = Change.Id_] {
+                           answer(Ticket, {SubmitOutcome::State::Unknown,
+                                           Id,
+                                           NoOffset,
+                                           {ErrorCode::ChangeUnknown, "not read back in time"}});
+                         }));
+  Used_.Log_.append(
+      Stream, std::move(Body),
+      guarded([this, Ticket](const Result<LogOffset> &Appended) { onAppended(Ticket, Appended); }));
+}
+
+void SettingsFollower::onAppended(std::uint64_t Ticket, const Result<LogOffset> &Appended) {
+  const auto Found = Pending_.find(Ticket);
+  if (Found == Pending_.end())
+    return;
+  // The log itself settles any other answer. Without a connection there is nothing to wait for;
+  // an earlier copy may have been appended elsewhere, so the outcome is not "rejected".
+  if (!Appended && Appended.error().Code_ == make_error_code(ErrorCode::PlatformUnreachable))
+    answer(Ticket,
+           {SubmitOutcome::State::Unknown, Found->second.Change_, NoOffset, Appended.error()});
+}
+
+void SettingsFollower::answer(std::uint64_t Ticket, const SubmitOutcome &Outcome) {
+  const auto Found = Pending_.find(Ticket);
+  if (Found == Pending_.end())
+    return;
+  const std::function<void(const SubmitOutcome &)> Done = std::move(Found->second.Done_);
+  Pending_.erase(Found);
+  Done(Outcome);
+}
+
+void SettingsFollower::resolvePending() {
+  std::vector<std::pair<std::uint64_t, SubmitOutcome>> Settled;
+  for (const auto &[Ticket, Item] : Pending_)
+    if (SubmitOutcome Outcome = findChange(Item.Change_);
+        Outcome.State_ != SubmitOutcome::State::Unknown)
+      Settled.emplace_back(Ticket, std::move(Outcome));
+  for (const auto &[Ticket, Outcome] : Settled)
+    answer(Ticket, Outcome);
+}
+
+SubmitOutcome SettingsFollower::findChange(const ChangeId &Id) const {
+  if (const Decision *Seen = History_.findChange(Id))
+    return outcomeOf(Id, Seen->Offset_, {Seen->Error_, Seen->Detail_});
+  if (const std::optional<DecidedChange> Kept = Replica_.log().findChange(Id))
+    return outcomeOf(Id, Kept->Offset_, {Kept->Error_, {}});
+  return {SubmitOutcome::State::Unknown,
+          Id,
+          NoOffset,
+          {ErrorCode::ChangeUnknown, "no decision on this id is known"}};
+}
+
+Duration SettingsFollower::jittered(Duration Full) {
+  std::uniform_int_distribution<Duration::rep> Draw(Full.count() / 2, Full.count());
+  return Duration(Draw(Used_.Random_));
+}
+
+} // namespace rattancart
--- /dev/null
+++ b/Source/Control/SettingsHistory.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "Core/Settings/SettingsLog.h"
+
+#include <cstddef>
+#include <deque>
+#include <vector>
+
+namespace rattancart {
+
+/// The latest decisions that a process saw, in bounded memory. Not thread-safe.
+class SettingsHistory {
+public:
+  explicit SettingsHistory(std::size_t Limit) : Limit_(Limit) {}
+
+  void add(Decision Item);
+  /// The decisions on changes at, above or below Path, the newest first, Limit at the most.
+  std::vector<Decision> find(const SettingsPath &Path, std::size_t Limit) const;
+  /// A change's first decision that is still kept, or null. It holds until the next add.
+  const Decision *findChange(const ChangeId &Id) const;
+
+private:
+  std::size_t Limit_;
+  std::deque<Decision> Items_;
+};
+
+} // namespace rattancart
--- a/Source/Core/Settings/SettingsImage.cpp
+++ b/Source/Core/Settings/SettingsImage.cpp
@@ -157,9 +157,13 @@
 
 std::string SettingsLog::image() const {
   json::object Fields = SettingsImageCodec::encode(*this);
-  // What a variant leaves out is no longer in the state, so its digest is that of the rest.
-  const Result<SettingsLog> Copy = SettingsImageCodec::decode(Fields, Policy_);
-  Fields["digest"] = digestText(Copy ? Copy->digest() : 0);
+  if (Policy_.FloorInImage_ && Policy_.TombstonesInImage_ && Policy_.IdsInImage_) {
+    Fields["digest"] = digestText(digest());
+  } else {
+    // What a variant leaves out is no longer in the state, so its digest is that of the rest.
+    const Result<SettingsLog> Copy = SettingsImageCodec::decode(Fields, Policy_);
+    Fields["digest"] = digestText(Copy ? Copy->digest() : 0);
+  }
   return json::serialize(Fields);
 }
 
