--- a/Source/StandIns/StandInOptions.h
+++ b/Source/StandIns/StandInOptions.h
@@ -32,6 +32,8 @@
 inline void addEndpointOptions(CLI::App &App, CommonOptions &Options) {
   App.add_option("--platform", Options.Process_.Platform_,
                  "IP:PORT of the platform to register at");
+  App.add_option("--advertise", Options.Process_.Advertise_,
+                 "IP:PORT to register and to name as the place of outputs");
   App.add_option("--history-limit", Options.HistoryLimit_, "Lines of history that are kept");
   App.add_option("--leave-timeout-ms", Options.LeaveTimeoutMs_,
                  "Longest time that a leaving process waits for its work");
--- a/Source/StandIns/StandInProcess.cpp
+++ b/Source/StandIns/StandInProcess.cpp
@@ -28,10 +28,10 @@
   return Server;
 }
 
-std::string entryText(const StandInOptions &Options, const NetAddress &Address, bool Leaving) {
+std::string entryText(const StandInOptions &Options, bool Leaving) {
   json::object Entry{{"id", Options.Id_},
                      {"kind", Options.Kind_},
-                     {"address", Address.str()},
+                     {"address", Options.Advertise_},
                      {"data_center", Options.DataCenter_},
                      {"state", Leaving ? "leaving" : "live"},
                      {"incarnation", Options.Incarnation_.value()}};
@@ -58,7 +58,9 @@
     fmt::print(stderr, "{}: {}\n", Options_.Listen_, Failure.message());
     return errorInfo(static_cast<ErrorCode>(Failure.value())).ExitCode_;
   }
-  Front_.setAddress(Server_.address());
+  if (Options_.Advertise_.empty())
+    Options_.Advertise_ = Server_.address().str();
+  Front_.setAddress(NetAddress(Options_.Advertise_));
   Front_.onLeaving([this] {
     Leaving_ = true;
     registerSelf();
@@ -88,7 +90,7 @@
   HttpRequest Request;
   Request.Method_ = "PUT";
   Request.Target_ = "/v1/instances/" + Options_.Id_;
-  Request.Body_ = entryText(Options_, Server_.address(), Leaving_);
+  Request.Body_ = entryText(Options_, Leaving_);
   HttpSendOptions Sending;
   Sending.ResponseTimeout_ = std::chrono::seconds(2);
   Client_.send(NetAddress(Options_.Platform_), std::move(Request), std::move(Sending),
--- a/Source/StandIns/StandInProcess.h
+++ b/Source/StandIns/StandInProcess.h
@@ -18,6 +18,8 @@
 /// What the stand-in programs have in common on their command lines.
 struct StandInOptions {
   std::string Listen_ = "127.0.0.1:0";
+  /// The address to register; empty for the one that is listened on.
+  std::string Advertise_;
   std::string Id_;
   std::string DataCenter_;
   /// Where to register; empty for none.
--- /dev/null
+++ b/Tests/Support/BlockingHttp.cpp
@@ -0,0 +1,81 @@
+#include "Tests/Support/BlockingHttp.h"
+
+#include <boost/json/parse.hpp>
+
+#include <optional>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+namespace rattancart {
+
+namespace {
+
+constexpr Duration AwaitInterval = std::chrono::milliseconds(5);
+
+HttpRequest request(std::string Method, std::string Target, std::string Body) {
+  HttpRequest Request;
+  Request.Method_ = std::move(Method);
+  Request.Target_ = std::move(Target);
+  Request.Body_ = std::move(Body);
+  return Request;
+}
+
+} // namespace
+
+BlockingHttp::BlockingHttp(Duration Timeout)
+    : Client_(Loop_), ConnectTimeout_(Timeout), ResponseTimeout_(Timeout) {}
+
+HttpResult BlockingHttp::send(const NetAddress &Address, HttpRequest Request) {
+  HttpSendOptions Options;
+  Options.ConnectTimeout_ = ConnectTimeout_;
+  Options.ResponseTimeout_ = ResponseTimeout_;
+  Options.MaxBodyBytes_ = 1024UL * 1024 * 1024;
+  std::optional<HttpResult> Got;
+  Client_.send(Address, std::move(Request), std::move(Options),
+               [&](HttpResult Result) { Got = std::move(Result); });
+  Loop_.restart();
+  while (!Got)
+    Loop_.run_one();
+  return std::move(*Got);
+}
+
+HttpResult BlockingHttp::get(const NetAddress &Address, std::string Target) {
+  return send(Address, request("GET", std::move(Target), {}));
+}
+
+HttpResult BlockingHttp::post(const NetAddress &Address, std::string Target, std::string Body) {
+  return send(Address, request("POST", std::move(Target), std::move(Body)));
+}
+
+HttpResult BlockingHttp::put(const NetAddress &Address, std::string Target, std::string Body) {
+  return send(Address, request("PUT", std::move(Target), std::move(Body)));
+}
+
+boost::json::value BlockingHttp::getJson(const NetAddress &Address, std::string Target) {
+  const HttpResult Result = get(Address, std::move(Target));
+  if (Result.Error_ || Result.Response_.Status_ != 200)
+    return nullptr;
+  boost::system::error_code Failure;
+  boost::json::value Body = boost::json::parse(Result.Response_.Body_, Failure);
+  return Failure ? boost::json::value(nullptr) : Body;
+}
+
+void BlockingHttp::setFaults(const NetAddress &Address, std::string Faults) {
+  const HttpResult Result = post(Address, "/faults", std::move(Faults));
+  if (Result.Error_ || Result.Response_.Status_ != 200)
+    throw std::runtime_error("the stand-in at " + Address.str() + " took no faults");
+}
+
+void BlockingHttp::await(const NetAddress &Address, const std::string &Target,
+                         const std::function<bool(const HttpResult &)> &Done, std::string_view What,
+                         Duration Limit) {
+  const TimePoint Until = SystemClock().now() + Limit;
+  while (!Done(get(Address, Target))) {
+    if (SystemClock().now() > Until)
+      throw std::runtime_error("timeout: " + std::string(What));
+    std::this_thread::sleep_for(AwaitInterval);
+  }
+}
+
+} // namespace rattancart
--- /dev/null
+++ b/Tests/Support/ChildProcessTest.cpp
@@ -0,0 +1,55 @@
+#include "Tests/Support/ChildProcess.h"
+
+#include "Tests/Support/Cluster.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+#include <stdexcept>
+
+using namespace rattancart;
+
+BOOST_AUTO_TEST_CASE(ProgramListensAndEndsGracefully) {
+  ChildProcess Platform({"rattancart-fake-platform", {}});
+  BlockingHttp Http;
+  BOOST_TEST(Http.get(Platform.address(), "/healthz").Response_.Status_ == 200U);
+  Platform.terminate();
+  BOOST_TEST(Platform.wait() == 0);
+  BOOST_TEST(!Platform.isRunning());
+}
+
+BOOST_AUTO_TEST_CASE(KilledProgramReportsItsSignal) {
+  ChildProcess Platform({"rattancart-fake-platform", {}});
+  Platform.address();
+  Platform.kill();
+  BOOST_TEST(Platform.wait() == -SIGKILL);
+}
+
+BOOST_AUTO_TEST_CASE(PausedProgramAnswersOnceItGoesOn) {
+  ChildProcess Platform({"rattancart-fake-platform", {}});
+  BlockingHttp Http;
+  const NetAddress Address = Platform.address();
+  Platform.pause();
+  Http.setResponseTimeout(std::chrono::milliseconds(100));
+  BOOST_TEST(bool(Http.get(Address, "/healthz").Error_));
+  Platform.resume();
+  Http.setResponseTimeout(std::chrono::seconds(30));
+  BOOST_TEST(Http.get(Address, "/healthz").Response_.Status_ == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(WrongUsageEndsWithoutListening) {
+  BOOST_CHECK_THROW(ChildProcess({"rattancart-fake-engine", {"--layers", "5-2"}}).address(),
+                    std::runtime_error);
+  BOOST_TEST(runProgram({"rattancart-fake-engine", {"--no-such"}}).ExitCode_ != 0);
+  BOOST_TEST(runProgram({"rattancart-fake-engine", {"--help"}}).ExitCode_ == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ClusterListsItsEndpointsAndForgetsLeavingOnes) {
+  Cluster Group;
+  Group.start({engineSpec("eng-1", {0, 24}, 48), engineSpec("eng-2", {24, 48}, 48),
+               serviceSpec("svc-1", "lift-desk")});
+  Group.endpoint("eng-1").terminate();
+  BOOST_TEST(Group.endpoint("eng-1").wait() == 0);
+  const auto List = Group.http().getJson(Group.platformAddress(), "/v1/instances");
+  BOOST_TEST(List.at("instances").as_array().size() == 2U);
+}
--- /dev/null
+++ b/Tests/Support/RelayTest.cpp
@@ -0,0 +1,72 @@
+#include "Tests/Support/Relay.h"
+
+#include "Core/Common/ErrorCode.h"
+#include "Tests/Support/BlockingHttp.h"
+#include "Tests/Support/ChildProcess.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <thread>
+
+using namespace rattancart;
+
+namespace {
+
+struct Fixture {
+  std::error_code call() { return Http_.get(Relay_.address(), "/healthz").Error_; }
+  /// A call that is expected to stay unanswered.
+  std::error_code callInVain() {
+    Http_.setResponseTimeout(std::chrono::milliseconds(100));
+    const std::error_code Failure = call();
+    Http_.setResponseTimeout(std::chrono::seconds(30));
+    return Failure;
+  }
+  ChildProcess Platform_{{"rattancart-fake-platform", {}}};
+  Relay Relay_{Platform_.address()};
+  BlockingHttp Http_;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(RelayPassesRequestsOn, Fixture) {
+  BOOST_TEST(!call());
+  BOOST_TEST(!call());
+  BOOST_TEST(Relay_.stats().Accepted_ == 1U);
+  BOOST_TEST(Relay_.stats().BytesToCaller_ > 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(RefusingRelayFailsConnectsAndLetsOpenOnesGoOn, Fixture) {
+  BOOST_TEST(!call());
+  Relay_.refuse();
+  BlockingHttp Other;
+  BOOST_TEST(Other.get(Relay_.address(), "/healthz").Error_ == ErrorCode::ConnectFailed);
+  BOOST_TEST(!call());
+  Relay_.pass();
+  BOOST_TEST(!Other.get(Relay_.address(), "/healthz").Error_);
+}
+
+BOOST_FIXTURE_TEST_CASE(CutRelayClosesOpenConnections, Fixture) {
+  BOOST_TEST(!call());
+  Relay_.cut();
+  BOOST_TEST(Relay_.stats().Open_ == 0U);
+  BOOST_TEST(!call());
+  BOOST_TEST(Relay_.stats().Accepted_ == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(SilencedConnectionsStayOpenAndNewOnesWork, Fixture) {
+  BOOST_TEST(!call());
+  Relay_.silenceOpen();
+  BOOST_TEST(callInVain() == ErrorCode::ResponseTimeout);
+  BOOST_TEST(!call());
+  BOOST_TEST(Relay_.stats().BytesDropped_ > 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(NewConnectionsAreSilentUntilPass, Fixture) {
+  Relay_.silenceNew(RelayDirection::ToCaller);
+  BOOST_TEST(callInVain() == ErrorCode::ResponseTimeout);
+  // The answer comes to the relay at its own time.
+  while (Relay_.stats().BytesDropped_ == 0)
+    std::this_thread::yield();
+  Relay_.pass();
+  BOOST_TEST(!call());
+}
