--- a/Source/Control/ControlProcess.cpp
+++ b/Source/Control/ControlProcess.cpp
@@ -54,9 +54,11 @@
       Admin_(Follower_, *this, Log, Random_, {Settings_.BootstrapTokenHash_}),
       StateHandler_(*this, this), AdminHttp_(Loop_, {}, StateHandler_, Log),
       Signals_(Loop_, [this] { Loop_.stop(); }), SharesTimer_(Loop_) {
+  const LocalState &Local = *this;
+  PeerListener &Listener = *this;
   for (const NetAddress &Address : Settings_.Peers_)
-    Peers_.push_back(std::make_unique<PeerSubscription>(Loop_, Time, Log, Random_, Identity_, *this,
-                                                        *this, Address));
+    Peers_.push_back(std::make_unique<PeerSubscription>(Loop_, Time, Log, Random_, Identity_, Local,
+                                                        Listener, Address));
 }
 
 ControlProcess::~ControlProcess() = default;
@@ -112,12 +114,12 @@
   Feed_.onChange(Record.Id_, Endpoints_.apply(Record, TrueAt));
 }
 
-void ControlProcess::onSettingsRecord(LogOffset Offset, const std::string &Body) {
+void ControlProcess::onSettingsRecord(LogOffset Offset, std::string_view Body) {
   settingsChanged();
   Distributor_.onSettingsRecord(Offset, Body);
 }
 
-void ControlProcess::onSettingsImage(LogOffset, const std::string &) {
+void ControlProcess::onSettingsImage() {
   settingsChanged();
   Distributor_.onSettingsImage();
 }
--- a/Source/Control/ControlProcess.h
+++ b/Source/Control/ControlProcess.h
@@ -64,8 +64,8 @@
   void onPeerRecord(LogOffset Offset, std::string_view Body) override;
   void onPeerEndpoint(const Endpoint &Record, TimePoint TrueAt) override;
 
-  void onSettingsRecord(LogOffset Offset, const std::string &Body) override;
-  void onSettingsImage(LogOffset Offset, const std::string &Body) override;
+  void onSettingsRecord(LogOffset Offset, std::string_view Body) override;
+  void onSettingsImage() override;
 
   boost::json::array endpoints() const override;
 
--- a/Source/Control/EndpointFeed.cpp
+++ b/Source/Control/EndpointFeed.cpp
@@ -33,8 +33,8 @@
     const auto Item = Entries_.find(Known.Id_);
     if (Since != 0 && (Item == Entries_.end() || Item->second.Version_ <= Since))
       return;
-    Update.endpoints.push_back(std::make_unique<wire::EndpointInfoT>(
-        toWire(Known, Now - Table_.heardAt(Known.Id_))));
+    Update.endpoints.push_back(
+        std::make_unique<wire::EndpointInfoT>(toWire(Known, Now - Table_.heardAt(Known.Id_))));
   });
   return Update;
 }
--- a/Source/Process/ProgramMain.h
+++ b/Source/Process/ProgramMain.h
@@ -55,8 +55,7 @@
                    Common.Log_.Level_);
   Process Running(Loaded, Time, Log);
   if (const std::error_code Failure = Running.start()) {
-    Log.log(LogEvent::ProcessNotReady,
-            {{"error", Failure.value()}, {"reason", Failure.message()}});
+    Log.log(LogEvent::ProcessNotReady, {{"error", Failure.value()}, {"reason", Failure.message()}});
     return errorInfo(static_cast<ErrorCode>(Failure.value())).ExitCode_;
   }
   printListening(Running.listening());
