--- a/Source/Control/AdminApi.cpp
+++ b/Source/Control/AdminApi.cpp
@@ -215,12 +215,14 @@
     return Leaf.Path_.isAtOrBelow(Operators) && !Leaf.Path_.isAtOrBelow(Prefix);
   });
   Shown.replace(*Path, Leaves);
+  const NumberStyle Style =
+      Request.query("numbers") == "exact" ? NumberStyle::Exact : NumberStyle::Plain;
   sendJson(*Responder, 200,
            {{"path", Path->str()},
             {"offset", Log.offset().value()},
             {"revision", Log.revision().value()},
             {"changed", Log.revisionOf(*Path).value()},
-            {"value", json::parse(Shown.toJson(*Path, NumberStyle::Plain))}});
+            {"value", json::parse(Shown.toJson(*Path, Style))}});
 }
 
 void AdminApi::getRevision(const HttpResponderPtr &Responder) const {
--- a/Source/Control/SettingsFollower.cpp
+++ b/Source/Control/SettingsFollower.cpp
@@ -33,13 +33,6 @@
 
 } // namespace
 
-template <typename Function> auto SettingsFollower::guarded(Function Handler) {
-  return [Alive = std::weak_ptr<bool>(Alive_), Handler = std::move(Handler)](auto &&...Arguments) {
-    if (!Alive.expired())
-      Handler(std::forward<decltype(Arguments)>(Arguments)...);
-  };
-}
-
 SettingsFollower::SettingsFollower(Services Used, SettingsFollowerOptions Options,
                                    SettingsListener &Listener)
     : Used_(Used), Options_(std::move(Options)), Listener_(Listener),
--- a/Source/Control/SettingsFollower.h
+++ b/Source/Control/SettingsFollower.h
@@ -19,6 +19,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace rattancart {
@@ -138,7 +139,12 @@
   void writeSnapshot();
   Duration jittered(Duration Full);
   /// A handler that does nothing once the follower is gone.
-  template <typename Function> auto guarded(Function Handler);
+  template <typename Function> auto guarded(Function Handler) {
+    return [Alive = std::weak_ptr<bool>(Alive_), Handler = std::move(Handler)](auto &&...Values) {
+      if (!Alive.expired())
+        Handler(std::forward<decltype(Values)>(Values)...);
+    };
+  }
 
   Services Used_;
   SettingsFollowerOptions Options_;
--- a/Source/Core/Settings/SettingsChange.cpp
+++ b/Source/Core/Settings/SettingsChange.cpp
@@ -45,7 +45,7 @@
   SettingsEdit Edit{*Path, {}};
   if (!Value)
     return Edit;
-  Result<std::vector<SettingsLeaf>> Leaves = leavesFromValue(*Path, *Value, NumberStyle::Plain);
+  Result<std::vector<SettingsLeaf>> Leaves = leavesFromValue(*Path, *Value, NumberStyle::Exact);
   if (!Leaves)
     return Leaves.error();
   Edit.Leaves_ = std::move(*Leaves);
@@ -108,7 +108,7 @@
     if (Edit.Leaves_.empty())
       Item["delete"] = true;
     else
-      Item["value"] = nestedJson(Edit.Path_, Edit.Leaves_, NumberStyle::Plain);
+      Item["value"] = nestedJson(Edit.Path_, Edit.Leaves_, NumberStyle::Exact);
     Edits.push_back(std::move(Item));
   }
   return json::serialize(json::object{{"schema", SettingsSchema},
--- a/Source/Core/Settings/SettingsFields.cpp
+++ b/Source/Core/Settings/SettingsFields.cpp
@@ -47,7 +47,9 @@
     const SettingsValue *Value = take(Name);
     if (!Value)
       return false;
-    if (Value->Type_ != Type::Text || Value->Text_.empty() || Value->Text_.size() > MaxTextLength) {
+    // A version such as 3 is often written without quotes.
+    const bool IsText = Value->Type_ == Type::Text || Value->Type_ == Type::Integer;
+    if (!IsText || Value->Text_.empty() || Value->Text_.size() > MaxTextLength) {
       fault(Name, "a text of 1 to 1024 characters");
       return false;
     }
