--- a/Source/Process/StateServer.cpp
+++ b/Source/Process/StateServer.cpp
@@ -25,15 +25,15 @@
   return plain(503, "text/plain", "not ready: " + Reason + "\n");
 }
 
-HttpResponse notFound() {
+} // namespace
+
+void sendNotFound(HttpResponder &Responder) {
   boost::json::object Body;
   Body["error"] = static_cast<int>(ErrorCode::NoSuchResource);
   Body["message"] = std::string(errorInfo(ErrorCode::NoSuchResource).Text_);
-  return plain(404, "application/json", boost::json::serialize(Body) + "\n");
+  Responder.send(plain(404, "application/json", boost::json::serialize(Body) + "\n"));
 }
 
-} // namespace
-
 void StateServer::handle(HttpRequest Request, HttpResponderPtr Responder) {
   const std::string_view Path = Request.path();
   if (Request.Method_ == "GET" || Request.Method_ == "HEAD") {
@@ -49,7 +49,7 @@
   }
   if (Next_)
     return Next_->handle(std::move(Request), std::move(Responder));
-  Responder->send(notFound());
+  sendNotFound(*Responder);
 }
 
 } // namespace rattancart
--- /dev/null
+++ b/Source/Router/ViewFollower.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "Core/Admission/AdmissionTypes.h"
+#include "Core/Common/Clock.h"
+#include "Core/Common/Logger.h"
+#include "Core/Membership/EndpointTable.h"
+#include "Core/Settings/SettingsReplica.h"
+#include "Link/LinkDialer.h"
+#include "Router/FrameClaimClient.h"
+
+#include <boost/json/object.hpp>
+
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace rattancart {
+
+/// What a router tells its control process about itself.
+struct RouterIdentity {
+  InstanceId Instance_;
+  DataCenterId DataCenter_;
+  Incarnation Incarnation_;
+};
+
+/// What the router does with news from its control process. Not thread-safe.
+class ViewListener {
+public:
+  virtual ~ViewListener() = default;
+  /// The settings or the endpoints changed.
+  virtual void onViewChanged() = 0;
+  virtual void onShares(const std::vector<CustomerShare> &Shares, double Default) = 0;
+  /// What customers asked for since the last heartbeat.
+  virtual std::vector<CustomerDemand> takeDemand() = 0;
+};
+
+/// Keeps a router's view (settings, endpoints, limit shares, the claims tail) in step with a
+/// control process, whichever of them is connected. Not thread-safe.
+class ViewFollower final : private PeerLinkOwner, private FrameSender {
+public:
+  /// Precondition: Controls is not empty; all references outlive the follower.
+  ViewFollower(boost::asio::io_context &Loop, const Clock &Time, Logger &Log,
+               std::mt19937_64 &Random, RouterIdentity Identity, std::vector<NetAddress> Controls,
+               EndpointTable &Endpoints, ViewListener &Listener);
+
+  void start();
+  ClaimClient &claims() { return Claims_; }
+  const SettingsReplica &settings() const { return Settings_; }
+  /// The tail of the claims stream as last heard; it only rises.
+  LogOffset claimTail() const { return ClaimTail_; }
+  /// Whether a control process is connected.
+  bool isUp() const override;
+  /// Whether settings and endpoints were received at least once.
+  bool hasView() const { return EndpointsSeen_ && Settings_.offset() != NoOffset; }
+  /// Whether all that a control process knew at At has arrived.
+  bool isRenewedSince(TimePoint At) const { return RenewedAt_ >= At; }
+  boost::json::object state() const;
+
+private:
+  wire::HelloT makeHello() override;
+  wire::HeartbeatT makeHeartbeat() override;
+  void onLinkUp(const PeerLinkPtr &Link) override;
+  void onLinkFrame(const PeerLinkPtr &Link, const wire::FrameT &Frame) override;
+  void onLinkDown(const PeerLinkPtr &Link, std::error_code Reason) override;
+  bool send(const wire::FrameT &Frame) override;
+
+  void take(const PeerLinkPtr &Link, const wire::HeartbeatT &Beat);
+  void take(const wire::SettingsImageT &Image);
+  void take(const PeerLinkPtr &Link, const wire::SettingsRecordT &Record);
+  void take(const PeerLinkPtr &Link, const wire::EndpointUpdateT &Update);
+  void take(const wire::LimitSharesT &Shares);
+  void settingsChanged();
+
+  const Clock &Time_;
+  Logger &Log_;
+  RouterIdentity Identity_;
+  EndpointTable &Endpoints_;
+  ViewListener &Listener_;
+  SettingsReplica Settings_;
+  LinkDialer Dialer_;
+  FrameClaimClient Claims_;
+  LogOffset ClaimTail_{0};
+  bool EndpointsSeen_ = false;
+  TimePoint RenewedAt_{};
+  std::uint64_t LinksLost_ = 0;
+};
+
+} // namespace rattancart
