--- a/Source/Watch/EndpointJson.cpp
+++ b/Source/Watch/EndpointJson.cpp
@@ -35,8 +35,7 @@
     Item["state"] = stateName(Known.State_);
     Item["silent"] = Known.Silent_;
     Item["may_take_work"] = Table.mayTakeWork(Known.Id_);
-    Item["age_s"] =
-        std::chrono::duration<double>(Now - Table.heardAt(Known.Id_)).count();
+    Item["age_s"] = std::chrono::duration<double>(Now - Table.heardAt(Known.Id_)).count();
     Item["active"] = Known.Load_.Active_;
     Item["queued"] = Known.Load_.Queued_;
     if (Known.Kind_ == EndpointKind::Engine) {
