--- a/Source/Config/YamlSection.h
+++ b/Source/Config/YamlSection.h
@@ -14,7 +14,7 @@
 #include <string_view>
 #include <vector>
 
-namespace YAML {
+namespace YAML { // NOLINT
 class Node;
 }
 
--- a/Tests/Core/Membership/EndpointTableTest.cpp
+++ b/Tests/Core/Membership/EndpointTableTest.cpp
@@ -73,6 +73,7 @@
   std::mt19937 Random(7);
   for (int Round = 0; Round < 2000; ++Round) {
     std::vector<Endpoint> Updates;
+    Updates.reserve(6);
     for (int Count = 0; Count < 6; ++Count)
       Updates.push_back(record(1 + Random() % 2, 1 + Random() % 3,
                                static_cast<EndpointState>(Random() % 3), Random() % 2 == 0));
