--- a/Source/StandIns/ServiceFront.cpp
+++ b/Source/StandIns/ServiceFront.cpp
@@ -84,7 +84,7 @@
                             {"service", Identity_.Service_.str()},
                             {"incarnation", Identity_.Incarnation_.value()},
                             {"leaving", Faults_.Leaving_},
-                            {"active", 0},
+                            {"active", waitingRequests()},
                             {"queued", 0},
                             {"batch_slots", 1},
                             {"sequence", ++LoadSequence_},
--- a/Source/StandIns/StandInFront.cpp
+++ b/Source/StandIns/StandInFront.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <fmt/format.h>
+
 #include <charconv>
 #include <memory>
 
@@ -29,7 +31,8 @@
 
 void StandInFront::handle(HttpRequest Request, HttpResponderPtr Responder) {
   if (Request.path() == "/healthz")
-    return Responder->send(jsonAnswer(200, "{\"ok\":true}\n"));
+    return Responder->send(
+        jsonAnswer(200, fmt::format("{{\"ok\":true,\"waiting\":{}}}\n", waitingRequests())));
   if (Request.path() == "/faults")
     return serveFaults(Request, *Responder);
   if (Request.path() == "/v1/history") {
@@ -42,7 +45,9 @@
   if (Delay.count() == 0)
     return pass(std::move(Request), std::move(Responder));
   auto Held = std::make_shared<HeldRequest>(HeldRequest{std::move(Request), std::move(Responder)});
+  ++Delayed_;
   after(Delay, [this, Held] {
+    --Delayed_;
     pass(std::move(Held->Request_), std::exchange(Held->Responder_, nullptr));
   });
 }
--- a/Source/StandIns/StandInFront.h
+++ b/Source/StandIns/StandInFront.h
@@ -15,7 +15,8 @@
 namespace rattancart {
 
 /// What the HTTP fronts of the stand-ins share: /healthz, /faults and /v1/history, which no fault
-/// touches, and the common faults before everything else. Not thread-safe.
+/// touches, and the common faults before everything else. /healthz tells how many requests wait
+/// for a delay or a hang to end. Not thread-safe.
 class StandInFront : public HttpHandler {
 public:
   /// Precondition: Loop and Log outlive the front.
@@ -44,6 +45,8 @@
   /// Calls Handler after Delay, at once if it is zero.
   void after(Duration Delay, std::function<void()> Handler);
   void announceLeaving() const;
+  /// Requests that wait for a delay or a hang to end.
+  std::size_t waitingRequests() const { return Delayed_ + HeldRequests_.size(); }
 
   boost::asio::io_context &Loop_;
   Logger &Log_;
@@ -61,6 +64,7 @@
   void pass(HttpRequest Request, HttpResponderPtr Responder);
   void release();
 
+  std::size_t Delayed_ = 0;
   std::deque<HeldRequest> HeldRequests_;
   std::deque<HeldAnswer> HeldAnswers_;
   std::function<void()> Leaving_;
