--- a/Source/Router/ModelHandler.cpp
+++ b/Source/Router/ModelHandler.cpp
@@ -33,7 +33,7 @@
   Answer.Detail_ = Reason.Detail_;
   sendAnswer(*Request.Responder_, Request.Id_, Answer);
   if (Request.Finished_)
-    Request.Finished_();
+    Request.Finished_({Status, Outcome::NotRun, 0});
 }
 
 void ModelHandler::handle(RoutedRequest Request) {
--- a/Source/Router/ModelSession.cpp
+++ b/Source/Router/ModelSession.cpp
@@ -56,7 +56,7 @@
                             Spec.LayerCount_,
                             Request_.Route_->Priority_,
                             prefixHash(Prompt, Shared.Options_.PrefixTokens_),
-               std::min(Prompt.size(), Shared.Options_.PrefixTokens_)},
+                            std::min(Prompt.size(), Shared.Options_.PrefixTokens_)},
       Machine_(Request_.Id_, std::move(Prompt), optionsFor(Shared.Options_.Request_, Spec)),
       DeadlineTimer_(Shared.Services_.Loop_), PlanTimer_(Shared.Services_.Loop_) {
   // The prompt lives on as tokens.
@@ -244,6 +244,10 @@
 
 void ModelSession::apply(const FinishAnswer &) {
   ++Shared_.Stats_.Finished_;
+  // The caller may be gone, or cut off for reading too slowly.
+  if (!Request_.Responder_->isOpen())
+    return;
+  End_ = {200, Outcome::Done, 0};
   if (Streaming_)
     return Request_.Responder_->finishChunked();
   boost::json::object Body;
@@ -268,6 +272,7 @@
   Answer.Status_ = statusFor(Effect.Error_);
   Answer.Outcome_ = StepSent_ ? Outcome::Unknown : Outcome::NotRun;
   Answer.Error_ = Effect.Error_;
+  End_ = {Answer.Status_, Answer.Outcome_, 0};
   sendAnswer(*Request_.Responder_, Request_.Id_, Answer);
 }
 
@@ -294,8 +299,9 @@
   Shared_.Services_.Log_.log(LogEvent::RequestFinished, {{"request", Request_.Id_.str()},
                                                          {"state", Machine_.stateName()},
                                                          {"tokens", Machine_.producedTokens()}});
+  End_.Tokens_ = Machine_.producedTokens();
   if (Request_.Finished_)
-    Request_.Finished_();
+    Request_.Finished_(End_);
   std::exchange(Over_, nullptr)();
 }
 
--- a/Source/Router/ModelSession.h
+++ b/Source/Router/ModelSession.h
@@ -56,6 +56,8 @@
   bool Dispatching_ = false;
   bool Streaming_ = false;
   bool StepSent_ = false;
+  /// Status 0 until an answer was sent whole.
+  RequestEnd End_;
   std::optional<HttpCallId> HttpCall_;
   TimePoint StepStartedAt_{};
 };
--- a/Tests/Router/ModelHandlerTest.cpp
+++ b/Tests/Router/ModelHandlerTest.cpp
@@ -82,7 +82,10 @@
     Routed.ArrivedAt_ = Time_.now();
     Routed.Deadline_ = Routed.ArrivedAt_ + Timeout_;
     Routed.Responder_ = std::move(Responder);
-    Routed.Finished_ = [this] { ++Finished_; };
+    Routed.Finished_ = [this](const RequestEnd &End) {
+      ++Finished_;
+      End_ = End;
+    };
     Handler_->handle(std::move(Routed));
   }
 
@@ -121,6 +124,7 @@
   HttpServer Front_;
   int Requests_ = 0;
   int Finished_ = 0;
+  RequestEnd End_;
 };
 
 std::string expectedText() {
@@ -207,6 +211,8 @@
   BOOST_TEST(Handler_->stats().Attempts_ == Case.Attempts_);
   BOOST_TEST(Handler_->inFlight() == 0U);
   BOOST_TEST(Finished_ == 1);
+  BOOST_TEST(End_.Status_ == 200U);
+  BOOST_TEST(End_.Tokens_ == AnswerTokens);
 }
 
 BOOST_FIXTURE_TEST_CASE(FailedStreamIsCutAndNeverClosedAsWhole, Fixture) {
@@ -248,6 +254,7 @@
   Client_.cancel(Call);
   runUntil([&] { return Engines_[0]->Cancels_ == 1 && Engines_[1]->Cancels_ == 1; });
   BOOST_TEST(Handler_->stats().Cancelled_ == 1U);
+  BOOST_TEST(End_.Status_ == 0U);
   BOOST_TEST(Finished_ == 1);
 }
 
