--- a/Source/Core/Pipeline/ModelRequestData.cpp
+++ b/Source/Core/Pipeline/ModelRequestData.cpp
@@ -93,11 +93,14 @@
 }
 
 void ModelRequestData::abandonAttempt(const StepFailed &Event) {
-  // An engine that lost the sequence is sound; all others are left out of the next chain.
-  if (Event.Fault_ != StepFault::SequenceLost)
-    Excluded_.push_back(stage().Endpoint_);
-  if (Event.Fault_ != StepFault::SequenceLost && Event.Fault_ != StepFault::Refused)
-    Effects_.push_back(SuspectEndpoint{stage().Endpoint_});
+  // An engine that lost the sequence is sound; all others at fault are left out of the next chain.
+  if (Event.Fault_ != StepFault::SequenceLost) {
+    const bool PreviousAtFault = Event.Fault_ == StepFault::InputLost && Call_.Stage_ > 0;
+    const std::uint32_t AtFault = PreviousAtFault ? Call_.Stage_ - 1 : Call_.Stage_;
+    Excluded_.push_back(Chain_.Stages_[AtFault].Endpoint_);
+    if (Event.Fault_ != StepFault::Refused)
+      Effects_.push_back(SuspectEndpoint{Excluded_.back()});
+  }
   cancelAttempt();
 }
 
--- a/Source/Core/Pipeline/ModelRequestEvents.h
+++ b/Source/Core/Pipeline/ModelRequestEvents.h
@@ -62,6 +62,8 @@
   EngineError,
   /// The engine takes no new work, or is of another version.
   Refused,
+  /// The engine could not get its input from the previous stage.
+  InputLost,
   /// The engine does not know the sequence up to this position any more.
   SequenceLost,
 };
--- a/Source/Router/ModelStepCodec.cpp
+++ b/Source/Router/ModelStepCodec.cpp
@@ -80,12 +80,17 @@
   return GeneratedToken{std::move(*Text), End->get_bool()};
 }
 
-StepFault classifyConflict(const std::string &Body) {
+std::string errorName(const std::string &Body) {
   boost::system::error_code E;
   const json::value Parsed = json::parse(Body, E);
   if (E || !Parsed.is_object())
+    return {};
+  return textField(Parsed.get_object(), "error").value_or("");
+}
+
+StepFault classifyConflict(const std::string &Reason) {
+  if (Reason.empty())
     return StepFault::EngineError;
-  const std::string Reason = textField(Parsed.get_object(), "error").value_or("");
   return Reason == "position" || Reason == "attempt" ? StepFault::SequenceLost : StepFault::Refused;
 }
 
@@ -103,6 +108,8 @@
   Body["layer_begin"] = Step.Stage_.Layers_.Begin_;
   Body["layer_end"] = Step.Stage_.Layers_.End_;
   Body["layer_count"] = Context.LayerCount_;
+  // An engine that was restarted refuses a step meant for its earlier run.
+  Body["incarnation"] = Step.Stage_.Incarnation_.value();
   Body["priority"] = Context.Priority_.value();
   Body["input"] = encodeInput(Step, Tokens);
   Body["prefix"] = Context.Prefix_;
@@ -149,9 +156,11 @@
   if (Exchange.Error_)
     return StepFault::Connection;
   if (Exchange.Response_.Status_ == 409)
-    return classifyConflict(Exchange.Response_.Body_);
+    return classifyConflict(errorName(Exchange.Response_.Body_));
   if (Exchange.Response_.Status_ == 503 || Exchange.Response_.Status_ == 429)
     return StepFault::Refused;
+  if (Exchange.Response_.Status_ == 502 && errorName(Exchange.Response_.Body_) == "input")
+    return StepFault::InputLost;
   return StepFault::EngineError;
 }
 
--- /dev/null
+++ b/Tests/Core/Pipeline/PipelineWorld.cpp
@@ -0,0 +1,402 @@
+#include "Tests/Core/Pipeline/PipelineWorld.h"
+
+#include "Core/Common/Hash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattancart {
+
+namespace {
+
+constexpr std::uint32_t Layers = 6;
+const ModelVersion Version("3");
+const ModelVersion OtherVersion("4");
+
+/// The model: the next token is a function of the version and all tokens so far.
+std::string nextToken(const ModelVersion &Of, const std::vector<std::string> &Tokens) {
+  std::string Text = Of.str();
+  for (const std::string &Token : Tokens)
+    Text += " " + Token;
+  return "w" + std::to_string(stableHash(Text));
+}
+
+std::vector<std::string> expectedAnswer(const WorldRequest &Each) {
+  std::vector<std::string> Tokens = Each.Prompt_;
+  std::vector<std::string> Answer;
+  while (Answer.size() < Each.AnswerTokens_) {
+    Answer.push_back(nextToken(Version, Tokens));
+    Tokens.push_back(Answer.back());
+  }
+  return Answer;
+}
+
+} // namespace
+
+PipelineWorld::PipelineWorld(std::uint64_t Seed, PlantedFault Fault)
+    : Fault_(Fault), Random_(Seed), Spec_{ModelId("brief"), Version, Layers, 64, 64},
+      Planner_(Table_, Load_, std::make_unique<ShortestPathPolicy>("router", ShortestPathOptions{}),
+               Random_) {
+  addEngines();
+  for (std::size_t Index = 0; Index < 3; ++Index)
+    addRequest(Index);
+}
+
+void PipelineWorld::addEngines() {
+  const LayerRange Ranges[] = {{0, 2}, {0, 2}, {2, 4}, {2, 4}, {4, 6}, {4, 6}, {2, 6}};
+  for (std::size_t Index = 0; Index < std::size(Ranges); ++Index) {
+    Engine Made;
+    Made.Endpoint_.Id_ = EndpointId("e" + std::to_string(Index));
+    Made.Endpoint_.Kind_ = EndpointKind::Engine;
+    Made.Endpoint_.Address_ = NetAddress(Made.Endpoint_.Id_.str());
+    Made.Endpoint_.Model_ = Spec_.Model_;
+    Made.Endpoint_.Version_ = Version;
+    Made.Endpoint_.Layers_ = Ranges[Index];
+    Made.Endpoint_.Load_.StepTime_ = std::chrono::milliseconds(1 + pick(3));
+    Made.Endpoint_.LoadSequence_ = 1;
+    Table_.apply(Made.Endpoint_, TimePoint{});
+    Engines_.emplace(Made.Endpoint_.Id_, Made);
+  }
+}
+
+void PipelineWorld::addRequest(std::size_t Index) {
+  const RequestId Id("r" + std::to_string(Index));
+  std::vector<std::string> Prompt;
+  TokenSequence Tokens;
+  // Prompts of one length, so that a foreign answer fits in all but its request.
+  for (int Token = 0; Token < 3; ++Token) {
+    Prompt.push_back("p" + std::to_string(Index) + std::to_string(Token));
+    Tokens.append(Prompt.back());
+  }
+  ModelRequestOptions Options;
+  Options.MaxAttempts_ = 6;
+  Requests_.emplace_back(ModelRequest(Id, std::move(Tokens), Options));
+  Requests_.back().Id_ = Id;
+  Requests_.back().Prompt_ = Prompt;
+  Requests_.back().AnswerTokens_ = static_cast<std::uint32_t>(1 + pick(6));
+  for (const ModelEffect &Effect : Requests_.back().Machine_.start())
+    carryOut(Index, Effect);
+}
+
+void PipelineWorld::run(int Turns) {
+  for (int Turn = 0; Turn < Turns; ++Turn)
+    turn(true);
+  for (auto &[Id, Each] : Engines_) {
+    if (!Each.Alive_)
+      restart(Each);
+    Table_.apply(Each.Endpoint_, TimePoint{});
+  }
+  for (int Turn = 0; Turn < 5000; ++Turn)
+    turn(false);
+}
+
+void PipelineWorld::turn(bool Faults) {
+  if (Faults && pick(12) == 0)
+    return disturb();
+  std::vector<std::size_t> Planning;
+  for (std::size_t Index = 0; Index < Requests_.size(); ++Index)
+    if (Requests_[Index].Plan_)
+      Planning.push_back(Index);
+  if (!Planning.empty() && (Flights_.empty() || pick(4) == 0))
+    return plan(Planning[pick(Planning.size())]);
+  if (!Flights_.empty())
+    return arrive(pick(Flights_.size()));
+  declareSilent();
+}
+
+void PipelineWorld::disturb() {
+  const std::uint64_t What = pick(10);
+  if (What < 4)
+    return disturbEngine(
+        std::next(Engines_.begin(), static_cast<long>(pick(Engines_.size())))->second);
+  if (What < 6)
+    return declareSilent();
+  if (What == 6 && pick(10) == 0) {
+    const std::size_t Index = pick(Requests_.size());
+    Requests_[Index].Stopped_ = true;
+    return give(Index, pick(2) == 0 ? ModelEvent(CallerGone{}) : ModelEvent(DeadlinePassed{}));
+  }
+  if (Flights_.empty())
+    return;
+  const std::size_t Index = pick(Flights_.size());
+  if (What == 7)
+    Flights_.erase(Flights_.begin() + static_cast<long>(Index));
+  else if (What == 8)
+    Flights_.push_back(Flights_[Index]);
+  else
+    std::swap(Flights_[Index].Output_, Flights_[pick(Flights_.size())].Output_);
+}
+
+void PipelineWorld::disturbEngine(Engine &Target) {
+  const std::uint64_t What = pick(6);
+  Endpoint &Known = Target.Endpoint_;
+  if (What == 0) {
+    Target.Leaving_ = true;
+  } else if (What == 1) {
+    Table_.markLeaving(Known.Id_, Known.Incarnation_);
+  } else if (Target.Alive_ && What < 5) {
+    Target.Alive_ = false;
+    Target.Sequences_.clear();
+    if (pick(2) == 0) {
+      Table_.markGone(Known.Id_, Known.Incarnation_);
+      for (std::size_t Index = 0; Index < Requests_.size(); ++Index)
+        give(Index, EndpointLost{Known.Id_});
+    }
+  } else {
+    restart(Target);
+    if (pick(3) == 0 && Fault_ != PlantedFault::VersionsMixed)
+      Known.Version_ = OtherVersion;
+    // The table hears of it now or after the faults.
+    if (pick(2) == 0)
+      Table_.apply(Known, TimePoint{});
+  }
+}
+
+void PipelineWorld::restart(Engine &Target) {
+  Target.Alive_ = true;
+  Target.Leaving_ = false;
+  Target.Sequences_.clear();
+  Target.Cancelled_.clear();
+  Target.Endpoint_.Incarnation_ = Target.Endpoint_.Incarnation_.next();
+  Target.Endpoint_.Version_ = Version;
+}
+
+void PipelineWorld::declareSilent() {
+  const std::size_t Index = pick(Requests_.size());
+  if (!Requests_[Index].Machine_.chain().Stages_.empty())
+    give(Index, StepFailed{Requests_[Index].Machine_.currentCall(), StepFault::Silent});
+}
+
+void PipelineWorld::arrive(std::size_t Index) {
+  Flight Item = Flights_[Index];
+  Flights_.erase(Flights_.begin() + static_cast<long>(Index));
+  if (Item.Kind_ != Flight::Kind::Answer)
+    return atEngine(std::move(Item));
+  if (Item.Fault_)
+    return give(Item.Request_, StepFailed{Item.Step_.Call_, *Item.Fault_});
+  give(Item.Request_, StepAnswered{Item.Step_.Call_, asPlanted(Item.Request_, Item.Output_)});
+}
+
+StepOutput PipelineWorld::asPlanted(std::size_t Request, StepOutput Output) const {
+  const StepCall &Current = Requests_[Request].Machine_.currentCall();
+  if (Fault_ == PlantedFault::AttemptNotChecked)
+    Output.Attempt_ = Current.Attempt_;
+  if (Fault_ == PlantedFault::RequestNotChecked)
+    Output.Request_ = Requests_[Request].Id_;
+  if (Fault_ == PlantedFault::PositionNotChecked) {
+    Output.Position_ = Current.Position_;
+    Output.Count_ = Current.Count_;
+  }
+  return Output;
+}
+
+void PipelineWorld::atEngine(Flight Item) {
+  Engine &At = engine(Item.Endpoint_);
+  if (Item.Kind_ == Flight::Kind::Cancel) {
+    const RequestId &Id = Requests_[Item.Request_].Id_;
+    AttemptNumber &Highest = At.Cancelled_[Id];
+    Highest = std::max(Highest, Item.Attempt_);
+    const auto Place = At.Sequences_.find(Id);
+    if (Place != At.Sequences_.end() && Place->second.Attempt_ <= Item.Attempt_)
+      At.Sequences_.erase(Place);
+    return;
+  }
+  Item.Fault_ =
+      At.Alive_ ? runStep(At, Item, Item.Output_)
+                : std::optional(pick(2) == 0 ? StepFault::ConnectFailed : StepFault::Connection);
+  Item.Kind_ = Flight::Kind::Answer;
+  Flights_.push_back(std::move(Item));
+}
+
+std::vector<std::string> PipelineWorld::inputOf(const Flight &Item) const {
+  const WorldRequest &From = Requests_[Item.Request_];
+  const StepCall &Call = Item.Step_.Call_;
+  std::vector<std::string> Tokens;
+  for (std::uint32_t Index = 0; Index < Call.Count_; ++Index)
+    Tokens.emplace_back(From.Machine_.tokens().at(Call.Position_.value() + Index));
+  if (Fault_ == PlantedFault::NoReplay && Call.Position_.value() == 0)
+    Tokens.resize(From.Prompt_.size());
+  return Tokens;
+}
+
+bool PipelineWorld::fetch(const TensorRef &Input, std::vector<std::string> &Tokens) const {
+  const auto Place = Tensors_.find(Input.Ref_);
+  if (Place == Tensors_.end() || !Engines_.at(EndpointId(Input.Address_.str())).Alive_)
+    return false;
+  Tokens = Place->second;
+  return true;
+}
+
+std::optional<StepFault> PipelineWorld::runStep(Engine &At, const Flight &Item,
+                                                StepOutput &Output) {
+  const RequestId &Id = Requests_[Item.Request_].Id_;
+  const StepCall &Call = Item.Step_.Call_;
+  if (Item.Step_.Stage_.Incarnation_ != At.Endpoint_.Incarnation_ &&
+      Fault_ != PlantedFault::IncarnationNotChecked)
+    return StepFault::Refused;
+  SequenceState &State = At.Sequences_[Id];
+  if (State.Attempt_ == Call.Attempt_ && State.Last_ && State.Last_->Position_ == Call.Position_ &&
+      State.Last_->Count_ == Call.Count_) {
+    Output = *State.LastOutput_;
+    if (Fault_ == PlantedFault::RepeatRunAgain)
+      History_.push_back(
+          {Id, Call.Attempt_, Call.Position_.value(), At.Endpoint_.Layers_, At.Endpoint_.Version_});
+    return std::nullopt;
+  }
+  if (Call.Attempt_ < State.Attempt_ || Call.Attempt_ <= At.Cancelled_[Id])
+    return StepFault::SequenceLost;
+  // Without the check the engine runs whatever it is sent.
+  if (At.Endpoint_.Version_ != Version && Fault_ != PlantedFault::VersionsMixed)
+    return StepFault::Refused;
+  if (Call.Position_.value() == 0 && State.Attempt_ < Call.Attempt_) {
+    if (At.Leaving_)
+      return StepFault::Refused;
+    State = {Call.Attempt_, {}, std::nullopt, std::nullopt};
+  }
+  if (State.Attempt_ != Call.Attempt_ || State.Tokens_.size() != Call.Position_.value())
+    return StepFault::SequenceLost;
+  std::vector<std::string> Tokens;
+  if (!Item.Step_.Input_)
+    Tokens = inputOf(Item);
+  else if (!fetch(*Item.Step_.Input_, Tokens))
+    return StepFault::InputLost;
+
+  for (std::uint32_t Index = 0; Index < Call.Count_; ++Index)
+    History_.push_back(
+        {Id, Call.Attempt_, Call.Position_.value() + Index, At.Endpoint_.Layers_,
+         Fault_ == PlantedFault::VersionsMixed && At.Endpoint_.Incarnation_.value() > 0
+             ? OtherVersion
+             : At.Endpoint_.Version_});
+  State.Tokens_.insert(State.Tokens_.end(), Tokens.begin(), Tokens.end());
+  Output = {Id, Call.Attempt_, Call.Position_, Call.Count_, At.Endpoint_.Id_, {}, {}};
+  if (At.Endpoint_.Layers_.End_ == Layers) {
+    const std::size_t Produced =
+        Call.Position_.value() + Call.Count_ + 1 - Requests_[Item.Request_].Prompt_.size();
+    Output.Token_ = GeneratedToken{nextToken(Version, State.Tokens_),
+                                   Produced == Requests_[Item.Request_].AnswerTokens_};
+  } else {
+    Output.Tensor_ = TensorRef{"t" + std::to_string(NextRef_++), At.Endpoint_.Address_};
+    Tensors_[Output.Tensor_->Ref_] = Tokens;
+  }
+  // The claimed length, so that a sequence planted short goes on.
+  State.Tokens_.resize(Call.Position_.value() + Call.Count_);
+  State.Last_ = Call;
+  State.LastOutput_ = Output;
+  return std::nullopt;
+}
+
+void PipelineWorld::give(std::size_t Request, const ModelEvent &Event) {
+  for (const ModelEffect &Effect : Requests_[Request].Machine_.handle(Event))
+    carryOut(Request, Effect);
+}
+
+void PipelineWorld::carryOut(std::size_t Request, const ModelEffect &Effect) {
+  WorldRequest &Each = Requests_[Request];
+  if (const auto *Plan = std::get_if<PlanChain>(&Effect)) {
+    Each.Plan_ = *Plan;
+  } else if (const auto *Step = std::get_if<SendStep>(&Effect)) {
+    send(Request, *Step);
+  } else if (const auto *Cancel = std::get_if<CancelAttempt>(&Effect)) {
+    for (const ChainStage &Stage : Cancel->Stages_) {
+      Load_.end(Stage.Endpoint_);
+      Flight Item;
+      Item.Kind_ = Flight::Kind::Cancel;
+      Item.Request_ = Request;
+      Item.Attempt_ = Cancel->Attempt_;
+      Item.Endpoint_ = Stage.Endpoint_;
+      Flights_.push_back(Item);
+    }
+  } else if (const auto *Token = std::get_if<DeliverToken>(&Effect)) {
+    Each.Delivered_.push_back(Token->Text_);
+    Each.DeliveredBy_.push_back(Each.Machine_.attempt());
+  } else if (std::holds_alternative<FinishAnswer>(Effect)) {
+    Each.ClosedWhole_ = true;
+  } else if (std::holds_alternative<FailRequest>(Effect)) {
+    Each.Failed_ = true;
+    Each.ClosedWhole_ = Fault_ == PlantedFault::CutClosedAsWhole;
+  }
+}
+
+void PipelineWorld::send(std::size_t Request, const SendStep &Step) {
+  Flight Item;
+  Item.Request_ = Request;
+  Item.Step_ = Step;
+  Item.Endpoint_ = Step.Stage_.Endpoint_;
+  const Endpoint *Known = Table_.find(Item.Endpoint_);
+  const bool MayTake =
+      Table_.mayTakeWork(Item.Endpoint_) && Known->Incarnation_ == Step.Stage_.Incarnation_;
+  if (Step.NewWork_ && !MayTake) {
+    if (Fault_ != PlantedFault::LeavingNotChecked) {
+      Item.Kind_ = Flight::Kind::Answer;
+      Item.Fault_ = StepFault::Refused;
+    } else if (!Step.FreshConnection_) {
+      WorkForLeaving_ = Requests_[Request].Id_.str() + " sent to " + Item.Endpoint_.str();
+    }
+  }
+  Flights_.push_back(std::move(Item));
+}
+
+void PipelineWorld::plan(std::size_t Request) {
+  WorldRequest &Each = Requests_[Request];
+  const PlanChain Wanted = *std::exchange(Each.Plan_, std::nullopt);
+  const auto Planned = Planner_.plan({Spec_, {3, 6}, "", Wanted.Excluded_});
+  if (!Planned)
+    return give(Request, ChainUnavailable{});
+  for (const ChainStage &Stage : Planned->Stages_)
+    Load_.begin(*Table_.find(Stage.Endpoint_));
+  give(Request, ChainPlanned{*Planned});
+}
+
+std::string PipelineWorld::check() const {
+  if (!WorkForLeaving_.empty())
+    return "new work for a leaving endpoint: " + WorkForLeaving_;
+  for (const WorldRequest &Each : Requests_) {
+    std::string Violation = checkRequest(Each);
+    if (!Violation.empty())
+      return Each.Id_.str() + ": " + Violation;
+  }
+  return {};
+}
+
+std::string PipelineWorld::checkRequest(const WorldRequest &Each) const {
+  const std::vector<std::string> Expected = expectedAnswer(Each);
+  if (Each.Delivered_.size() > Expected.size() ||
+      !std::equal(Each.Delivered_.begin(), Each.Delivered_.end(), Expected.begin()))
+    return "a delivered token is not the expected one";
+  if (Each.ClosedWhole_ && Each.Delivered_.size() != Expected.size())
+    return "a cut answer was closed as whole";
+  if (!Each.Machine_.isOver())
+    return "the request is still " + std::string(Each.Machine_.stateName());
+  if (!Each.ClosedWhole_ && !Each.Failed_ && !Each.Stopped_)
+    return "the request ended without an answer";
+  for (std::size_t Index = 0; Index < Each.Delivered_.size(); ++Index) {
+    std::string Violation = checkLineage(Each, Index);
+    if (!Violation.empty())
+      return "token " + std::to_string(Index) + ": " + Violation;
+  }
+  return {};
+}
+
+/// The attempt that produced the token ran every layer of every position before it once, in order
+/// of the layers and of the positions, in one version.
+std::string PipelineWorld::checkLineage(const WorldRequest &Each, std::size_t Index) const {
+  const std::size_t Positions = Each.Prompt_.size() + Index;
+  std::vector<std::uint32_t> Through(Positions, 0);
+  for (const LayerRun &Run : History_) {
+    if (Run.Request_ != Each.Id_ || Run.Attempt_ != Each.DeliveredBy_[Index] ||
+        Run.Position_ >= Positions)
+      continue;
+    if (Run.Version_ != Version)
+      return "layers of another version ran";
+    if (Run.Layers_.Begin_ != Through[Run.Position_])
+      return "a layer ran twice, was left out or ran out of order";
+    Through[Run.Position_] = Run.Layers_.End_;
+    if (Run.Position_ > 0 && Through[Run.Position_ - 1] < Run.Layers_.End_)
+      return "a position ran before the one ahead of it";
+  }
+  const bool Complete =
+      std::all_of(Through.begin(), Through.end(), [](std::uint32_t At) { return At == Layers; });
+  return Complete ? "" : "not all layers ran";
+}
+
+} // namespace rattancart
--- a/Tests/Router/ModelHandlerTest.cpp
+++ b/Tests/Router/ModelHandlerTest.cpp
@@ -167,6 +167,12 @@
     {"last stage dies at the first token", [](Fixture &F) { F.Engines_[1]->DieAfterSteps_ = 0; },
      2},
     {"last stage dies at the last token", [](Fixture &F) { F.Engines_[1]->DieAfterSteps_ = 4; }, 2},
+    {"two stages die at once",
+     [](Fixture &F) {
+       F.Engines_[0]->DieAfterSteps_ = 3;
+       F.Engines_[1]->DieAfterSteps_ = 2;
+     },
+     2},
     {"first stage refuses connections", [](Fixture &F) { F.Servers_[0]->stop(); }, 2},
     {"a connection goes silent",
      [](Fixture &F) {
