--- a/Source/Process/StateServer.h
+++ b/Source/Process/StateServer.h
@@ -20,6 +20,9 @@
   virtual std::string metricsText() const = 0;
 };
 
+/// Answers that there is no such resource. Precondition: nothing was sent yet.
+void sendNotFound(HttpResponder &Responder);
+
 /// Answers GET /v1/state, /healthz, /readyz and /metrics. Not thread-safe.
 class StateServer final : public HttpHandler {
 public:
