Steps name the engine's incarnation; a restarted engine refuses them

Cause: in schedules with restarts, a prefill that was retried on a new connection reached the engine's next run and ran its layers a second time under the same attempt. Ruled out: a new attempt for each retry, since a repeat then no longer joins the step under way.

--- a/Source/StandIns/EngineFront.cpp
+++ b/Source/StandIns/EngineFront.cpp
@@ -126,6 +126,9 @@
 }
 
 void EngineFront::admitStep(const json::object &Body, const HttpResponderPtr &Responder) {
+  if (Body.contains("incarnation") &&
+      jsonInteger(Body, "incarnation") != static_cast<std::int64_t>(Config_.Incarnation_.value()))
+    return deliver(Responder, jsonAnswer(409, "{\"error\":\"incarnation\"}\n"));
   StepAdmission Admission = Model_.admit(parseStep(Body), Time_.now());
   switch (Admission.Kind_) {
   case StepAdmission::Kind::Refused:
