--- a/Source/Core/Calls/ClaimSequencer.cpp
+++ b/Source/Core/Calls/ClaimSequencer.cpp
@@ -246,8 +246,11 @@
     resolveKey(Item.Key_);
     return;
   }
-  if (resolve(Item.Call_))
+  if (resolve(Item.Call_)) {
+    // Copies that wait for their append need none any more.
+    resolveKey(Item.Key_);
     return;
+  }
   // The claim was read and left the key open, so it can never win.
   const auto Place = Followers_.find(Item.Call_);
   if (!Place->second.Refused_)
@@ -340,6 +343,13 @@
   }
 }
 
+bool ClaimSequencer::isClaimInFlight(const IdempotencyKey &Key) const {
+  const std::vector<RequestId> &Calls = FollowersOf_.at(Key);
+  return std::any_of(Calls.begin(), Calls.end(), [this](const RequestId &Call) {
+    return Followers_.at(Call).State_ == FollowState::Appended;
+  });
+}
+
 std::vector<ClaimItem> ClaimSequencer::takeBatch() {
   std::vector<ClaimItem> Batch;
   std::deque<ClaimItem> Left;
@@ -357,8 +367,9 @@
     }
     const bool IsFull = Batch.size() >= Options_.MaxBatchItems_ ||
                         (!Batch.empty() && Bytes + sizeOf(Item) > Options_.MaxBatchBytes_);
-    // One claim a key and batch, so that a claim's offset is a fencing number of its own.
-    if (IsFull || (IsClaim && !Claimed.insert(Item.Key_).second)) {
+    // One claim a key at a time: an offset is then a fencing number of its own, and copies are
+    // answered from the table.
+    if (IsFull || (IsClaim && (isClaimInFlight(Item.Key_) || !Claimed.insert(Item.Key_).second))) {
       Left.push_back(std::move(Item));
       continue;
     }
--- a/Source/Core/Calls/ClaimSequencer.h
+++ b/Source/Core/Calls/ClaimSequencer.h
@@ -168,6 +168,7 @@
   void noteSnapshot(LogOffset Offset, const ClaimSnapshotPart &Part, TimePoint Now);
   void sampleTail(LogOffset Next, TimePoint StartedAt, TimePoint Now);
   void enqueue(const ClaimItem &Item, TimePoint Now);
+  bool isClaimInFlight(const IdempotencyKey &Key) const;
   std::vector<ClaimItem> takeBatch();
   std::optional<std::string> nextMaintenance(TimePoint Now);
   std::optional<ClaimForget> dueForget(TimePoint Now) const;
