--- a/Tests/Control/ClaimOrdererTest.cpp
+++ b/Tests/Control/ClaimOrdererTest.cpp
@@ -1,5 +1,5 @@
 #include "Control/ClaimOrderer.h"
-#include "Tests/Control/FakeLog.h"
+#include "Tests/Control/FakeClaimLog.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -26,6 +26,12 @@
   return Options;
 }
 
+class CountingLogger final : public Logger {
+public:
+  void log(LogEvent, std::initializer_list<LogField>) override { ++Events_; }
+  int Events_ = 0;
+};
+
 struct Fixture {
   explicit Fixture(SequencerOptions Options = options())
       : Platform_(Loop_), Orderer_(Loop_, Time_, Log_, Platform_, "w1", Options) {}
@@ -34,6 +40,10 @@
     Orderer_.start();
     awaitAvailable();
   }
+  /// A start that fails is logged.
+  void awaitFailure() {
+    runUntil([this] { return Log_.Events_ > 0; });
+  }
   void awaitAvailable() {
     runUntil([this] { return Orderer_.isAvailable(); });
   }
@@ -71,8 +81,8 @@
 
   boost::asio::io_context Loop_;
   SystemClock Time_;
-  NullLogger Log_;
-  FakeLog Platform_;
+  CountingLogger Log_;
+  FakeClaimLog Platform_;
   ClaimOrderer Orderer_;
   std::map<std::string, std::vector<wire::ClaimAnswerT>> Answers_;
 };
@@ -260,7 +270,7 @@
   if (C.Available_)
     F.awaitAvailable();
   else
-    F.Loop_.run_for(std::chrono::milliseconds(50));
+    F.awaitFailure();
   BOOST_TEST((F.claim("a") == (C.Available_ ? ClaimState::Won : ClaimState::Unavailable)));
   BOOST_TEST(F.Orderer_.state().at(C.Flag_).as_bool() ==
              (C.Available_ || C.Flag_ == std::string("gap")));
