--- a/Source/Config/YamlSection.cpp
+++ b/Source/Config/YamlSection.cpp
@@ -147,6 +147,25 @@
   return Number;
 }
 
+double YamlSection::real(std::string_view Name, double Default, double Min, double Max) {
+  const std::string Expected = fmt::format("a number from {} to {}", Min, Max);
+  const auto Value = scalar(Name, Presence::Optional, Expected);
+  if (!Value)
+    return Default;
+  double Number = 0;
+  const char *Last = Value->data() + Value->size();
+  const auto [End, Failure] = std::from_chars(Value->data(), Last, Number);
+  if (Failure != std::errc{} || End != Last) {
+    report(Name, ErrorCode::WrongType, Expected);
+    return Default;
+  }
+  if (!(Number >= Min && Number <= Max)) {
+    report(Name, ErrorCode::OutOfRange, Expected);
+    return Default;
+  }
+  return Number;
+}
+
 bool YamlSection::flag(std::string_view Name, bool Default) {
   const auto Value = scalar(Name, Presence::Optional, "true or false");
   if (!Value)
@@ -244,6 +263,29 @@
   return {Node[std::string(Name)], State_->File_, Path, State_->Faults_};
 }
 
+void YamlSection::sections(std::string_view Name, Presence Wanted,
+                           const std::function<void(YamlSection &)> &Read) {
+  const std::string Expected = "a list of mappings";
+  if (!has(Name)) {
+    if (Wanted == Presence::Required)
+      report(Name, ErrorCode::MissingField, Expected);
+    return;
+  }
+  const YAML::Node &Node = State_->Node_;
+  const YAML::Node List = Node[std::string(Name)];
+  if (!List.IsSequence()) {
+    report(Name, ErrorCode::WrongType, Expected);
+    return;
+  }
+  const std::string Prefix = State_->Path_.empty() ? "" : State_->Path_ + ".";
+  for (std::size_t Index = 0; Index < List.size(); ++Index) {
+    YamlSection Item(List[Index], State_->File_, Prefix + fmt::format("{}[{}]", Name, Index),
+                     State_->Faults_);
+    Read(Item);
+    Item.finish();
+  }
+}
+
 void YamlSection::finish() {
   if (!State_->Node_.IsMap())
     return;
--- a/Source/Config/YamlSection.h
+++ b/Source/Config/YamlSection.h
@@ -5,6 +5,7 @@
 #include "Core/Membership/Endpoint.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -49,6 +50,8 @@
 
   std::string text(std::string_view Name, Presence Wanted, std::string Default = {});
   std::int64_t number(std::string_view Name, std::int64_t Default, NumberRange Range);
+  /// A number with or without a fraction, within [Min, Max].
+  double real(std::string_view Name, double Default, double Min, double Max);
   bool flag(std::string_view Name, bool Default);
   Duration duration(std::string_view Name, Duration Default, DurationRange Range);
   NetAddress address(std::string_view Name, Presence Wanted);
@@ -59,6 +62,9 @@
                      std::span<const std::string_view> Choices);
   /// A mapping below this one; an empty one if it is missing.
   YamlSection section(std::string_view Name);
+  /// Calls Read for each mapping of a list, and finishes it; nothing if the list is missing.
+  void sections(std::string_view Name, Presence Wanted,
+                const std::function<void(YamlSection &)> &Read);
   /// Reports the fields that nobody asked for. Call it last.
   void finish();
 
