--- a/Source/Router/ModelSession.cpp
+++ b/Source/Router/ModelSession.cpp
@@ -55,7 +55,8 @@
                             Spec.Version_,
                             Spec.LayerCount_,
                             Request_.Route_->Priority_,
-                            prefixHash(Prompt, Shared.Options_.PrefixTokens_)},
+                            prefixHash(Prompt, Shared.Options_.PrefixTokens_),
+                            std::min(Prompt.size(), Shared.Options_.PrefixTokens_)},
       Machine_(Request_.Id_, std::move(Prompt), optionsFor(Shared.Options_.Request_, Spec)),
       DeadlineTimer_(Shared.Services_.Loop_), PlanTimer_(Shared.Services_.Loop_) {
   // The prompt lives on as tokens.
@@ -77,14 +78,10 @@
     if (const auto Self = Weak.lock())
       Self->dispatch(DeadlinePassed{});
   });
+  const auto Held = shared_from_this();
   Dispatching_ = true;
   carryOut(Machine_.start());
-  Dispatching_ = false;
-  if (Pending_.empty())
-    return;
-  ModelEvent First = std::move(Pending_.front());
-  Pending_.pop_front();
-  dispatch(std::move(First));
+  takePending();
 }
 
 void ModelSession::dispatch(ModelEvent Event) {
@@ -93,6 +90,10 @@
     return;
   const auto Held = shared_from_this();
   Dispatching_ = true;
+  takePending();
+}
+
+void ModelSession::takePending() {
   while (!Pending_.empty()) {
     const ModelEvent Next = std::move(Pending_.front());
     Pending_.pop_front();
@@ -160,8 +161,8 @@
   if (Effect.NewWork_) {
     Options.BeforeSend_ = [&Endpoints = Shared_.Services_.Endpoints_, Stage = Effect.Stage_] {
       const Endpoint *Engine = Endpoints.find(Stage.Endpoint_);
-      return Engine && Engine->State_ == EndpointState::Live &&
-             Engine->Incarnation_ == Stage.Incarnation_;
+      return Engine && Engine->Incarnation_ == Stage.Incarnation_ &&
+             Endpoints.mayTakeWork(Stage.Endpoint_);
     };
   }
   ++Shared_.Stats_.Steps_;
@@ -243,6 +244,10 @@
 
 void ModelSession::apply(const FinishAnswer &) {
   ++Shared_.Stats_.Finished_;
+  // The caller may be gone, or cut off for reading too slowly.
+  if (!Request_.Responder_->isOpen())
+    return;
+  End_ = {200, Outcome::Done, 0};
   if (Streaming_)
     return Request_.Responder_->finishChunked();
   boost::json::object Body;
@@ -267,6 +272,7 @@
   Answer.Status_ = statusFor(Effect.Error_);
   Answer.Outcome_ = StepSent_ ? Outcome::Unknown : Outcome::NotRun;
   Answer.Error_ = Effect.Error_;
+  End_ = {Answer.Status_, Answer.Outcome_, 0};
   sendAnswer(*Request_.Responder_, Request_.Id_, Answer);
 }
 
@@ -293,8 +299,9 @@
   Shared_.Services_.Log_.log(LogEvent::RequestFinished, {{"request", Request_.Id_.str()},
                                                          {"state", Machine_.stateName()},
                                                          {"tokens", Machine_.producedTokens()}});
+  End_.Tokens_ = Machine_.producedTokens();
   if (Request_.Finished_)
-    Request_.Finished_();
+    Request_.Finished_(End_);
   std::exchange(Over_, nullptr)();
 }
 
--- a/Source/Router/ModelSession.h
+++ b/Source/Router/ModelSession.h
@@ -29,6 +29,7 @@
 
 private:
   void dispatch(ModelEvent Event);
+  void takePending();
   void carryOut(const std::vector<ModelEffect> &Effects);
   void apply(const PlanChain &Effect);
   void apply(const SendStep &Effect);
@@ -55,6 +56,8 @@
   bool Dispatching_ = false;
   bool Streaming_ = false;
   bool StepSent_ = false;
+  /// Status 0 until an answer was sent whole.
+  RequestEnd End_;
   std::optional<HttpCallId> HttpCall_;
   TimePoint StepStartedAt_{};
 };
