--- a/Source/Load/PipelineModel.h
+++ b/Source/Load/PipelineModel.h
@@ -53,6 +53,11 @@
     std::vector<WaitingStep> Batch_;
     std::uint32_t Sequences_ = 0;
     TimePoint LinkFreeAt_{};
+    /// Time spent on batches after the warm-up, and steps run.
+    Duration Busy_{};
+    std::uint64_t Steps_ = 0;
+    std::uint64_t Batches_ = 0;
+    std::uint64_t Left_ = 0;
     LoadReport Pending_;
   };
   struct Router {
--- a/Source/Load/PipelineSimulation.cpp
+++ b/Source/Load/PipelineSimulation.cpp
@@ -1,6 +1,7 @@
 #include "Load/PipelineSimulation.h"
 
 #include "Core/Routing/BaselinePolicies.h"
+#include "Core/Routing/CapacityPolicy.h"
 #include "Core/Routing/ShortestPathPolicy.h"
 #include "Load/PipelineModel.h"
 
@@ -18,7 +19,8 @@
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(Seconds));
 }
 
-std::unique_ptr<ChainPolicy> makePolicy(PolicyKind Policy, const std::string &Router) {
+std::unique_ptr<ChainPolicy> makePolicy(PolicyKind Policy, const std::string &Router,
+                                        double Routers) {
   switch (Policy) {
   case PolicyKind::Random:
     return std::make_unique<RandomPolicy>();
@@ -26,10 +28,12 @@
     return std::make_unique<RoundRobinPolicy>();
   case PolicyKind::LeastLoad:
     return std::make_unique<LeastLoadPolicy>();
+  case PolicyKind::ShortestPath:
+    return std::make_unique<ShortestPathPolicy>(Router, ShortestPathOptions{});
   case PolicyKind::Own:
     break;
   }
-  return std::make_unique<ShortestPathPolicy>(Router, ShortestPathOptions{});
+  return std::make_unique<CapacityPolicy>(CapacityPolicyOptions{2, Routers});
 }
 
 AdmissionOptions admissionOptions(AdmissionMode Mode, double Slots) {
@@ -53,6 +57,8 @@
     return "round_robin";
   case PolicyKind::LeastLoad:
     return "least_load";
+  case PolicyKind::ShortestPath:
+    return "shortest_path";
   case PolicyKind::Own:
     break;
   }
@@ -113,7 +119,8 @@
   for (std::uint32_t I = 0; I < Pipeline_.Routers_; ++I) {
     Router &Each = Routers_[I];
     Each.Planner_ = std::make_unique<ChainPlanner>(
-        Table_, Each.Load_, makePolicy(Policy, "router-" + std::to_string(I)), Random_);
+        Table_, Each.Load_, makePolicy(Policy, "router-" + std::to_string(I), Pipeline_.Routers_),
+        Random_);
     Each.Admission_ =
         std::make_unique<AdmissionController>(admissionOptions(Case_.Admission_, Mine));
     Each.Admission_->setView(View, Now_);
@@ -144,6 +151,20 @@
   for (std::size_t I = 0; I < GoodOf_.size(); ++I)
     Result_.GoodOf_[Pipeline_.Customers_[I].Customer_.str()] =
         static_cast<double>(GoodOf_[I]) / Seconds;
+  std::size_t At = 0;
+  for (const EngineGroup &Group : Pipeline_.Groups_) {
+    KindUse &Use = Result_.Kinds_[Group.Kind_ + "-" + std::to_string(Group.Layers_.Begin_)];
+    for (std::uint32_t I = 0; I < Group.Count_; ++I, ++At) {
+      const Engine &Each = Engines_[At];
+      Use.BusyPart_ += std::chrono::duration<double>(Each.Busy_).count() / Seconds / Group.Count_;
+      if (Each.Batches_ == 0)
+        continue;
+      Use.MeanQueue_ += static_cast<double>(Each.Left_) / static_cast<double>(Each.Batches_) /
+                        Group.Speed_.BatchSlots_ / Group.Count_;
+      Use.FilledPart_ += static_cast<double>(Each.Steps_) / static_cast<double>(Each.Batches_) /
+                         Group.Speed_.BatchSlots_ / Group.Count_;
+    }
+  }
   std::sort(QueueRatios_.begin(), QueueRatios_.end());
   if (!QueueRatios_.empty()) {
     Result_.QueueP99_ = QueueRatios_[QueueRatios_.size() * 99 / 100];
@@ -258,6 +279,12 @@
   }
   if (counts(Now_) && Order_ % 16 == 0)
     QueueRatios_.push_back(static_cast<double>(Here.Waiting_.size()) / Speed.BatchSlots_);
+  if (counts(Now_)) {
+    Here.Busy_ += Time;
+    Here.Steps_ += Here.Batch_.size();
+    ++Here.Batches_;
+    Here.Left_ += Here.Waiting_.size();
+  }
   push(Now_ + Time, EventKind::BatchEnd, Index);
 }
 
--- a/Source/Load/PipelineSimulation.h
+++ b/Source/Load/PipelineSimulation.h
@@ -11,11 +11,21 @@
 
 namespace rattancart {
 
-enum class PolicyKind : std::uint8_t { Own, Random, RoundRobin, LeastLoad };
+enum class PolicyKind : std::uint8_t { Own, ShortestPath, Random, RoundRobin, LeastLoad };
 
 /// The policy's name in tables and figures.
 std::string_view policyName(PolicyKind Policy);
 
+/// How the engines of one kind and layer range were used.
+struct KindUse {
+  /// The part of the time that batches ran.
+  double BusyPart_ = 0;
+  /// The part of the slots that batches filled.
+  double FilledPart_ = 0;
+  /// Steps that a batch left waiting on average, in batches.
+  double MeanQueue_ = 0;
+};
+
 /// What one simulated run came to; the warm-up is left out.
 struct PipelineResult {
   /// Sequences a second.
@@ -36,6 +46,8 @@
   double QueueMax_ = 0;
   /// Sequences completed in each second of the run.
   std::vector<std::uint32_t> PerSecond_;
+  /// How each kind's engines were used.
+  std::map<std::string, KindUse> Kinds_;
   std::uint64_t Events_ = 0;
 };
 
--- a/Source/Load/SimulateCommand.cpp
+++ b/Source/Load/SimulateCommand.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-constexpr std::array Policies{PolicyKind::Own, PolicyKind::LeastLoad, PolicyKind::RoundRobin,
-                              PolicyKind::Random};
+constexpr std::array Policies{PolicyKind::Own, PolicyKind::ShortestPath, PolicyKind::LeastLoad,
+                              PolicyKind::RoundRobin, PolicyKind::Random};
 constexpr double ThroughputAim = 0.95;
 
 /// Collects what one command prints and writes.
@@ -55,6 +55,13 @@
   Out.Metrics_.push_back(
       {Name + ".between_tokens_p95", Result.BetweenTokens_.quantile(0.95) * 1e3, "ms"});
   Out.Metrics_.push_back({Name + ".queue_p99", Result.QueueP99_, "batches"});
+  if (Policy == PolicyKind::Own) {
+    for (const auto &[Kind, Use] : Result.Kinds_) {
+      Out.Metrics_.push_back({Name + ".busy." + Kind, Use.BusyPart_, "ratio"});
+      Out.Metrics_.push_back({Name + ".filled." + Kind, Use.FilledPart_, "ratio"});
+      Out.Metrics_.push_back({Name + ".queue." + Kind, Use.MeanQueue_, "batches"});
+    }
+  }
   if (Result.GoodOf_.size() < 2)
     return;
   for (const auto &[Customer, Good] : Result.GoodOf_)
