--- a/Source/StandIns/EngineFront.cpp
+++ b/Source/StandIns/EngineFront.cpp
@@ -58,8 +58,9 @@
                          HttpClient &Client, EngineFrontConfig Config, EngineFaults Faults)
     : StandInFront(Loop, Log), Time_(Time), Client_(Client), Config_(std::move(Config)),
       Faults_(Faults), Model_(Config_.Engine_),
-      Link_(Config_.LinkBytesPerSecond_, Config_.LinkDelay_), History_(Config_.HistoryLimit_),
-      Batch_(Loop), Housekeeping_(Loop), Crossing_(Loop) {
+      Link_(Config_.LinkBytesPerSecond_, Config_.LinkDelay_),
+      History_(Config_.HistoryLimit_, Config_.HistoryFile_), Batch_(Loop), Housekeeping_(Loop),
+      Crossing_(Loop) {
   Housekeeping_.every(HousekeepingInterval, [this] { Model_.expire(Time_.now()); });
   Model_.setLeaving(Faults_.Leaving_);
 }
@@ -74,7 +75,7 @@
   if (!applyFaults(Faults_, Text))
     return false;
   if (Faults_.Leaving_ != WasLeaving)
-    Model_.setLeaving(Faults_.Leaving_);
+    setLeaving(Faults_.Leaving_);
   if (Faults_.Common_.Down_)
     goDown();
   return true;
@@ -126,9 +127,11 @@
 }
 
 void EngineFront::admitStep(const json::object &Body, const HttpResponderPtr &Responder) {
-  StepAdmission Admission = Model_.admit(parseStep(Body), Time_.now());
+  const StepRequest Request = parseStep(Body);
+  StepAdmission Admission = Model_.admit(Request, Time_.now());
   switch (Admission.Kind_) {
   case StepAdmission::Kind::Refused:
+    recordRefused(Request.Request_, Admission.Refusal_);
     return deliver(Responder, jsonAnswer(refusalStatus(Admission.Refusal_),
                                          refusalText(Admission.Refusal_, Admission.Expected_)));
   case StepAdmission::Kind::Repeat:
@@ -211,8 +214,23 @@
   startBatch();
 }
 
+EventOrigin EngineFront::origin() const {
+  return {Config_.Engine_.Id_, Config_.Incarnation_, Time_.wallNow()};
+}
+
 void EngineFront::record(const StepResult &Result) {
-  History_.add(layerRunText(Result, Config_.Engine_.Id_, History_.nextSequence()));
+  History_.add(layerRunText(Result, origin(), History_.nextSequence()));
+}
+
+void EngineFront::recordRefused(const RequestId &Request, StepRefusal Refusal) {
+  if (Refusal == StepRefusal::Leaving)
+    History_.add(workLine(origin(), Request));
+}
+
+void EngineFront::setLeaving(bool Leaving) {
+  if (Model_.leaving() != Leaving)
+    History_.add(leavingLine(origin(), Leaving));
+  Model_.setLeaving(Leaving);
 }
 
 void EngineFront::answerStep(const StepResult &Result, std::vector<HttpResponderPtr> Responders) {
@@ -350,7 +368,7 @@
   if (Kind == "load")
     return loadWeights(Order, Responder);
   if (Kind == "leave") {
-    Model_.setLeaving(true);
+    setLeaving(true);
     announceLeaving();
   } else if (Kind != "role") {
     return deliver(Responder, malformed());
@@ -393,8 +411,11 @@
       return deliver(Responder, malformed());
     const StepRefusal Refusal = Model_.importKv(Of.Request_, Of.Attempt_, *Image, Time_.now());
     refuseDropped();
-    if (Refusal == StepRefusal::None)
+    recordRefused(Of.Request_, Refusal);
+    if (Refusal == StepRefusal::None) {
+      recordImport(Of.Request_, Of.Attempt_, *Image);
       return deliver(Responder, jsonAnswer(200, "{}\n"));
+    }
     return deliver(Responder, jsonAnswer(refusalStatus(Refusal), refusalText(Refusal, 0)));
   }
   const std::optional<KvImage> Image = Model_.exportKv(Of.Request_, Of.Attempt_);
@@ -407,6 +428,18 @@
         [this, Responder, Text] { deliver(Responder, jsonAnswer(200, Text)); });
 }
 
+void EngineFront::recordImport(const RequestId &Request, AttemptNumber Attempt,
+                               const KvImage &Image) {
+  StepResult Import;
+  Import.Step_.Request_ = Request;
+  Import.Step_.Attempt_ = Attempt;
+  Import.Step_.Count_ = static_cast<std::uint32_t>(Image.Tokens_.size());
+  Import.Step_.Layers_ = Image.Layers_;
+  Import.Step_.LayerCount_ = Config_.Engine_.LayerCount_;
+  Import.Step_.Version_ = Image.Version_;
+  History_.add(importText(Import, origin(), History_.nextSequence()));
+}
+
 void EngineFront::serveTensor(const HttpRequest &Request, const HttpResponderPtr &Responder) {
   const Tensor *Output = Model_.tensor(std::string(Request.path().substr(TensorPrefix.size())));
   if (!Output)
--- a/Source/StandIns/EngineFront.h
+++ b/Source/StandIns/EngineFront.h
@@ -3,6 +3,7 @@
 #include "Net/HttpClient.h"
 #include "Net/Timer.h"
 #include "StandIns/EngineModel.h"
+#include "StandIns/EventLines.h"
 #include "StandIns/HistoryBuffer.h"
 #include "StandIns/LinkModel.h"
 #include "StandIns/StandInFront.h"
@@ -24,6 +25,7 @@
   std::uint64_t TensorBytesPerToken_ = 8192;
   std::uint64_t KvBytesPerTokenAndLayer_ = 1024;
   std::size_t HistoryLimit_ = 0;
+  std::string HistoryFile_;
   /// Where loads fetch their weights; empty if loads are immediate.
   NetAddress Platform_;
 };
@@ -35,7 +37,7 @@
   EngineFront(boost::asio::io_context &Loop, Logger &Log, const Clock &Time, HttpClient &Client,
               EngineFrontConfig Config, EngineFaults Faults);
 
-  void leave() override { Model_.setLeaving(true); }
+  void leave() override { setLeaving(true); }
   bool isIdle() const override;
   void setAddress(const NetAddress &Address) override { Address_ = Address; }
 
@@ -72,6 +74,9 @@
   void startBatch();
   void finishBatch();
   void record(const StepResult &Result);
+  void recordRefused(const RequestId &Request, StepRefusal Refusal);
+  void setLeaving(bool Leaving);
+  EventOrigin origin() const;
   void answerStep(const StepResult &Result, std::vector<HttpResponderPtr> Responders);
   void sendStep(const StepResult &Result, const std::vector<HttpResponderPtr> &Responders);
   void releaseCrossed();
@@ -85,6 +90,7 @@
   void loadWeights(const boost::json::object &Order, const HttpResponderPtr &Responder);
   void finishLoad(const boost::json::object &Order, const HttpResponderPtr &Responder);
   void serveKv(const HttpRequest &Request, const HttpResponderPtr &Responder);
+  void recordImport(const RequestId &Request, AttemptNumber Attempt, const KvImage &Image);
   void serveTensor(const HttpRequest &Request, const HttpResponderPtr &Responder);
   std::string loadText();
   void snapshotLoad();
--- a/Source/StandIns/EngineMessages.cpp
+++ b/Source/StandIns/EngineMessages.cpp
@@ -31,6 +31,23 @@
 
 std::string line(const json::object &Body) { return json::serialize(Body) + "\n"; }
 
+json::object runLine(const char *Kind, const StepRequest &Step, const EventOrigin &Origin,
+                     std::uint64_t Sequence) {
+  return {{"kind", Kind},
+          {"request", Step.Request_.str()},
+          {"attempt", Step.Attempt_.value()},
+          {"position", Step.Position_},
+          {"count", Step.Count_},
+          {"layer_begin", Step.Layers_.Begin_},
+          {"layer_end", Step.Layers_.End_},
+          {"layer_count", Step.LayerCount_},
+          {"version", Step.Version_.str()},
+          {"engine", Origin.Endpoint_.str()},
+          {"incarnation", Origin.Incarnation_.value()},
+          {"sequence", Sequence},
+          {"at", eventTime(Origin.At_)}};
+}
+
 } // namespace
 
 StepRequest parseStep(const json::object &Body) {
@@ -95,20 +112,14 @@
   return line({{"first", Page.First_}, {"next", Page.Next_}, {"events", std::move(Events)}});
 }
 
-std::string layerRunText(const StepResult &Result, const EndpointId &Engine,
+std::string layerRunText(const StepResult &Result, const EventOrigin &Origin,
                          std::uint64_t Sequence) {
-  const StepRequest &Step = Result.Step_;
-  return json::serialize(json::object{{"kind", "layers"},
-                                      {"request", Step.Request_.str()},
-                                      {"attempt", Step.Attempt_.value()},
-                                      {"position", Step.Position_},
-                                      {"count", Step.Count_},
-                                      {"layer_begin", Step.Layers_.Begin_},
-                                      {"layer_end", Step.Layers_.End_},
-                                      {"layer_count", Step.LayerCount_},
-                                      {"version", Step.Version_.str()},
-                                      {"engine", Engine.str()},
-                                      {"sequence", Sequence}});
+  return json::serialize(runLine("layers", Result.Step_, Origin, Sequence));
+}
+
+std::string importText(const StepResult &Import, const EventOrigin &Origin,
+                       std::uint64_t Sequence) {
+  return json::serialize(runLine("import", Import.Step_, Origin, Sequence));
 }
 
 std::string refusalText(StepRefusal Refusal, std::uint32_t Expected) {
--- a/Source/StandIns/EngineMessages.h
+++ b/Source/StandIns/EngineMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "StandIns/EngineModel.h"
+#include "StandIns/EventLines.h"
 
 #include <boost/json/object.hpp>
 
@@ -20,8 +21,10 @@
 std::string kvText(const KvImage &Image, std::uint64_t Bytes);
 std::string cacheEventsText(const CacheEventPage &Page);
 /// The history line of a layer run.
-std::string layerRunText(const StepResult &Result, const EndpointId &Engine,
+std::string layerRunText(const StepResult &Result, const EventOrigin &Origin,
                          std::uint64_t Sequence);
+/// The history line of an imported KV cache, as far as it is like a run.
+std::string importText(const StepResult &Import, const EventOrigin &Origin, std::uint64_t Sequence);
 /// {"error":reason}, with "expected" for StepRefusal::Position.
 std::string refusalText(StepRefusal Refusal, std::uint32_t Expected);
 
--- a/Source/StandIns/FakeEngineMain.cpp
+++ b/Source/StandIns/FakeEngineMain.cpp
@@ -69,6 +69,7 @@
   Config.LinkDelay_ = std::chrono::microseconds(Given.LinkDelayUs_);
   Config.Incarnation_ = Options.Process_.Incarnation_;
   Config.HistoryLimit_ = Options.HistoryLimit_;
+  Config.HistoryFile_ = Options.HistoryFile_;
   Config.Platform_ = NetAddress(Options.Process_.Platform_);
 }
 
--- a/Source/StandIns/FakeServiceMain.cpp
+++ b/Source/StandIns/FakeServiceMain.cpp
@@ -32,9 +32,9 @@
   StderrLogger Log(Time, Options.Process_.Id_, LogFormat::KeyValue, LogLevel::Info);
   boost::asio::io_context Loop(1);
   HttpClient Client(Loop);
-  const ServiceIdentity Identity{EndpointId(Options.Process_.Id_),
-                                 ServiceId(Options.Process_.Service_),
-                                 Options.Process_.Incarnation_, Options.HistoryLimit_};
-  ServiceFront Front(Loop, Log, Identity, Config, Faults);
+  const ServiceIdentity Identity{
+      EndpointId(Options.Process_.Id_), ServiceId(Options.Process_.Service_),
+      Options.Process_.Incarnation_, Options.HistoryLimit_, Options.HistoryFile_};
+  ServiceFront Front(Loop, Log, Time, Identity, Config, Faults);
   return StandInProcess(Loop, Options.Process_, Front, Client, Log).run();
 }
--- a/Source/StandIns/HistoryBuffer.cpp
+++ b/Source/StandIns/HistoryBuffer.cpp
@@ -5,8 +5,15 @@
 
 namespace rattancart {
 
+HistoryBuffer::HistoryBuffer(std::size_t Limit, const std::string &File) : Limit_(Limit) {
+  if (!File.empty())
+    File_.open(File, std::ios::app);
+}
+
 void HistoryBuffer::add(std::string Line) {
   Line += '\n';
+  if (File_.is_open())
+    File_ << Line << std::flush;
   Lines_.push_back(std::move(Line));
   if (Lines_.size() <= Limit_)
     return;
--- a/Source/StandIns/HistoryBuffer.h
+++ b/Source/StandIns/HistoryBuffer.h
@@ -3,15 +3,17 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <fstream>
 #include <string>
 
 namespace rattancart {
 
-/// The last events of a stand-in as JSON lines. Not thread-safe.
+/// The last events of a stand-in as JSON lines. A file that is named gets each line at once, so
+/// that it outlives a killed process. Not thread-safe.
 class HistoryBuffer {
 public:
-  /// Keeps at most Limit lines.
-  explicit HistoryBuffer(std::size_t Limit) : Limit_(Limit) {}
+  /// Keeps at most Limit lines. File is appended to; empty for none.
+  HistoryBuffer(std::size_t Limit, const std::string &File);
 
   /// The number of the line that is added next, from 1.
   std::uint64_t nextSequence() const { return Dropped_ + Lines_.size() + 1; }
@@ -22,6 +24,7 @@
 
 private:
   std::size_t Limit_;
+  std::ofstream File_;
   std::uint64_t Dropped_ = 0;
   std::deque<std::string> Lines_;
 };
--- a/Source/StandIns/ServiceFront.cpp
+++ b/Source/StandIns/ServiceFront.cpp
@@ -28,10 +28,32 @@
 
 } // namespace
 
-ServiceFront::ServiceFront(boost::asio::io_context &Loop, Logger &Log, ServiceIdentity Identity,
-                           ServiceConfig Config, ServiceFaults Faults)
-    : StandInFront(Loop, Log), Identity_(std::move(Identity)), Faults_(Faults), Config_(Config),
-      Model_(Config), History_(Identity_.HistoryLimit_) {}
+ServiceFront::ServiceFront(boost::asio::io_context &Loop, Logger &Log, const Clock &Time,
+                           ServiceIdentity Identity, ServiceConfig Config, ServiceFaults Faults)
+    : StandInFront(Loop, Log), Time_(Time), Identity_(std::move(Identity)), Faults_(Faults),
+      Config_(Config), Model_(Config), History_(Identity_.HistoryLimit_, Identity_.HistoryFile_) {}
+
+EventOrigin ServiceFront::origin() const {
+  return {Identity_.Id_, Identity_.Incarnation_, Time_.wallNow()};
+}
+
+void ServiceFront::leave() {
+  const bool WasLeaving = std::exchange(Faults_.Leaving_, true);
+  recordLeaving(WasLeaving);
+}
+
+bool ServiceFront::setFaultText(const std::string &Text) {
+  const bool WasLeaving = Faults_.Leaving_;
+  if (!applyFaults(Faults_, Text))
+    return false;
+  recordLeaving(WasLeaving);
+  return true;
+}
+
+void ServiceFront::recordLeaving(bool WasLeaving) {
+  if (Faults_.Leaving_ != WasLeaving)
+    History_.add(leavingLine(origin(), Faults_.Leaving_));
+}
 
 void ServiceFront::serve(HttpRequest Request, HttpResponderPtr Responder) {
   if (Request.path() == "/v1/load")
@@ -39,6 +61,8 @@
   if (chance(Faults_.FailPercent_))
     return deliver(Responder, jsonAnswer(500, "{\"error\":\"failed before execution\"}\n"));
   const ServiceCall Call = parseCall(std::move(Request));
+  if (Faults_.Leaving_)
+    History_.add(workLine(origin(), Call.Call_));
   const ServiceAnswer Answer = Model_.call(Call);
   if (Answer.Executed_)
     record(Call);
@@ -69,6 +93,8 @@
   json::object Line{{"kind", "execution"},
                     {"sequence", History_.nextSequence()},
                     {"service", Identity_.Id_.str()},
+                    {"incarnation", Identity_.Incarnation_.value()},
+                    {"at", eventTime(Time_.wallNow())},
                     {"method", Call.Method_},
                     {"path", Call.Path_},
                     {"body", Call.Body_},
--- a/Source/StandIns/ServiceFront.h
+++ b/Source/StandIns/ServiceFront.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "StandIns/EventLines.h"
 #include "StandIns/HistoryBuffer.h"
 #include "StandIns/ServiceModel.h"
 #include "StandIns/StandInFront.h"
@@ -13,30 +14,35 @@
   ServiceId Service_;
   Incarnation Incarnation_{0};
   std::size_t HistoryLimit_ = 0;
+  std::string HistoryFile_;
 };
 
 /// The plain service stand-in over HTTP. Not thread-safe.
 class ServiceFront final : public StandInFront {
 public:
-  ServiceFront(boost::asio::io_context &Loop, Logger &Log, ServiceIdentity Identity,
-               ServiceConfig Config, ServiceFaults Faults);
+  /// Preconditions as StandInFront; Time outlives the front.
+  ServiceFront(boost::asio::io_context &Loop, Logger &Log, const Clock &Time,
+               ServiceIdentity Identity, ServiceConfig Config, ServiceFaults Faults);
 
-  void leave() override { Faults_.Leaving_ = true; }
+  void leave() override;
   bool isIdle() const override { return true; }
 
 protected:
   void serve(HttpRequest Request, HttpResponderPtr Responder) override;
   const CommonFaults &commonFaults() const override { return Faults_.Common_; }
   std::string faultText() const override { return describeFaults(Faults_); }
-  bool setFaultText(const std::string &Text) override { return applyFaults(Faults_, Text); }
+  bool setFaultText(const std::string &Text) override;
   std::string historyText(std::uint64_t From) const override { return History_.text(From); }
 
 private:
   std::string loadText();
   void record(const ServiceCall &Call);
+  void recordLeaving(bool WasLeaving);
+  EventOrigin origin() const;
   bool chance(std::uint32_t Percent);
   void answer(const HttpResponderPtr &Responder, const ServiceAnswer &Answer);
 
+  const Clock &Time_;
   ServiceIdentity Identity_;
   ServiceFaults Faults_;
   ServiceConfig Config_;
--- a/Source/StandIns/StandInOptions.h
+++ b/Source/StandIns/StandInOptions.h
@@ -16,6 +16,8 @@
   std::string Faults_ = "{}";
   /// Lines of /v1/history that are kept.
   std::size_t HistoryLimit_ = 1000000;
+  /// A file that gets the history too; empty for none.
+  std::string HistoryFile_;
   std::uint32_t LeaveTimeoutMs_ = 10000;
 };
 
@@ -35,6 +37,7 @@
   App.add_option("--advertise", Options.Process_.Advertise_,
                  "IP:PORT to register and to name as the place of outputs");
   App.add_option("--history-limit", Options.HistoryLimit_, "Lines of history that are kept");
+  App.add_option("--history-file", Options.HistoryFile_, "File to append the history to as well");
   App.add_option("--leave-timeout-ms", Options.LeaveTimeoutMs_,
                  "Longest time that a leaving process waits for its work");
 }
