--- a/Tests/Control/FakeClaimLog.h
+++ b/Tests/Control/FakeClaimLog.h
@@ -60,9 +60,9 @@
       return;
     }
     auto Delay = std::make_shared<Timer>(Loop_);
-    Delay->after(AppendDelay_, [Delay, Act = std::move(Act)] {
-      const auto Kept = Delay;
+    Delay->after(AppendDelay_, [Delay, Act = std::move(Act)]() mutable {
       Act();
+      Delay.reset();
     });
   }
 
--- a/Tests/Router/CallHandlerTest.cpp
+++ b/Tests/Router/CallHandlerTest.cpp
@@ -51,8 +51,7 @@
       Held_.push_back(std::move(Responder));
       return;
     case EndpointFault::Slow:
-      return Delay_.after(std::chrono::milliseconds(50),
-                          [this, Responder] { answer(*Responder, 201); });
+      return Delay_.after(std::chrono::milliseconds(50), [Responder] { answer(*Responder, 201); });
     default:
       return answer(*Responder, 201);
     }
