--- a/Tests/Router/FakeEngineHandler.h
+++ b/Tests/Router/FakeEngineHandler.h
@@ -6,7 +6,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
-#include <algorithm>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -48,6 +48,8 @@
       return Responder->send({});
     }
     ++Steps_;
+    if (OnStep_)
+      OnStep_();
     if (Steps_ > DieAfterSteps_)
       return Responder->abort();
     if (SilentSteps_ > 0 || HoldSteps_) {
@@ -102,6 +104,8 @@
   int CrossedAnswers_ = 0;
   int Steps_ = 0;
   int Cancels_ = 0;
+  /// Called when a step arrives, before it runs.
+  std::function<void()> OnStep_;
   /// The prompt's length, taken from the first prefill. One prompt a test.
   std::size_t Prompt_ = 0;
   std::vector<HttpResponderPtr> Held_;
--- a/Tests/Router/ModelHandlerTest.cpp
+++ b/Tests/Router/ModelHandlerTest.cpp
@@ -172,7 +172,7 @@
        F.Engines_[0]->DieAfterSteps_ = 3;
        F.Engines_[1]->DieAfterSteps_ = 2;
      },
-     2},
+     3},
     {"first stage refuses connections", [](Fixture &F) { F.Servers_[0]->stop(); }, 2},
     {"a connection goes silent",
      [](Fixture &F) {
@@ -187,6 +187,19 @@
      },
      2},
     {"an answer is crossed", [](Fixture &F) { F.Engines_[1]->CrossedAnswers_ = 1; }, 1},
+    {"the last stage leaves before its first step",
+     [](Fixture &F) {
+       F.Engines_[0]->OnStep_ = [&F] { F.Table_.markLeaving(EndpointId("e1"), Incarnation(0)); };
+     },
+     2},
+    {"a stage leaves mid-answer",
+     [](Fixture &F) {
+       F.Engines_[0]->OnStep_ = [&F] {
+         if (F.Engines_[0]->Steps_ == 3)
+           F.Table_.markLeaving(EndpointId("e0"), Incarnation(0));
+       };
+     },
+     1},
     {"the first plan's engine left",
      [](Fixture &F) { F.Table_.markLeaving(EndpointId("e0"), Incarnation(0)); }, 1},
 };
