--- a/Source/Router/ModelHandler.cpp
+++ b/Source/Router/ModelHandler.cpp
@@ -14,8 +14,7 @@
 
 ModelSessionShared::ModelSessionShared(RouterServices &Router, ModelHandlerOptions Settings)
     : Services_(Router), Options_(Settings),
-      Planner_(Router.Endpoints_, Load_,
-               std::make_unique<ShortestPathPolicy>(Router.Instance_.str(), Settings.Path_),
+      Planner_(Router.Endpoints_, Load_, std::make_unique<CapacityPolicy>(Settings.Chain_),
                Router.Random_),
       Deadline_(Settings.Deadline_), Suspects_(Settings.SuspectHold_) {}
 
--- a/Source/Router/ModelHandler.h
+++ b/Source/Router/ModelHandler.h
@@ -2,8 +2,8 @@
 
 #include "Core/Pipeline/ModelRequest.h"
 #include "Core/Pipeline/StepDeadline.h"
+#include "Core/Routing/CapacityPolicy.h"
 #include "Core/Routing/ChainPlanner.h"
-#include "Core/Routing/ShortestPathPolicy.h"
 #include "Core/Routing/SuspectList.h"
 #include "Router/RouteHandler.h"
 
@@ -17,7 +17,7 @@
 struct ModelHandlerOptions {
   ModelRequestOptions Request_;
   StepDeadlineOptions Deadline_;
-  ShortestPathOptions Path_;
+  CapacityPolicyOptions Chain_;
   std::size_t MaxPromptTokens_ = 32 * 1024;
   /// Prompt bytes of all requests in flight; more are refused.
   std::size_t MaxPromptBytes_ = 64 * 1024 * 1024;
--- a/Tests/Router/ModelHandlerTest.cpp
+++ b/Tests/Router/ModelHandlerTest.cpp
@@ -66,8 +66,8 @@
     Engine.Model_ = ModelId("brief");
     Engine.Version_ = ModelVersion("3");
     Engine.Layers_ = Index % 2 == 0 ? LayerRange{0, 24} : LayerRange{24, 48};
-    // The first two are faster and thus chosen first.
-    Engine.Load_.StepTime_ = std::chrono::milliseconds(Index < 2 ? 1 : 10);
+    // The first two are so much faster that chains take them as long as they can.
+    Engine.Load_.StepTime_ = std::chrono::milliseconds(Index < 2 ? 1 : 1000);
     Engine.Load_.BatchSlots_ = 4;
     Engine.LoadSequence_ = 1;
     Table_.apply(Engine, Time_.now());
