--- a/Source/Control/SettingsFollower.cpp
+++ b/Source/Control/SettingsFollower.cpp
@@ -175,6 +175,7 @@
   if (Outcome.State_ != ReplicaResult::State::Applied)
     return Outcome;
   StoppedLogged_ = false;
+  SeenAfter_ = Offset;
   SnapshotCovered_ = std::max(SnapshotCovered_, Replica_.log().floor());
   Used_.Logger_.log(LogEvent::SnapshotApplied, {{"offset", Offset.value()}});
   Listener_.onSettingsImage();
@@ -275,7 +276,13 @@
 }
 
 SubmitOutcome SettingsFollower::findChange(const ChangeId &Id) const {
-  if (const Decision *Seen = History_.findChange(Id))
+  const Decision *Seen = History_.findChange(Id);
+  if (Seen && mayHaveEarlierCopy(*Seen))
+    return {SubmitOutcome::State::Unknown,
+            Id,
+            NoOffset,
+            {ErrorCode::ChangeUnknown, "this copy came too late; an earlier one was not seen"}};
+  if (Seen)
     return outcomeOf(Id, Seen->Offset_, {Seen->Error_, Seen->Detail_});
   if (const std::optional<DecidedChange> Kept = Replica_.log().findChange(Id))
     return outcomeOf(Id, Kept->Offset_, {Kept->Error_, {}});
@@ -285,6 +292,12 @@
           {ErrorCode::ChangeUnknown, "no decision on this id is known"}};
 }
 
+bool SettingsFollower::mayHaveEarlierCopy(const Decision &Item) const {
+  // An accepted copy lies after the change's base, and below the floor its id is forgotten.
+  return Item.Error_ == make_error_code(ErrorCode::BaseTooOld) &&
+         Item.Base_ < std::max(SeenAfter_, History_.droppedUpTo());
+}
+
 Duration SettingsFollower::jittered(Duration Full) {
   std::uniform_int_distribution<Duration::rep> Draw(Full.count() / 2, Full.count());
   return Duration(Draw(Used_.Random_));
--- a/Source/Control/SettingsFollower.h
+++ b/Source/Control/SettingsFollower.h
@@ -128,6 +128,7 @@
   void reportGap(std::string Detail);
   ReplicaResult applyImage(LogOffset Offset, const std::string &Body);
   ReplicaResult applyRecord(LogOffset Offset, const std::string &Body);
+  bool mayHaveEarlierCopy(const Decision &Item) const;
   void noteDecision(const Decision &Item);
   void noteStopped(const std::string &Detail);
   void resolvePending();
@@ -162,6 +163,8 @@
   TimePoint ReadAt_{};
   bool StoppedLogged_ = false;
   std::uint32_t Failures_ = 0;
+  /// Every record after this one was seen as a record.
+  LogOffset SeenAfter_ = NoOffset;
   /// The newest snapshot record seen, and when; the writer is drawn anew for each.
   LogOffset SnapshotSeen_ = NoOffset;
   LogOffset SnapshotCovered_ = NoOffset;
--- a/Source/Control/SettingsHistory.cpp
+++ b/Source/Control/SettingsHistory.cpp
@@ -7,8 +7,10 @@
 
 void SettingsHistory::add(Decision Item) {
   Items_.push_back(std::move(Item));
-  if (Items_.size() > Limit_)
-    Items_.pop_front();
+  if (Items_.size() <= Limit_)
+    return;
+  DroppedUpTo_ = Items_.front().Offset_;
+  Items_.pop_front();
 }
 
 std::vector<Decision> SettingsHistory::find(const SettingsPath &Path, std::size_t Limit) const {
--- a/Source/Control/SettingsHistory.h
+++ b/Source/Control/SettingsHistory.h
@@ -18,10 +18,13 @@
   std::vector<Decision> find(const SettingsPath &Path, std::size_t Limit) const;
   /// A change's first decision that is still kept, or null. It holds until the next add.
   const Decision *findChange(const ChangeId &Id) const;
+  /// The offset of the latest decision that was dropped.
+  LogOffset droppedUpTo() const { return DroppedUpTo_; }
 
 private:
   std::size_t Limit_;
   std::deque<Decision> Items_;
+  LogOffset DroppedUpTo_ = NoOffset;
 };
 
 } // namespace rattancart
--- a/Source/Core/Settings/SettingsLog.cpp
+++ b/Source/Core/Settings/SettingsLog.cpp
@@ -66,6 +66,7 @@
   Outcome.Offset_ = Offset;
   Outcome.Change_ = Change.Id_;
   Outcome.Author_ = Change.Author_;
+  Outcome.Base_ = Change.Base_;
   for (const SettingsEdit &Edit : Change.Edits_)
     Outcome.Paths_.push_back(Edit.Path_);
   if (const auto Earlier = Decided_.find(Change.Id_); Earlier != Decided_.end()) {
--- a/Source/Core/Settings/SettingsLog.h
+++ b/Source/Core/Settings/SettingsLog.h
@@ -32,6 +32,7 @@
   /// Changes only, and not if the record can't be decoded.
   ChangeId Change_;
   OperatorId Author_;
+  LogOffset Base_ = NoOffset;
   /// Why a change was rejected.
   std::error_code Error_;
   std::string Detail_;
