--- a/Tests/Control/SettingsFollowerTest.cpp
+++ b/Tests/Control/SettingsFollowerTest.cpp
@@ -223,6 +223,8 @@
 // Found by schedule 2839: a late copy was reported as rejected to one who had not seen the first.
 BOOST_AUTO_TEST_CASE(ALateCopyDoesNotHideAnAcceptedOne) {
   Fixture Test;
+  SettingsFollower &Whole = Test.add("c0");
+  Test.run(1);
   const std::string Change = changeRecord("a", -1, putEdit("/endpoints/e/drain", "true"));
   Test.Log_.add(Change);
   SettingsLog State;
@@ -230,7 +232,6 @@
   const std::string Snapshot = formatSnapshot(State);
   Test.Log_.add(Snapshot);
   State.apply(LogOffset(1), Snapshot);
-  SettingsFollower &Whole = Test.add("c0");
   Test.run(1);
   Test.Log_.Faults_.Down_ = true;
   SettingsFollower &Jumped = Test.add("c1");
