--- a/Source/Config/YamlSection.h
+++ b/Source/Config/YamlSection.h
@@ -14,7 +14,8 @@
 #include <string_view>
 #include <vector>
 
-namespace YAML {
+// The library's own name.
+namespace YAML { // NOLINT(readability-identifier-naming)
 class Node;
 }
 
--- a/Source/Load/LoadMain.cpp
+++ b/Source/Load/LoadMain.cpp
@@ -1,5 +1,6 @@
 #include "Core/Common/ErrorCode.h"
 #include "Load/Experiment.h"
+#include "Load/HttpRun.h"
 #include "Load/SimulateCommand.h"
 
 #include <CLI/CLI.hpp>
@@ -37,7 +38,9 @@
   bool CheckOnly = false;
   CLI::App *Simulate = App.add_subcommand(
       "simulate", "Run the decisions alone in this process, on modelled engines and time.");
-  for (CLI::App *Command : {Simulate}) {
+  CLI::App *Run =
+      App.add_subcommand("run", "Send requests to running routers and set faults by time.");
+  for (CLI::App *Command : {Simulate, Run}) {
     Command->add_option("experiment", File, "The experiment file (YAML).")->required();
     Command->add_option("--output", Output, "Write CSV and SVG files with this prefix.");
     Command->add_flag("--check", CheckOnly, "Only check the experiment file.");
@@ -53,9 +56,12 @@
     return rattancart::errorInfo(ErrorCode::ExperimentInvalid).ExitCode_;
   if (CheckOnly)
     return 0;
-  if (Content.Kind_ == rattancart::ExperimentKind::Http)
+  const bool IsHttp = Content.Kind_ == rattancart::ExperimentKind::Http;
+  if (IsHttp != Run->parsed())
     return fail(ErrorCode::ExperimentInvalid);
-  if (const std::error_code Failure = rattancart::simulate(Content, Output))
+  const std::error_code Failure =
+      IsHttp ? rattancart::runHttpCommand(Content, Output) : rattancart::simulate(Content, Output);
+  if (Failure)
     return fail(Failure);
   return 0;
 }
--- a/Source/Load/SimulateCommand.cpp
+++ b/Source/Load/SimulateCommand.cpp
@@ -57,15 +57,15 @@
   Out.Metrics_.push_back({Name + ".queue_p99", Result.QueueP99_, "batches"});
   if (Policy == PolicyKind::Own) {
     for (const auto &[Kind, Use] : Result.Kinds_) {
-      Out.Metrics_.push_back({Name + ".busy." + Kind, Use.BusyPart_, "ratio"});
-      Out.Metrics_.push_back({Name + ".filled." + Kind, Use.FilledPart_, "ratio"});
-      Out.Metrics_.push_back({Name + ".queue." + Kind, Use.MeanQueue_, "batches"});
+      Out.Metrics_.push_back({fmt::format("{}.busy.{}", Name, Kind), Use.BusyPart_, "ratio"});
+      Out.Metrics_.push_back({fmt::format("{}.filled.{}", Name, Kind), Use.FilledPart_, "ratio"});
+      Out.Metrics_.push_back({fmt::format("{}.queue.{}", Name, Kind), Use.MeanQueue_, "batches"});
     }
   }
   if (Result.GoodOf_.size() < 2)
     return;
   for (const auto &[Customer, Good] : Result.GoodOf_)
-    Out.Metrics_.push_back({Name + ".good_of." + Customer, Good, "1/s"});
+    Out.Metrics_.push_back({fmt::format("{}.good_of.{}", Name, Customer), Good, "1/s"});
 }
 
 std::error_code plotCase(const std::string &Prefix, const LoadCase &Case, double Bound,
