Fair queue without charges for unserved requests; margin by deviation

The overload test's bound of 850 rewarded that fault (fair is 750); it now asks for equal parts within a tenth.

--- a/Source/Core/Admission/AdmissionController.cpp
+++ b/Source/Core/Admission/AdmissionController.cpp
@@ -3,6 +3,7 @@
 #include "Core/Common/ErrorCode.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace rattancart {
@@ -11,6 +12,8 @@
 
 /// Weight of the newest request in the mean time by unit of cost.
 constexpr double ServiceTimeGain = 0.05;
+/// Mean deviations above the mean that a request is given to finish.
+constexpr double DeviationFactor = 2;
 
 Duration toDuration(double Seconds) {
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(Seconds));
@@ -51,7 +54,8 @@
 }
 
 Duration AdmissionController::serviceTime(const Pool &Where, double Cost) const {
-  return toDuration(Where.Usage_.SecondsPerCost_ * Cost);
+  const PoolUsage &Usage = Where.Usage_;
+  return toDuration((Usage.SecondsPerCost_ + DeviationFactor * Usage.Deviation_) * Cost);
 }
 
 Duration AdmissionController::expectedWait(const Pool &Where, const AdmissionRequest &Request,
@@ -131,7 +135,11 @@
   const double PerCost = Took / std::max(1e-9, End.Cost_);
   if (End.Result_ == AdmissionEnd::Result::Succeeded && End.Cost_ > 0) {
     double &Mean = Where.Usage_.SecondsPerCost_;
-    Mean = Mean <= 0 ? PerCost : Mean + (PerCost - Mean) * ServiceTimeGain;
+    if (Mean <= 0)
+      Mean = PerCost;
+    double &Deviation = Where.Usage_.Deviation_;
+    Deviation += (std::abs(PerCost - Mean) - Deviation) * ServiceTimeGain;
+    Mean += (PerCost - Mean) * ServiceTimeGain;
   }
   Where.Limit_->ended(End.Result_, PerCost, static_cast<double>(Where.InFlight_));
   --Where.InFlight_;
--- a/Source/Core/Admission/AdmissionController.h
+++ b/Source/Core/Admission/AdmissionController.h
@@ -36,6 +36,8 @@
   std::size_t Queued_ = 0;
   /// Time that one unit of cost takes at one request, in seconds; zero if not yet known.
   double SecondsPerCost_ = 0;
+  /// The mean deviation from it, in seconds.
+  double Deviation_ = 0;
   std::uint64_t Admitted_ = 0;
   std::uint64_t RefusedLimit_ = 0;
   std::uint64_t RefusedEarly_ = 0;
@@ -93,6 +95,7 @@
 
   Pool &pool(const PoolId &Id);
   bool hasRoom(const Pool &Where) const;
+  /// A time that few requests of the cost exceed once they are admitted.
   Duration serviceTime(const Pool &Where, double Cost) const;
   Duration expectedWait(const Pool &Where, const AdmissionRequest &Request, TimePoint Now) const;
   AdmissionDecision enqueue(Pool &Where, const AdmissionRequest &Request, TimePoint Now);
--- a/Source/Core/Admission/FairQueue.cpp
+++ b/Source/Core/Admission/FairQueue.cpp
@@ -4,22 +4,39 @@
 
 namespace rattancart {
 
+double FairQueue::Flow::backTag() const {
+  double Tag = Start_;
+  for (const QueuedRequest &Request : Waiting_)
+    Tag += Request.Cost_ / Weight_;
+  return Tag;
+}
+
+std::map<CustomerId, FairQueue::Flow>::const_iterator FairQueue::Class::next() const {
+  return std::min_element(Flows_.begin(), Flows_.end(), [](const auto &Left, const auto &Right) {
+    const double LeftTag = Left.second.headTag();
+    const double RightTag = Right.second.headTag();
+    if (LeftTag != RightTag)
+      return LeftTag < RightTag;
+    return Left.second.Waiting_.front().Ticket_ < Right.second.Waiting_.front().Ticket_;
+  });
+}
+
 PriorityClass FairQueue::classOf(PriorityClass Priority) const {
   return Order_ == QueueOrder::Arrival ? PriorityClass(0) : Priority;
 }
 
+const CustomerId &FairQueue::flowOf(const CustomerId &Customer) const {
+  return Order_ == QueueOrder::Arrival ? Everyone_ : Customer;
+}
+
 double FairQueue::tagOf(const CustomerId &Customer, PriorityClass Priority, double Cost,
                         double Weight) const {
   const auto It = Classes_.find(classOf(Priority));
-  // Equal tags leave the order to the tickets, which rise with the arrival.
-  if (Order_ == QueueOrder::Arrival)
-    return 0;
   if (It == Classes_.end())
     return Cost / Weight;
-  const auto Last = It->second.LastTag_.find(Customer);
-  const double From = Last == It->second.LastTag_.end()
-                          ? It->second.VirtualTime_
-                          : std::max(It->second.VirtualTime_, Last->second);
+  const auto Own = It->second.Flows_.find(flowOf(Customer));
+  const double From =
+      Own == It->second.Flows_.end() ? It->second.VirtualTime_ : Own->second.backTag();
   return From + Cost / Weight;
 }
 
@@ -30,22 +47,31 @@
 
 void FairQueue::push(QueuedRequest Request, double Weight) {
   const PriorityClass Priority = classOf(Request.Priority_);
-  const Key At{tagOf(Request.Customer_, Request.Priority_, Request.Cost_, Weight), Request.Ticket_};
+  const CustomerId Owner = flowOf(Request.Customer_);
   Class &Where = Classes_[Priority];
-  Where.LastTag_[Request.Customer_] = At.Tag_;
-  Places_[Request.Ticket_] = Place{Priority, At};
-  Where.Waiting_.emplace(At, std::move(Request));
+  const auto [It, Added] = Where.Flows_.try_emplace(Owner);
+  if (Added)
+    It->second.Start_ = Where.VirtualTime_;
+  It->second.Weight_ = Weight;
+  Places_[Request.Ticket_] = Place{Priority, Owner};
+  It->second.Waiting_.push_back(std::move(Request));
+  ++Where.Size_;
 }
 
-QueuedRequest FairQueue::take(PriorityClass Priority, const Key &At) {
-  Class &From = Classes_[Priority];
-  const auto It = From.Waiting_.find(At);
-  QueuedRequest Request = std::move(It->second);
-  From.Waiting_.erase(It);
-  Places_.erase(At.Ticket_);
-  // An idle class starts anew, so that tags of customers long gone are not kept.
-  if (From.Waiting_.empty())
-    Classes_.erase(Priority);
+QueuedRequest FairQueue::take(AdmissionTicket Ticket) {
+  const auto Entry = Places_.find(Ticket);
+  const Place Here = Entry->second;
+  Places_.erase(Entry);
+  Class &From = Classes_[Here.Class_];
+  Flow &Owner = From.Flows_.at(Here.Flow_);
+  const auto It = std::find_if(Owner.Waiting_.begin(), Owner.Waiting_.end(),
+                               [&](const auto &Each) { return Each.Ticket_ == Ticket; });
+  QueuedRequest Request = std::move(*It);
+  Owner.Waiting_.erase(It);
+  if (Owner.Waiting_.empty())
+    From.Flows_.erase(Here.Flow_);
+  if (--From.Size_ == 0)
+    Classes_.erase(Here.Class_);
   return Request;
 }
 
@@ -53,7 +79,7 @@
   auto Best = Classes_.end();
   double BestRank = 0;
   for (auto It = Classes_.begin(); It != Classes_.end(); ++It) {
-    const double Rank = rankOf(It->first, It->second.Waiting_.begin()->second, Now);
+    const double Rank = rankOf(It->first, It->second.next()->second.Waiting_.front(), Now);
     if (Best == Classes_.end() || Rank < BestRank) {
       Best = It;
       BestRank = Rank;
@@ -61,31 +87,35 @@
   }
   if (Best == Classes_.end())
     return std::nullopt;
-  const Key At = Best->second.Waiting_.begin()->first;
-  Best->second.VirtualTime_ = At.Tag_;
-  return take(Best->first, At);
+  Class &From = Best->second;
+  Flow &Owner = From.Flows_.at(From.next()->first);
+  From.VirtualTime_ = std::max(From.VirtualTime_, Owner.headTag());
+  Owner.Start_ = Owner.headTag();
+  return take(Owner.Waiting_.front().Ticket_);
 }
 
 bool FairQueue::remove(AdmissionTicket Ticket) {
-  const auto It = Places_.find(Ticket);
-  if (It == Places_.end())
+  if (!Places_.contains(Ticket))
     return false;
-  const Place Here = It->second;
-  take(Here.Class_, Here.Key_);
+  take(Ticket);
   return true;
 }
 
 double FairQueue::costAhead(const CustomerId &Customer, PriorityClass Priority, double Cost,
                             double Weight, TimePoint Now) const {
   const PriorityClass Own = classOf(Priority);
-  const double Tag = tagOf(Customer, Priority, Cost, Weight);
+  const double Limit = tagOf(Customer, Priority, Cost, Weight);
   double Ahead = 0;
   for (const auto &[Other, Content] : Classes_) {
-    for (const auto &[At, Request] : Content.Waiting_) {
-      if (Other == Own && At.Tag_ > Tag)
-        break;
-      if (Other <= Own || rankOf(Other, Request, Now) < Own.value())
-        Ahead += Request.Cost_;
+    for (const auto &[Id, Owner] : Content.Flows_) {
+      double Tag = Owner.Start_;
+      for (const QueuedRequest &Request : Owner.Waiting_) {
+        Tag += Request.Cost_ / Owner.Weight_;
+        if (Other == Own && Tag > Limit)
+          break;
+        if (Other <= Own || rankOf(Other, Request, Now) < Own.value())
+          Ahead += Request.Cost_;
+      }
     }
   }
   return Ahead;
@@ -95,18 +125,22 @@
                                                  double Cost, double Weight) {
   if (Classes_.empty() || Order_ == QueueOrder::Arrival)
     return std::nullopt;
-  const auto Worst = std::prev(Classes_.end());
-  const Key Last = std::prev(Worst->second.Waiting_.end())->first;
-  const PriorityClass Lowest = Worst->first;
-  if (Lowest < Priority ||
-      (Lowest == Priority && Last.Tag_ <= tagOf(Customer, Priority, Cost, Weight)))
+  const auto &[Lowest, Content] = *std::prev(Classes_.end());
+  const auto Worst = std::max_element(Content.Flows_.begin(), Content.Flows_.end(),
+                                      [](const auto &Left, const auto &Right) {
+                                        return Left.second.backTag() < Right.second.backTag();
+                                      });
+  const bool IsBefore =
+      Priority < Lowest ||
+      (Priority == Lowest && tagOf(Customer, Priority, Cost, Weight) < Worst->second.backTag());
+  if (!IsBefore)
     return std::nullopt;
-  return take(Lowest, Last);
+  return take(Worst->second.Waiting_.back().Ticket_);
 }
 
 std::size_t FairQueue::sizeOf(PriorityClass Priority) const {
   const auto It = Classes_.find(classOf(Priority));
-  return It == Classes_.end() ? 0 : It->second.Waiting_.size();
+  return It == Classes_.end() ? 0 : It->second.Size_;
 }
 
 } // namespace rattancart
--- a/Source/Core/Admission/FairQueue.h
+++ b/Source/Core/Admission/FairQueue.h
@@ -4,9 +4,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
-#include <unordered_map>
 #include <vector>
 
 namespace rattancart {
@@ -30,8 +30,9 @@
 };
 
 /// A queue with priority classes and, within a class, weighted fairness among customers
-/// (self-clocked fair queueing: a request's finish tag is the customer's last tag, or the class's
-/// virtual time if that is later, plus cost by weight).
+/// (self-clocked fair queueing: the finish tag of a customer's first request is the class's virtual
+/// time when it became the first, plus cost by weight; the least tag is served). Requests that are
+/// removed unserved cost their customer nothing.
 ///
 /// A waiting request rises by one class each AgeingStep, so that a low class is delayed but not
 /// starved. Not thread-safe.
@@ -46,7 +47,7 @@
   std::optional<QueuedRequest> pop(TimePoint Now);
   /// Removes one request; false if it does not wait here.
   bool remove(AdmissionTicket Ticket);
-  /// Removes the requests for which Late says so, in the order of their tickets.
+  /// Removes the requests for which Late says so.
   template <typename Predicate> std::vector<QueuedRequest> removeIf(Predicate Late);
 
   /// The cost that would be served before a new request of the customer and class.
@@ -62,39 +63,52 @@
   std::size_t sizeOf(PriorityClass Priority) const;
 
 private:
-  struct Key {
-    double Tag_ = 0;
-    AdmissionTicket Ticket_{};
-    auto operator<=>(const Key &) const = default; // NOLINT
+  /// One customer's requests in one class.
+  struct Flow {
+    std::deque<QueuedRequest> Waiting_;
+    double Weight_ = 1;
+    /// The virtual time at which the first request became the first.
+    double Start_ = 0;
+
+    double headTag() const { return Start_ + Waiting_.front().Cost_ / Weight_; }
+    double backTag() const;
   };
   struct Class {
-    std::map<Key, QueuedRequest> Waiting_;
-    std::unordered_map<CustomerId, double> LastTag_;
+    std::map<CustomerId, Flow> Flows_;
     double VirtualTime_ = 0;
+    std::size_t Size_ = 0;
+
+    std::map<CustomerId, Flow>::const_iterator next() const;
   };
   struct Place {
     PriorityClass Class_;
-    Key Key_;
+    CustomerId Flow_;
   };
   PriorityClass classOf(PriorityClass Priority) const;
+  const CustomerId &flowOf(const CustomerId &Customer) const;
   double tagOf(const CustomerId &Customer, PriorityClass Priority, double Cost,
                double Weight) const;
   double rankOf(PriorityClass Priority, const QueuedRequest &Head, TimePoint Now) const;
-  QueuedRequest take(PriorityClass Priority, const Key &At);
+  QueuedRequest take(AdmissionTicket Ticket);
 
   QueueOrder Order_;
   Duration AgeingStep_;
+  CustomerId Everyone_;
   std::map<PriorityClass, Class> Classes_;
   std::map<AdmissionTicket, Place> Places_;
 };
 
 template <typename Predicate> std::vector<QueuedRequest> FairQueue::removeIf(Predicate Late) {
+  std::vector<AdmissionTicket> Tickets;
+  for (const auto &[Priority, Content] : Classes_)
+    for (const auto &[Customer, Requests] : Content.Flows_)
+      for (const QueuedRequest &Request : Requests.Waiting_)
+        if (Late(Request))
+          Tickets.push_back(Request.Ticket_);
   std::vector<QueuedRequest> Removed;
-  for (auto It = Places_.begin(); It != Places_.end();) {
-    const Place Here = (It++)->second;
-    if (Late(Classes_[Here.Class_].Waiting_.at(Here.Key_)))
-      Removed.push_back(take(Here.Class_, Here.Key_));
-  }
+  Removed.reserve(Tickets.size());
+  for (const AdmissionTicket Ticket : Tickets)
+    Removed.push_back(take(Ticket));
   return Removed;
 }
 
--- a/Tests/Core/Admission/AdmissionControllerTest.cpp
+++ b/Tests/Core/Admission/AdmissionControllerTest.cpp
@@ -65,8 +65,9 @@
       const auto &[Request, ArrivedAt] = Waiting_.at(Ticket);
       const bool InTime = Time_.now() <= Request.Deadline_;
       Good_ += InTime ? 1 : 0;
-      GoodOf_[Request.Customer_.str()] += InTime ? 1 : 0;
-      if (Request.Priority_ == PriorityClass(0))
+      if (Request.Priority_ != PriorityClass(0))
+        GoodOf_[Request.Customer_.str()] += InTime ? 1 : 0;
+      else
         SlowestHigh_ = std::max(SlowestHigh_, Time_.now() - ArrivedAt);
       Controller_.finished(Ticket, {}, Time_.now());
       Waiting_.erase(Ticket);
@@ -81,6 +82,7 @@
   std::map<AdmissionTicket, std::pair<AdmissionRequest, TimePoint>> Waiting_;
   double Owed_ = 0;
   int Good_ = 0;
+  /// In the low class.
   std::map<std::string, int> GoodOf_;
   Duration SlowestHigh_{};
 };
@@ -111,9 +113,9 @@
   BOOST_TEST((Run.SlowestHigh_ <= 400ms) == Case.Holds_);
   if (!Case.Holds_)
     return;
-  // The light customer asks for more than half of the capacity only at the higher load.
-  const int Fair = Case.Load_ > 4 ? 850 : 700;
-  BOOST_TEST(Run.GoodOf_["light"] >= Fair);
+  // Both ask for more than half of what the high class leaves, and get half each.
+  BOOST_TEST(Run.GoodOf_["light"] >= 0.9 * Run.GoodOf_["heavy"]);
+  BOOST_TEST(Run.GoodOf_["light"] <= 1.1 * Run.GoodOf_["heavy"]);
 }
 
 BOOST_AUTO_TEST_CASE(RefusedAtOnceIfTheDeadlineCantBeMet) {
--- a/Tests/Core/Admission/FairQueueTest.cpp
+++ b/Tests/Core/Admission/FairQueueTest.cpp
@@ -63,6 +63,21 @@
   BOOST_TEST(Served["light"] <= Case.LightHighest_);
 }
 
+BOOST_AUTO_TEST_CASE(RequestsRemovedUnservedCostTheirCustomerNothing) {
+  FairQueue Queue(QueueOrder::Fair, 10s);
+  for (std::uint64_t I = 1; I <= 100; ++I)
+    Queue.push(request(I, "heavy", 1), 1);
+  for (std::uint64_t I = 101; I <= 120; ++I)
+    Queue.push(request(I, "light", 1), 1);
+  // All but the customer's last ten expire.
+  BOOST_TEST(Queue.removeIf([](const auto &Each) { return Each.Ticket_.value() <= 90; }).size() ==
+             90U);
+  int Heavy = 0;
+  for (int I = 0; I < 20; ++I)
+    Heavy += Queue.pop(Start)->Customer_.str() == "heavy" ? 1 : 0;
+  BOOST_TEST(Heavy == 10);
+}
+
 BOOST_AUTO_TEST_CASE(HighClassGoesFirstUntilLowClassHasAged) {
   FairQueue Queue(QueueOrder::Fair, 10s);
   Queue.push(request(1, "a", 2), 1);
