--- a/Source/Config/YamlSection.h
+++ b/Source/Config/YamlSection.h
@@ -14,8 +14,7 @@
 #include <string_view>
 #include <vector>
 
-// The library's own name.
-namespace YAML { // NOLINT(readability-identifier-naming)
+namespace YAML { // NOLINT
 class Node;
 }
 
