--- a/Source/Router/RequestFront.cpp
+++ b/Source/Router/RequestFront.cpp
@@ -73,9 +73,8 @@
 void RequestFront::handle(HttpRequest Http, HttpResponderPtr Responder) {
   const TimePoint Now = Time_.now();
   notePause(Now);
-  const std::string Reason = View_.notReadyReason();
-  if (!Reason.empty())
-    return refuse(*Responder, {nextId(), 503, ErrorCode::NotReady, Reason});
+  if (!View_.hasView())
+    return refuse(*Responder, {nextId(), 503, ErrorCode::NotReady, "no settings or endpoints yet"});
   Arrival Item{std::move(Http), std::move(Responder), Now, View_.claimTail()};
   if (!ResumedAt_)
     return route(std::move(Item));
--- a/Source/Router/RequestFront.h
+++ b/Source/Router/RequestFront.h
@@ -24,8 +24,8 @@
 class FrontView {
 public:
   virtual ~FrontView() = default;
-  /// Why no request can be served; empty if they can.
-  virtual std::string notReadyReason() const = 0;
+  /// Whether there is a view to serve requests by.
+  virtual bool hasView() const = 0;
   virtual SettingsViewPtr settings() const = 0;
   virtual LogOffset claimTail() const = 0;
   /// Whether all that was known elsewhere at At has arrived.
--- a/Source/Router/RouterProcess.h
+++ b/Source/Router/RouterProcess.h
@@ -49,6 +49,7 @@
   std::string notReadyReason() const override;
   std::string metricsText() const override;
 
+  bool hasView() const override { return View_.hasView(); }
   SettingsViewPtr settings() const override { return View_.settings().view(); }
   LogOffset claimTail() const override { return View_.claimTail(); }
   bool isRenewedSince(TimePoint At) const override { return View_.isRenewedSince(At); }
