--- a/Source/StandIns/EngineFront.cpp
+++ b/Source/StandIns/EngineFront.cpp
@@ -127,6 +127,9 @@
 }
 
 void EngineFront::admitStep(const json::object &Body, const HttpResponderPtr &Responder) {
+  if (Body.contains("incarnation") &&
+      jsonInteger(Body, "incarnation") != static_cast<std::int64_t>(Config_.Incarnation_.value()))
+    return deliver(Responder, jsonAnswer(409, "{\"error\":\"incarnation\"}\n"));
   const StepRequest Request = parseStep(Body);
   StepAdmission Admission = Model_.admit(Request, Time_.now());
   switch (Admission.Kind_) {
