--- a/Source/Net/FrameConnection.cpp
+++ b/Source/Net/FrameConnection.cpp
@@ -9,8 +9,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
-#include <cstring>
 #include <deque>
 #include <utility>
 #include <vector>
@@ -38,7 +38,7 @@
     const auto Length = static_cast<std::uint32_t>(Payload.size());
     for (std::size_t Byte = 0; Byte < PrefixBytes; ++Byte)
       Frame[Byte] = static_cast<std::uint8_t>(Length >> (8 * Byte));
-    std::memcpy(Frame.data() + PrefixBytes, Payload.data(), Payload.size());
+    std::copy(Payload.begin(), Payload.end(), Frame.begin() + PrefixBytes);
     Queued_ += Frame.size();
     Outgoing_.push_back(std::move(Frame));
     if (Outgoing_.size() == 1)
