HTTP: refuse a body in an unknown transfer coding

The parser takes "Transfer-Encoding: gzip" for an empty body and reads the body's bytes as the next request, which a caller can use to slip a second request past the front. Such a request, one with two codings and a coding in HTTP/1.0 get 400 now.

--- a/Source/Net/HttpServer.cpp
+++ b/Source/Net/HttpServer.cpp
@@ -46,6 +46,16 @@
   return Text;
 }
 
+/// Whether the end of a request's body can't be told. The parser takes a body in an unknown
+/// transfer coding for the next request.
+bool hasUnknownFraming(const http::request_header<> &Header) {
+  const std::size_t Codings = Header.count(http::field::transfer_encoding);
+  if (Codings == 0)
+    return false;
+  return Codings > 1 || Header.version() < 11 ||
+         !boost::beast::iequals(Header[http::field::transfer_encoding], "chunked");
+}
+
 /// One caller's connection: reads a request, waits for its answer, reads the next.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
 public:
@@ -160,6 +170,8 @@
     if (E)
       return onReadError(E);
     const auto &Message = Parser_->get();
+    if (hasUnknownFraming(Message))
+      return refuse(400, ErrorCode::MalformedRequest);
     if (boost::beast::iequals(Message[http::field::expect], "100-continue"))
       queueInterim();
     http::async_read(Socket_, Buffer_, *Parser_,
--- /dev/null
+++ b/Tests/Net/HttpMalformedTest.cpp
@@ -0,0 +1,285 @@
+#include "Core/Common/ErrorCode.h"
+#include "Net/Address.h"
+#include "Net/HttpServer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <fmt/format.h>
+
+#include <array>
+#include <ostream>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace rattancart;
+namespace data = boost::unit_test::data;
+using boost::asio::ip::tcp;
+
+namespace {
+
+/// Answers with the request's target and body; holds requests to /hold until told otherwise.
+class TargetHandler final : public HttpHandler {
+public:
+  void handle(HttpRequest Request, HttpResponderPtr Responder) override {
+    ++Count_;
+    if (Request.path() == "/hold") {
+      Held_ = std::move(Responder);
+      Held_->onClosed([this] { CallerGone_ = true; });
+      return;
+    }
+    HttpResponse Response;
+    Response.Body_ = Request.Target_ + " " + Request.Body_ + ";";
+    Responder->send(std::move(Response));
+  }
+  int Count_ = 0;
+  bool CallerGone_ = false;
+  HttpResponderPtr Held_;
+};
+
+HttpServerOptions smallOptions() {
+  HttpServerOptions Options;
+  Options.MaxHeaderBytes_ = 1024;
+  Options.MaxBodyBytes_ = 100;
+  return Options;
+}
+
+/// A server and a caller that sends bytes as they are, on one event loop.
+struct Fixture {
+  explicit Fixture(HttpServerOptions Options = smallOptions())
+      : Server_(Loop_, Options, Handler_, Log_), Caller_(Loop_) {
+    BOOST_REQUIRE(!Server_.listen(NetAddress("127.0.0.1:0")));
+    connect();
+  }
+
+  void connect() {
+    Received_.clear();
+    Ended_ = false;
+    Caller_ = tcp::socket(Loop_);
+    Caller_.connect(*parseAddress(Server_.address()));
+    receive();
+  }
+  void send(std::string_view Text) {
+    boost::system::error_code Ignored;
+    boost::asio::write(Caller_, boost::asio::buffer(Text.data(), Text.size()), Ignored);
+  }
+  /// No more is sent; the connection stays open the other way.
+  void endSending() {
+    boost::system::error_code Ignored;
+    Caller_.shutdown(tcp::socket::shutdown_send, Ignored);
+  }
+  template <typename Condition> void runUntil(Condition Done) {
+    while (!Done() && Loop_.run_one())
+      ;
+  }
+  std::string receiveToEnd() {
+    runUntil([this] { return Ended_; });
+    return Received_;
+  }
+  /// The status of the first answer.
+  int status() const {
+    return Received_.starts_with("HTTP/1.1 ") ? std::stoi(Received_.substr(9, 3)) : 0;
+  }
+
+  boost::asio::io_context Loop_;
+  NullLogger Log_;
+  TargetHandler Handler_;
+  HttpServer Server_;
+  tcp::socket Caller_;
+  std::string Received_;
+  bool Ended_ = false;
+
+private:
+  void receive() {
+    Caller_.async_read_some(boost::asio::buffer(Buffer_),
+                            [this](boost::system::error_code E, std::size_t Count) {
+                              Received_.append(Buffer_.data(), Count);
+                              if (E)
+                                Ended_ = true;
+                              else
+                                receive();
+                            });
+  }
+  std::array<char, 4096> Buffer_{};
+};
+
+struct MalformedCase {
+  std::string Name_;
+  std::string Sent_;
+  int Status_;
+};
+std::ostream &operator<<(std::ostream &Out, const MalformedCase &Case) { return Out << Case.Name_; }
+
+const std::string Post = "POST / HTTP/1.1\r\nHost: a\r\n";
+
+const MalformedCase MalformedCases[] = {
+    {"no request line", "hello\r\n\r\n", 400},
+    {"a handshake of another protocol", std::string("\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03", 10),
+     400},
+    {"another major version", "GET / HTTP/9.9\r\nHost: a\r\n\r\n", 400},
+    {"no target", "GET HTTP/1.1\r\nHost: a\r\n\r\n", 400},
+    {"a space in the target", "GET /a b HTTP/1.1\r\nHost: a\r\n\r\n", 400},
+    {"a control character in the target", "GET /a\x01 HTTP/1.1\r\nHost: a\r\n\r\n", 400},
+    {"no Host", "GET / HTTP/1.1\r\n\r\n", 400},
+    {"two Hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400},
+    {"a header without colon", "GET / HTTP/1.1\r\nHost: a\r\nbroken\r\n\r\n", 400},
+    {"a header without name", "GET / HTTP/1.1\r\nHost: a\r\n: b\r\n\r\n", 400},
+    {"a space before the colon", "GET / HTTP/1.1\r\nHost : a\r\n\r\n", 400},
+    {"a null byte in a header",
+     "GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(1, '\0') + "b\r\n\r\n", 400},
+    {"line feeds alone", "GET / HTTP/1.1\nHost: a\n\n", 400},
+    {"a length that is no number", Post + "Content-Length: x\r\n\r\n", 400},
+    {"a negative length", Post + "Content-Length: -1\r\n\r\n", 400},
+    {"a length beyond 64 bits", Post + "Content-Length: 99999999999999999999\r\n\r\n", 400},
+    {"two lengths", Post + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400},
+    {"a length and chunks",
+     Post + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+    {"chunks and a length",
+     Post + "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n0\r\n\r\n", 400},
+    {"an unknown transfer encoding", Post + "Transfer-Encoding: gzip\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+     400},
+    {"two transfer encodings", Post + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 400},
+    {"a second transfer encoding",
+     Post + "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\n0\r\n\r\n", 400},
+    {"chunks in an old version", "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+     400},
+    {"a chunk size that is no number", Post + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400},
+    {"a chunk without its end", Post + "Transfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n", 400},
+    {"a chunk size beyond 64 bits",
+     Post + "Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\n", 400},
+    {"a header that is too large",
+     "GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(2000, 'x') + "\r\n\r\n", 431},
+    {"a request line that is too large", "GET /" + std::string(2000, 'x'), 431},
+    {"a body that is too large", Post + "Content-Length: 101\r\n\r\n", 413},
+    {"chunks that are too large together",
+     Post + "Transfer-Encoding: chunked\r\n\r\n60\r\n" + std::string(96, 'x') +
+         "\r\n5\r\nabcde\r\n",
+     413},
+};
+
+const MalformedCase SlowCases[] = {
+    {"a slow header", "GET / HTTP/1.1\r\nHo", 408},
+    {"a slow body", Post + "Content-Length: 5\r\n\r\nab", 408},
+    {"a slow chunk", Post + "Transfer-Encoding: chunked\r\n\r\n5\r\nab", 408},
+};
+
+std::string get(const std::string &Target) {
+  return "GET " + Target + " HTTP/1.1\r\nHost: a\r\n\r\n";
+}
+
+std::size_t countOf(const std::string &Text, const std::string &Part) {
+  std::size_t Count = 0;
+  for (std::size_t At = Text.find(Part); At != std::string::npos; At = Text.find(Part, At + 1))
+    ++Count;
+  return Count;
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE_F(Fixture, MalformedRequestIsRefusedAndTheConnectionClosed,
+                       data::make(MalformedCases), Case) {
+  send(Case.Sent_);
+  receiveToEnd();
+  BOOST_TEST(status() == Case.Status_);
+  BOOST_TEST(countOf(Received_, "HTTP/1.1 ") == 1U);
+  BOOST_TEST(Received_.find("Connection: close") != std::string::npos);
+  BOOST_TEST(Handler_.Count_ == 0);
+  BOOST_TEST(Server_.stats().Malformed_ == 1U);
+}
+
+BOOST_DATA_TEST_CASE(SlowRequestIsRefused, data::make(SlowCases), Case) {
+  HttpServerOptions Options = smallOptions();
+  Options.RequestTimeout_ = std::chrono::milliseconds(30);
+  Fixture Here(Options);
+  Here.send(Case.Sent_);
+  Here.receiveToEnd();
+  BOOST_TEST(Here.status() == Case.Status_);
+  BOOST_TEST(Here.Handler_.Count_ == 0);
+  BOOST_TEST(Here.Server_.stats().TimedOut_ == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(PipelinedRequestsAreAnsweredInOrder, Fixture) {
+  send(get("/hold") + get("/b") + get("/c"));
+  runUntil([this] { return Handler_.Held_ != nullptr; });
+  Loop_.poll();
+  BOOST_TEST(Handler_.Count_ == 1);
+  HttpResponse First;
+  First.Body_ = "/hold ;";
+  Handler_.Held_->send(First);
+  runUntil([this] { return countOf(Received_, ";") == 3; });
+  BOOST_TEST(Received_.find("/hold ;") < Received_.find("/b ;"));
+  BOOST_TEST(Received_.find("/b ;") < Received_.find("/c ;"));
+}
+
+BOOST_FIXTURE_TEST_CASE(RequestBeforeAMalformedOneIsAnswered, Fixture) {
+  send(get("/a") + "broken\r\n\r\n");
+  receiveToEnd();
+  BOOST_TEST(Received_.find("/a ;") != std::string::npos);
+  BOOST_TEST(Received_.find("HTTP/1.1 400") != std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(InterimAnswerComesBeforeTheBody, Fixture) {
+  send(Post + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+  runUntil([this] { return !Received_.empty(); });
+  BOOST_TEST(Received_ == "HTTP/1.1 100 Continue\r\n\r\n");
+  send("ab");
+  runUntil([this] { return countOf(Received_, ";") == 1; });
+  BOOST_TEST(Received_.find("/ ab;") != std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(OldCallerWithoutHostIsAnsweredAndClosed, Fixture) {
+  send("GET /a HTTP/1.0\r\n\r\n");
+  BOOST_TEST(receiveToEnd().find("/a ;") != std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(CallerThatGoesAwayIsNoticed, Fixture) {
+  send(get("/hold"));
+  runUntil([this] { return Handler_.Held_ != nullptr; });
+  Caller_.close();
+  runUntil([this] { return Handler_.CallerGone_; });
+  BOOST_TEST(!Handler_.Held_->isOpen());
+  Handler_.Held_->send({});
+  BOOST_TEST(Server_.stats().InFlight_ == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(CallerThatGoesAwayWithinARequestLeavesNothing, Fixture) {
+  send(Post + "Content-Length: 50\r\n\r\nabc");
+  Loop_.poll();
+  Caller_.close();
+  runUntil([this] { return Server_.stats().Accepted_ == 1 && Server_.stats().Open_ == 0; });
+  BOOST_TEST(Handler_.Count_ == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(MutatedRequestsAreAnsweredOrClosed, Fixture) {
+  std::mt19937_64 Random(20261204);
+  const std::vector<std::string> Valid = {
+      get("/a?b=c") + get("/d"),
+      Post + "Content-Length: 3\r\n\r\nabc" + get("/e"),
+      Post + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+  };
+  for (int Round = 0; Round < 2000; ++Round) {
+    std::string Text = Valid[Random() % Valid.size()];
+    for (std::uint64_t Change = Random() % 3; Change < 3; ++Change) {
+      const std::size_t Place = Random() % Text.size();
+      if (Random() % 3 == 0)
+        Text.erase(Place, 1 + Random() % 4);
+      else
+        Text[Place] = static_cast<char>(Random());
+    }
+    connect();
+    send(Text);
+    endSending();
+    receiveToEnd();
+    Caller_.close();
+  }
+  connect();
+  send(get("/still"));
+  runUntil([this] { return countOf(Received_, ";") == 1; });
+  BOOST_TEST(Received_.find("/still ;") != std::string::npos);
+  BOOST_TEST(Server_.stats().InFlight_ == 0U);
+}
