--- a/Source/History/HistoryMain.cpp
+++ b/Source/History/HistoryMain.cpp
@@ -36,7 +36,7 @@
     const std::string Text((std::istreambuf_iterator<char>(Input)), {});
     std::string Detail;
     if (history::readLines(Text, Events, Detail))
-      return fail(ErrorCode::MalformedBody, File + ": " + Detail);
+      return fail(ErrorCode::MalformedBody, fmt::format("{}: {}", File, Detail));
   }
   const std::vector<history::Violation> Found = history::findViolations(Events);
   for (const history::Violation &Each : Found) {
