--- a/Source/Core/Settings/SettingsCompiler.cpp
+++ b/Source/Core/Settings/SettingsCompiler.cpp
@@ -4,7 +4,9 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <optional>
+#include <unordered_map>
 #include <utility>
 
 namespace rattancart {
@@ -18,6 +20,15 @@
   return Place;
 }
 
+/// What follows the team in the key of a group whose name all teams share; else nothing.
+std::string_view sharedName(std::string_view Key) {
+  constexpr std::string_view Top = "/teams/";
+  if (!Key.starts_with(Top))
+    return {};
+  const std::string_view Rest = Key.substr(Key.find('/', Top.size()));
+  return Rest.starts_with("/routes/") ? std::string_view() : Rest;
+}
+
 /// Calls Visit for the keys of a map at and below Path.
 template <typename Map, typename Visitor>
 void forEachBelow(Map &Entries, const SettingsPath &Path, Visitor Visit) {
@@ -36,6 +47,12 @@
   std::vector<SettingsPath> Replaced_;
   std::map<std::string, SettingsEntity, std::less<>> Entities_;
   std::vector<TreeFault> Faults_;
+
+  bool replaces(std::string_view Key) const {
+    return std::any_of(Replaced_.begin(), Replaced_.end(), [&](const SettingsPath &Path) {
+      return SettingsPath::fromKey(Key).isAtOrBelow(Path);
+    });
+  }
 };
 
 void SettingsCompiler::stage(const SettingsTree &Tree, const SettingsPath &Touched,
@@ -56,7 +73,7 @@
     const bool SameGroup = !Group.Leaves_.empty() && Key.starts_with(Group.Path_.childPrefix());
     if (!SameGroup) {
       Flush();
-      const SettingsPath Leaf = *SettingsPath::parse(Key.empty() ? "/" : Key);
+      const SettingsPath Leaf = SettingsPath::fromKey(Key);
       const std::optional<SettingsPlace> Place = groupOf(Leaf);
       Group.Path_ = Place ? Leaf.prefix(Place->Depth_) : Leaf;
       Group.Kind_ = Place ? Place->Kind_ : SettingsKind::Unknown;
@@ -67,30 +84,49 @@
   Flush();
 }
 
-void SettingsCompiler::checkOwners(const SettingsTree &Tree, Update &Staged) const {
-  const std::vector<std::string> Teams = Tree.children(*SettingsPath::parse("/teams"));
+void SettingsCompiler::checkOwners(Update &Staged) const {
+  const auto Report = [&](std::string_view Key, std::string_view Owner) {
+    Staged.Faults_.push_back({SettingsPath::fromKey(Key), ErrorCode::InvalidValue,
+                              fmt::format("another name; {} has it already", Owner)});
+  };
+  const std::vector<std::string> Teams = teamNames();
+  std::unordered_map<std::string_view, std::string_view> New;
   for (const auto &[Key, Entity] : Staged.Entities_) {
-    const std::vector<std::string_view> Segments = splitSettingsPath(Key);
-    if (Segments[0] != "teams" || Segments[2] == "routes")
+    const std::string_view Rest = sharedName(Key);
+    if (Rest.empty())
       continue;
-    const std::string Rest = Key.substr(std::string_view("/teams/").size() + Segments[1].size());
+    if (const auto [Other, IsFirst] = New.emplace(Rest, Key); !IsFirst) {
+      Report(Key, Other->second);
+      Report(Other->second, Key);
+    }
     for (const std::string &Team : Teams) {
-      if (Team == Segments[1])
-        continue;
-      const SettingsPath Other = *SettingsPath::parse(fmt::format("/teams/{}{}", Team, Rest));
-      if (Tree.contains(Other))
-        Staged.Faults_.push_back({*SettingsPath::parse(Key), ErrorCode::InvalidValue,
-                                  fmt::format("another name; {} has it already", Other.str())});
+      const std::string Other = fmt::format("/teams/{}{}", Team, Rest);
+      if (Other != Key && Entities_.contains(Other) && !Staged.replaces(Other))
+        Report(Key, Other);
     }
   }
 }
 
+std::vector<std::string> SettingsCompiler::teamNames() const {
+  std::vector<std::string> Names;
+  std::string Prefix = "/teams/";
+  const std::size_t Length = Prefix.size();
+  for (auto It = Entities_.lower_bound(Prefix);
+       It != Entities_.end() && It->first.starts_with("/teams/");
+       It = Entities_.lower_bound(Prefix)) {
+    Names.push_back(It->first.substr(Length, It->first.find('/', Length) - Length));
+    // '0' is the character after '/', so this skips all of the team.
+    Prefix = fmt::format("/teams/{}0", Names.back());
+  }
+  return Names;
+}
+
 std::vector<TreeFault> SettingsCompiler::update(const SettingsTree &Tree,
                                                 std::span<const SettingsPath> Touched) {
   Update Staged;
   for (const SettingsPath &Path : Touched)
     stage(Tree, Path, Staged);
-  checkOwners(Tree, Staged);
+  checkOwners(Staged);
   if (!Staged.Faults_.empty())
     return std::move(Staged.Faults_);
   for (const SettingsPath &Path : Staged.Replaced_) {
--- a/Source/Core/Settings/SettingsCompiler.h
+++ b/Source/Core/Settings/SettingsCompiler.h
@@ -42,7 +42,8 @@
 private:
   struct Update;
   void stage(const SettingsTree &Tree, const SettingsPath &Touched, Update &Staged) const;
-  void checkOwners(const SettingsTree &Tree, Update &Staged) const;
+  void checkOwners(Update &Staged) const;
+  std::vector<std::string> teamNames() const;
 
   /// By the path of the group, without the root's slash.
   std::map<std::string, SettingsEntity, std::less<>> Entities_;
--- a/Source/Core/Settings/SettingsImage.cpp
+++ b/Source/Core/Settings/SettingsImage.cpp
@@ -49,7 +49,7 @@
 } // namespace
 
 bool SettingsImageCodec::isTombstone(const SettingsLog &Log, const std::string &Key) {
-  return !Log.Tree_.contains(*SettingsPath::parse(pathText(Key)));
+  return !Log.Tree_.contains(SettingsPath::fromKey(Key));
 }
 
 std::uint64_t SettingsImageCodec::digest(const SettingsLog &Log) {
--- a/Source/Core/Settings/SettingsLog.cpp
+++ b/Source/Core/Settings/SettingsLog.cpp
@@ -155,8 +155,7 @@
     Floor_ = std::max(Floor_, Covered);
   // No accepted base lies below the floor, so these can't decide anything any more.
   std::erase_if(Revisions_, [&](const auto &Entry) {
-    return Entry.second <= Covered &&
-           !Tree_.contains(*SettingsPath::parse(Entry.first.empty() ? "/" : Entry.first));
+    return Entry.second <= Covered && !Tree_.contains(SettingsPath::fromKey(Entry.first));
   });
   std::erase_if(Decided_, [&](const auto &Entry) { return Entry.second.Base_ < Covered; });
 }
--- a/Source/Core/Settings/SettingsPath.cpp
+++ b/Source/Core/Settings/SettingsPath.cpp
@@ -53,6 +53,12 @@
   return Path;
 }
 
+SettingsPath SettingsPath::fromKey(std::string_view Key) {
+  SettingsPath Path;
+  Path.Text_ = std::string(Key);
+  return Path;
+}
+
 std::vector<std::string_view> SettingsPath::segments() const { return splitSettingsPath(Text_); }
 
 SettingsPath SettingsPath::prefix(std::size_t Count) const {
--- a/Source/Core/Settings/SettingsPath.h
+++ b/Source/Core/Settings/SettingsPath.h
@@ -19,6 +19,8 @@
   SettingsPath() = default;
   /// Errors: BadPath. Thread-safe.
   static Result<SettingsPath> parse(std::string_view Text);
+  /// The path with that key. Precondition: Key is the key() of a path. Thread-safe.
+  static SettingsPath fromKey(std::string_view Key);
 
   /// The path's text; the root is "/".
   std::string str() const { return Text_.empty() ? "/" : Text_; }
--- a/Source/Core/Settings/SettingsTree.cpp
+++ b/Source/Core/Settings/SettingsTree.cpp
@@ -113,7 +113,7 @@
 std::vector<SettingsLeaf> SettingsTree::leaves(const SettingsPath &Path) const {
   std::vector<SettingsLeaf> Found;
   forEach(Path, [&](const std::string &Key, const SettingsValue &Value) {
-    Found.push_back({*SettingsPath::parse(Key), Value});
+    Found.push_back({SettingsPath::fromKey(Key), Value});
   });
   return Found;
 }
