--- /dev/null
+++ b/Source/Core/Routing/AffinityPolicy.cpp
@@ -0,0 +1,51 @@
+#include "Core/Routing/AffinityPolicy.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace rattancart {
+
+std::vector<const Endpoint *> AffinityPolicy::choose(const ChainQuery &Query,
+                                                     std::mt19937_64 &Random) {
+  std::vector<const Endpoint *> Chosen = Capacity_.choose(Query, Random);
+  if (Query.Prefix_.empty() || Options_.Bound_ <= 0 || Index_.holders(Query.Prefix_).empty())
+    return Chosen;
+  for (const Endpoint *&Engine : Chosen) {
+    for (const LayerGroup &Group : Query.Graph_.groupsFrom(Engine->Layers_.Begin_)) {
+      if (!(Group.Layers_ == Engine->Layers_))
+        continue;
+      if (const Endpoint *Better = preferred(Query, Group))
+        Engine = Better;
+      break;
+    }
+  }
+  return Chosen;
+}
+
+const Endpoint *AffinityPolicy::preferred(const ChainQuery &Query, const LayerGroup &Group) const {
+  const Endpoint *Best = nullptr;
+  double BestFullness = std::numeric_limits<double>::infinity();
+  for (const Endpoint *Engine : Group.Engines_) {
+    if (Index_.confidence(Engine->Id_, Query.Prefix_) < Options_.MinConfidence_)
+      continue;
+    const double Full = Capacity_.fullness(Query, *Engine);
+    if (Full >= BestFullness)
+      continue;
+    Best = Engine;
+    BestFullness = Full;
+  }
+  if (!Best)
+    return nullptr;
+  const double Allowed =
+      std::max(Options_.AllowedFullness_, Options_.Bound_ * meanFullness(Query, Group));
+  return BestFullness <= Allowed ? Best : nullptr;
+}
+
+double AffinityPolicy::meanFullness(const ChainQuery &Query, const LayerGroup &Group) const {
+  double Sum = 0;
+  for (const Endpoint *Engine : Group.Engines_)
+    Sum += Capacity_.fullness(Query, *Engine);
+  return Sum / static_cast<double>(Group.Engines_.size());
+}
+
+} // namespace rattancart
--- /dev/null
+++ b/Source/Core/Routing/PrefixIndex.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "Core/Common/Ids.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace rattancart {
+
+/// One event of an engine's prefix cache.
+struct PrefixEvent {
+  enum class Kind : std::uint8_t { Stored, Evicted };
+  /// Rises by one with each event of one run of an engine.
+  std::uint64_t Sequence_ = 0;
+  Kind Kind_ = Kind::Stored;
+  std::string Prefix_;
+};
+
+/// An engine that is believed to hold a prefix.
+struct PrefixHolder {
+  EndpointId Engine_;
+  /// The probability that it still does, from 0 to 1.
+  double Confidence_ = 1;
+};
+
+/// Which engines hold which prompt prefixes, as far as one router knows from cache events that are
+/// late and have gaps, and from its own requests.
+///
+/// Events that are missing may have been evictions, so a gap lowers the confidence in everything
+/// that was known of the engine before it. Not thread-safe.
+class PrefixIndex {
+public:
+  /// Keeps at most MaxPrefixes; the ones that were added first are forgotten first.
+  explicit PrefixIndex(std::size_t MaxPrefixes) : MaxPrefixes_(MaxPrefixes) {}
+
+  /// An engine's cache event arrived. Older events than the last one are ignored.
+  void apply(const EndpointId &Engine, const PrefixEvent &Event);
+  /// An engine prefilled a prompt that begins with the prefix.
+  void noteUse(const EndpointId &Engine, const std::string &Prefix) { store(Engine, Prefix); }
+  /// An engine was restarted or is gone.
+  void forget(const EndpointId &Engine);
+
+  /// The engines that are believed to hold the prefix. Valid until the next change.
+  std::span<const PrefixHolder> holders(const std::string &Prefix) const;
+  /// The probability that the engine holds the prefix.
+  double confidence(const EndpointId &Engine, const std::string &Prefix) const;
+  std::size_t size() const { return Prefixes_.size(); }
+
+private:
+  struct EngineState {
+    std::uint64_t Sequence_ = 0;
+    /// Prefixes that it is believed to hold.
+    std::size_t Held_ = 0;
+  };
+
+  void store(const EndpointId &Engine, const std::string &Prefix);
+  void evict(const EndpointId &Engine, const std::string &Prefix);
+  void doubt(const EndpointId &Engine, std::uint64_t Missing);
+  void trim();
+
+  std::size_t MaxPrefixes_;
+  std::unordered_map<std::string, std::vector<PrefixHolder>> Prefixes_;
+  std::deque<std::string> Order_;
+  std::unordered_map<EndpointId, EngineState> Engines_;
+};
+
+} // namespace rattancart
--- a/Source/Router/ModelHandler.cpp
+++ b/Source/Router/ModelHandler.cpp
@@ -13,9 +13,9 @@
 namespace rattancart {
 
 ModelSessionShared::ModelSessionShared(RouterServices &Router, ModelHandlerOptions Settings)
-    : Services_(Router), Options_(Settings),
-      Planner_(Router.Endpoints_, Load_, std::make_unique<CapacityPolicy>(Settings.Chain_),
-               Router.Random_),
+    : Services_(Router), Options_(Settings), Prefixes_(Settings.MaxPrefixes_),
+      Planner_(Router.Endpoints_, Load_,
+               std::make_unique<AffinityPolicy>(Settings.Chain_, Prefixes_), Router.Random_),
       Deadline_(Settings.Deadline_), Suspects_(Settings.SuspectHold_) {}
 
 ModelHandler::ModelHandler(RouterServices &Services, ModelHandlerOptions Options)
@@ -80,6 +80,7 @@
   Dump["connection_retries"] = Stats.ConnectionRetries_;
   Dump["suspicions"] = Stats.Suspicions_;
   Dump["slow_readers"] = Stats.SlowReaders_;
+  Dump["prefixes"] = Shared_.Prefixes_.size();
   Dump["prompt_bytes"] = PromptBytes_;
   const Duration Decode = Shared_.Deadline_.timeout(1);
   Dump["decode_deadline_us"] =
--- a/Source/Router/ModelHandler.h
+++ b/Source/Router/ModelHandler.h
@@ -2,7 +2,7 @@
 
 #include "Core/Pipeline/ModelRequest.h"
 #include "Core/Pipeline/StepDeadline.h"
-#include "Core/Routing/CapacityPolicy.h"
+#include "Core/Routing/AffinityPolicy.h"
 #include "Core/Routing/ChainPlanner.h"
 #include "Core/Routing/SuspectList.h"
 #include "Router/RouteHandler.h"
@@ -17,7 +17,9 @@
 struct ModelHandlerOptions {
   ModelRequestOptions Request_;
   StepDeadlineOptions Deadline_;
-  CapacityPolicyOptions Chain_;
+  AffinityPolicyOptions Chain_;
+  /// Prompt prefixes whose engines are remembered.
+  std::size_t MaxPrefixes_ = 4096;
   std::size_t MaxPromptTokens_ = 32 * 1024;
   /// Prompt bytes of all requests in flight; more are refused.
   std::size_t MaxPromptBytes_ = 64 * 1024 * 1024;
@@ -48,6 +50,7 @@
   RouterServices &Services_;
   ModelHandlerOptions Options_;
   OwnLoad Load_;
+  PrefixIndex Prefixes_;
   ChainPlanner Planner_;
   StepDeadline Deadline_;
   SuspectList Suspects_;
--- a/Source/Router/ModelSession.cpp
+++ b/Source/Router/ModelSession.cpp
@@ -188,6 +188,8 @@
     return dispatch(StepFailed{Call, StepFault::Connection});
   Shared_.Deadline_.record(Call.Count_, Shared_.Services_.Clock_.now() - StepStartedAt_);
   Shared_.Suspects_.remove(Output->Engine_);
+  if (Call.Position_.value() == 0)
+    Shared_.Prefixes_.noteUse(Machine_.chain().Stages_[Call.Stage_].Endpoint_, Context_.Prefix_);
   dispatch(StepAnswered{Call, std::move(*Output)});
 }
 
@@ -285,8 +287,10 @@
       Lost.push_back(Stage.Endpoint_);
   }
   // One is enough: it ends the attempt, and the next plan sees the others.
-  if (!Lost.empty())
-    dispatch(EndpointLost{Lost.front()});
+  if (Lost.empty())
+    return;
+  Shared_.Prefixes_.forget(Lost.front());
+  dispatch(EndpointLost{Lost.front()});
 }
 
 void ModelSession::end() {
--- /dev/null
+++ b/Tests/Core/Routing/PrefixIndexTest.cpp
@@ -0,0 +1,95 @@
+#include "Core/Routing/PrefixIndex.h"
+#include "Core/Routing/AffinityPolicy.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <memory>
+
+using namespace rattancart;
+
+namespace {
+
+constexpr auto Stored = PrefixEvent::Kind::Stored;
+constexpr auto Evicted = PrefixEvent::Kind::Evicted;
+const EndpointId A("a");
+const EndpointId B("b");
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(EventsAndOwnRequestsAreRemembered) {
+  PrefixIndex Index(10);
+  Index.apply(A, {1, Stored, "p"});
+  Index.noteUse(B, "p");
+  BOOST_TEST(Index.holders("p").size() == 2U);
+  Index.apply(A, {2, Evicted, "p"});
+  BOOST_TEST(Index.confidence(A, "p") == 0);
+  BOOST_TEST(Index.confidence(B, "p") == 1);
+  // Late: it lies before the eviction.
+  Index.apply(A, {1, Stored, "p"});
+  BOOST_TEST(Index.confidence(A, "p") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(GapsLowerTheConfidenceInWhatWasKnownBefore) {
+  PrefixIndex Index(100);
+  for (std::uint64_t Number = 1; Number <= 10; ++Number)
+    Index.apply(A, {Number, Stored, "p" + std::to_string(Number)});
+  Index.apply(A, {15, Stored, "new"});
+  BOOST_TEST(Index.confidence(A, "new") == 1);
+  BOOST_TEST(Index.confidence(A, "p1") == 0.8, boost::test_tools::tolerance(1e-9));
+  Index.apply(A, {1000, Stored, "newer"});
+  BOOST_TEST(Index.confidence(A, "p1") == 0);
+  BOOST_TEST(Index.confidence(A, "newer") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(MemoryIsBoundedAndEnginesAreForgotten) {
+  PrefixIndex Index(50);
+  for (std::uint64_t Number = 1; Number <= 1000; ++Number)
+    Index.apply(Number % 2 == 0 ? A : B, {Number, Stored, "p" + std::to_string(Number)});
+  BOOST_TEST(Index.size() == 50U);
+  Index.forget(A);
+  BOOST_TEST(Index.confidence(A, "p1000") == 0);
+  BOOST_TEST(Index.confidence(B, "p999") == 1);
+}
+
+namespace {
+
+/// Requests of one prefix by the engine that gets them, when one of four engines holds it.
+std::map<std::string, int> spread(double Bound, int Requests) {
+  const ModelSpec Spec{ModelId("m"), ModelVersion("1"), 8, 64, 16};
+  std::vector<Endpoint> Engines(4);
+  std::vector<const Endpoint *> Pointers;
+  for (std::size_t Number = 0; Number < Engines.size(); ++Number) {
+    Engines[Number].Id_ = EndpointId("e" + std::to_string(Number));
+    Engines[Number].Layers_ = {0, 8};
+    Engines[Number].Load_.StepTime_ = std::chrono::milliseconds(1);
+    Engines[Number].Load_.BatchSlots_ = 8;
+    Pointers.push_back(&Engines[Number]);
+  }
+  const ChainGraph Graph(Spec, Pointers, [](const Endpoint &) { return false; });
+  PrefixIndex Index(10);
+  Index.noteUse(Engines[2].Id_, "hot");
+  AffinityPolicyOptions Options;
+  Options.Bound_ = Bound;
+  AffinityPolicy Policy(Options, Index);
+  OwnLoad Load;
+  std::mt19937_64 Random(5);
+  std::map<std::string, int> Counts;
+  for (int Request = 0; Request < Requests; ++Request) {
+    const Endpoint *Engine = Policy.choose({Graph, Load, {100, 16}, "hot"}, Random).front();
+    Load.begin(*Engine);
+    ++Counts[Engine->Id_.str()];
+  }
+  return Counts;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(AffinityKeepsToTheHolderUntilItIsTooFull) {
+  BOOST_TEST(spread(1.25, 3)["e2"] == 3);
+  const auto Bounded = spread(1.25, 100);
+  BOOST_TEST(Bounded.size() == 4U);
+  BOOST_TEST(Bounded.at("e2") < 40);
+  // Without the bound all go to the holder, which the check above would see.
+  BOOST_TEST(spread(1e9, 100)["e2"] == 100);
+}
--- a/Tests/Router/ModelHandlerTest.cpp
+++ b/Tests/Router/ModelHandlerTest.cpp
@@ -229,6 +229,7 @@
   BOOST_TEST(Got.Response_.Headers_.get("x-rattancart-outcome") == "done");
   BOOST_TEST(Handler_->stats().Attempts_ == Case.Attempts_);
   BOOST_TEST(Handler_->inFlight() == 0U);
+  BOOST_TEST(Handler_->state().at("prefixes").to_number<int>() == 1);
   BOOST_TEST(Finished_ == 1);
   BOOST_TEST(End_.Status_ == 200U);
   BOOST_TEST(End_.Tokens_ == AnswerTokens);
--- a/bench/RoutingBench.cpp
+++ b/bench/RoutingBench.cpp
@@ -27,6 +27,7 @@
 /// One route for each customer's own path and one for each model.
 SettingsViewPtr makeView() {
   auto View = std::make_shared<SettingsView>();
+  View->Routes_.reserve(Customers + Models);
   for (int Index = 0; Index < Customers + Models; ++Index) {
     Route Made;
     Made.Id_ = RouteId(fmt::format("route-{}", Index));
@@ -41,6 +42,7 @@
 void benchRoutes() {
   const RouteTable Table(makeView());
   std::vector<std::string> Paths;
+  Paths.reserve(1024);
   for (int Index = 0; Index < 1024; ++Index)
     Paths.push_back(fmt::format("/teams/{}/briefs/new", Index * 8));
   std::size_t Next = 0;
