--- a/bench/RoutingBench.cpp
+++ b/bench/RoutingBench.cpp
@@ -1,9 +1,9 @@
 #include "BenchTimer.h"
 
 #include "Core/Pipeline/ModelRequest.h"
+#include "Core/Routing/AffinityPolicy.h"
 #include "Core/Routing/ChainPlanner.h"
 #include "Core/Routing/RouteTable.h"
-#include "Core/Routing/ShortestPathPolicy.h"
 
 #include <fmt/core.h>
 #include <malloc.h>
@@ -86,16 +86,23 @@
   EndpointTable Table;
   addEngines(Table, Random);
   const OwnLoad Load;
-  ChainPlanner Planner(
-      Table, Load, std::make_unique<ShortestPathPolicy>("router-1", ShortestPathOptions{}), Random);
+  PrefixIndex Index(4096);
+  for (int Number = 0; Number < 4096; ++Number)
+    Index.noteUse(EndpointId(fmt::format("engine-{}", Number % Engines)),
+                  fmt::format("prefix-{}", Number));
+  ChainPlanner Planner(Table, Load,
+                       std::make_unique<AffinityPolicy>(AffinityPolicyOptions{}, Index), Random);
   const ModelSpec Large = makeSpec(0);
   const ModelSpec Small = makeSpec(5);
   std::size_t Stages = 0;
+  std::uint32_t Prompt = 0;
+  // Prompts differ in length, as callers' do.
+  const auto Size = [&] { return SequenceSize{100 + ++Prompt % 100, 250}; };
   measure("plan_chain_large_model", [&] {
-    Stages += Planner.plan({Large, {200, 250}, "", {}})->Stages_.size();
+    Stages += Planner.plan({Large, Size(), "prefix-2", {}})->Stages_.size();
   });
   measure("plan_chain_small_model", [&] {
-    Stages += Planner.plan({Small, {200, 250}, "", {}})->Stages_.size();
+    Stages += Planner.plan({Small, Size(), "prefix-2", {}})->Stages_.size();
   });
   if (Stages == 0)
     fmt::print(stderr, "no chain was planned\n");
