--- a/Source/Core/Routing/AffinityPolicy.cpp
+++ b/Source/Core/Routing/AffinityPolicy.cpp
@@ -8,13 +8,16 @@
 std::vector<const Endpoint *> AffinityPolicy::choose(const ChainQuery &Query,
                                                      std::mt19937_64 &Random) {
   std::vector<const Endpoint *> Chosen = Capacity_.choose(Query, Random);
-  if (Query.Prefix_.empty() || Options_.Bound_ <= 0 || Index_.holders(Query.Prefix_).empty())
+  if (Query.Prefix_.empty() || Options_.Bound_ <= 0)
+    return Chosen;
+  const std::span<const PrefixHolder> Holders = Index_.holders(Query.Prefix_);
+  if (Holders.empty())
     return Chosen;
   for (const Endpoint *&Engine : Chosen) {
     for (const LayerGroup &Group : Query.Graph_.groupsFrom(Engine->Layers_.Begin_)) {
       if (!(Group.Layers_ == Engine->Layers_))
         continue;
-      if (const Endpoint *Better = preferred(Query, Group))
+      if (const Endpoint *Better = preferred(Query, Group, Holders))
         Engine = Better;
       break;
     }
@@ -22,11 +25,15 @@
   return Chosen;
 }
 
-const Endpoint *AffinityPolicy::preferred(const ChainQuery &Query, const LayerGroup &Group) const {
+const Endpoint *AffinityPolicy::preferred(const ChainQuery &Query, const LayerGroup &Group,
+                                          std::span<const PrefixHolder> Holders) const {
   const Endpoint *Best = nullptr;
   double BestFullness = std::numeric_limits<double>::infinity();
   for (const Endpoint *Engine : Group.Engines_) {
-    if (Index_.confidence(Engine->Id_, Query.Prefix_) < Options_.MinConfidence_)
+    const bool Holds = std::any_of(Holders.begin(), Holders.end(), [&](const PrefixHolder &Holder) {
+      return Holder.Engine_ == Engine->Id_ && Holder.Confidence_ >= Options_.MinConfidence_;
+    });
+    if (!Holds)
       continue;
     const double Full = Capacity_.fullness(Query, *Engine);
     if (Full >= BestFullness)
--- a/Source/Core/Routing/AffinityPolicy.h
+++ b/Source/Core/Routing/AffinityPolicy.h
@@ -3,6 +3,8 @@
 #include "Core/Routing/CapacityPolicy.h"
 #include "Core/Routing/PrefixIndex.h"
 
+#include <span>
+
 namespace rattancart {
 
 struct AffinityPolicyOptions {
@@ -29,7 +31,8 @@
   std::vector<const Endpoint *> choose(const ChainQuery &Query, std::mt19937_64 &Random) override;
 
 private:
-  const Endpoint *preferred(const ChainQuery &Query, const LayerGroup &Group) const;
+  const Endpoint *preferred(const ChainQuery &Query, const LayerGroup &Group,
+                            std::span<const PrefixHolder> Holders) const;
   double meanFullness(const ChainQuery &Query, const LayerGroup &Group) const;
 
   AffinityPolicyOptions Options_;
