--- a/Tests/Core/Calls/ClaimExplorationTest.cpp
+++ b/Tests/Core/Calls/ClaimExplorationTest.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdint>
 #include <deque>
 #include <ostream>
 #include <string>
@@ -29,14 +30,14 @@
 struct Rec {
   /// 'c' claim, 'd' done, 'f' forget, 'r' released.
   char Kind_;
-  char Who_;
-  char Tail_;
+  std::uint8_t Who_;
+  std::uint8_t Tail_;
   auto operator<=>(const Rec &) const = default; // NOLINT
 };
 
 struct CallState {
   Phase Phase_ = Phase::New;
-  char Tail_ = 0;
+  std::uint8_t Tail_ = 0;
 };
 
 struct State {
@@ -50,11 +51,11 @@
     std::string Key;
     for (const auto *Records : {&Log_, &Flight_}) {
       for (const Rec &Each : *Records)
-        Key.append({Each.Kind_, Each.Who_, Each.Tail_});
+        Key.append({Each.Kind_, static_cast<char>(Each.Who_), static_cast<char>(Each.Tail_)});
       Key += '|';
     }
     for (const CallState &Each : Calls_)
-      Key.append({static_cast<char>(Each.Phase_), Each.Tail_});
+      Key.append({static_cast<char>(Each.Phase_), static_cast<char>(Each.Tail_)});
     return Key + Runs_ + (Told_ ? '!' : '.');
   }
 };
@@ -149,7 +150,7 @@
     State Next = From;
     Next.Calls_[Who].Phase_ = To;
     for (int Each = 0; Each < Count; ++Each)
-      Next.Flight_.push_back({Kind, static_cast<char>(Who), From.Calls_[Who].Tail_});
+      Next.Flight_.push_back({Kind, static_cast<std::uint8_t>(Who), From.Calls_[Who].Tail_});
     std::sort(Next.Flight_.begin(), Next.Flight_.end());
     push(std::move(Next));
   }
@@ -158,7 +159,7 @@
     go(From, Who, To);
   }
   void arrive(State From, std::size_t Who) {
-    From.Calls_[Who].Tail_ = static_cast<char>(From.Log_.size());
+    From.Calls_[Who].Tail_ = static_cast<std::uint8_t>(From.Log_.size());
     go(From, Who, Phase::Arrived);
   }
 
@@ -188,9 +189,10 @@
     if (!Seen.Done_ || WasForgotten || !HaveArrived)
       return;
     // The lowest floor that the window's rule allows: past what the copies knew.
-    const char Floor = static_cast<char>(std::max(From.Calls_[0].Tail_, From.Calls_[1].Tail_) + 1);
+    const auto Floor =
+        static_cast<std::uint8_t>(std::max(From.Calls_[0].Tail_, From.Calls_[1].Tail_) + 1);
     State Next = From;
-    Next.Log_.push_back({'f', static_cast<char>(Seen.DoneAt_ + 1), Floor});
+    Next.Log_.push_back({'f', static_cast<std::uint8_t>(Seen.DoneAt_ + 1), Floor});
     push(std::move(Next));
   }
 
@@ -203,7 +205,8 @@
         arrive(From, Who);
       return true;
     case Phase::Arrived:
-      if (Rule_ == Bent::LateRead && From.Calls_[Who].Tail_ != static_cast<char>(From.Log_.size()))
+      if (Rule_ == Bent::LateRead &&
+          From.Calls_[Who].Tail_ != static_cast<std::uint8_t>(From.Log_.size()))
         arrive(From, Who);
       go(From, Who, Phase::Asked, 'c', Copies_);
       return true;
