--- a/Source/Control/ClaimOrderer.cpp
+++ b/Source/Control/ClaimOrderer.cpp
@@ -195,7 +195,8 @@
   if (AppendQueued_ || Core_.isAppending() || Core_.pending() == 0)
     return;
   AppendQueued_ = true;
-  AppendTimer_.after(std::max(Options_.Linger_, MinAppendWait), [this] {
+  const Duration Wait = Core_.appendDueAt() - Time_.now();
+  AppendTimer_.after(std::max(Wait, MinAppendWait), [this] {
     AppendQueued_ = false;
     append();
   });
--- a/Source/Core/Calls/ClaimSequencer.h
+++ b/Source/Core/Calls/ClaimSequencer.h
@@ -7,6 +7,7 @@
 #include "Core/Common/Clock.h"
 #include "Core/Common/Ids.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -102,6 +103,10 @@
 
   /// The record to append now, if any. None is given until its outcome was reported.
   std::optional<std::string> nextAppend(TimePoint Now);
+  /// When the items that wait may be appended. Precondition: pending() is not 0.
+  TimePoint appendDueAt() const {
+    return std::max(BatchDueAt_, LastAppendAt_ + Options_.MinInterval_);
+  }
   /// Answers and repeats what waited too long. Call it at least every 100 ms.
   void tick(TimePoint Now);
   /// The replies since the last call.
