--- a/Source/Core/Calls/ClaimRecord.h
+++ b/Source/Core/Calls/ClaimRecord.h
@@ -53,7 +53,7 @@
 /// What a table knows about one key.
 struct ClaimEntry {
   IdempotencyKey Key_;
-  /// The call that holds the key or ran; empty if none.
+  /// The call that holds the key; empty if none, or once it is done.
   RequestId Holder_;
   /// The holder's claim.
   LogOffset ClaimedAt_ = NoOffset;
--- a/Source/Core/Calls/ClaimTable.cpp
+++ b/Source/Core/Calls/ClaimTable.cpp
@@ -6,10 +6,11 @@
 namespace rattancart {
 
 ClaimTable::ClaimTable(ClaimImage Image) : Tail_(Image.Tail_), Floor_(Image.Floor_) {
-  for (ClaimEntry &Entry : Image.Entries_) {
-    IdempotencyKey Key = Entry.Key_;
-    Entries_.insert_or_assign(std::move(Key), std::move(Entry));
-  }
+  for (ClaimEntry &Entry : Image.Entries_)
+    Entries_.insert_or_assign(std::move(Entry.Key_),
+                              Known{std::move(Entry.Holder_), Entry.ClaimedAt_, Entry.Floor_,
+                                    Entry.ChangedAt_, std::move(Entry.Body_), Entry.Status_,
+                                    Entry.Done_});
 }
 
 void ClaimTable::apply(LogOffset Offset, const ClaimRecord &Record) {
@@ -32,7 +33,7 @@
   const auto Place = Entries_.find(Item.Key_);
   if (Place == Entries_.end())
     return;
-  ClaimEntry &Entry = Place->second;
+  Known &Entry = Place->second;
   // Only the holder may end its claim, and once.
   if (Entry.Holder_ != Item.Call_ || Entry.Done_)
     return;
@@ -41,6 +42,8 @@
     Entry.Done_ = true;
     Entry.Status_ = Item.Status_;
     Entry.Body_ = Item.Body_;
+    // An assignment would keep the text's memory.
+    const RequestId Ended = std::exchange(Entry.Holder_, RequestId());
     return;
   }
   Entry.Holder_ = RequestId();
@@ -52,10 +55,9 @@
   // No router can know a tail past the record that carries it.
   if (Item.Position_ < Floor_ || Item.Position_ > Offset)
     return;
-  ClaimEntry &Entry = Entries_[Item.Key_];
-  if (!Entry.Holder_.empty() || Item.Position_ < Entry.Floor_)
+  Known &Entry = Entries_[Item.Key_];
+  if (Entry.isTaken() || Item.Position_ < Entry.Floor_)
     return;
-  Entry.Key_ = Item.Key_;
   Entry.Holder_ = Item.Call_;
   Entry.ClaimedAt_ = Offset;
   Entry.ChangedAt_ = Offset;
@@ -75,9 +77,9 @@
   LogOffset Floor = Floor_;
   const auto Place = Entries_.find(Key);
   if (Place != Entries_.end()) {
-    const ClaimEntry &Entry = Place->second;
+    const Known &Entry = Place->second;
     Floor = std::max(Floor, Entry.Floor_);
-    if (!Entry.Holder_.empty()) {
+    if (Entry.isTaken()) {
       Verdict.State_ = Entry.Done_             ? ClaimVerdict::State::Done
                        : Entry.Holder_ == Call ? ClaimVerdict::State::Won
                                                : ClaimVerdict::State::Lost;
@@ -94,9 +96,8 @@
 
 std::size_t ClaimTable::held() const {
   return static_cast<std::size_t>(
-      std::count_if(Entries_.begin(), Entries_.end(), [](const auto &Pair) {
-        return !Pair.second.Holder_.empty() && !Pair.second.Done_;
-      }));
+      std::count_if(Entries_.begin(), Entries_.end(),
+                    [](const auto &Pair) { return !Pair.second.Holder_.empty(); }));
 }
 
 bool ClaimTable::hasEntryBefore(LogOffset Offset) const {
@@ -110,7 +111,8 @@
   Image.Floor_ = Floor_;
   Image.Entries_.reserve(Entries_.size());
   for (const auto &[Key, Entry] : Entries_)
-    Image.Entries_.push_back(Entry);
+    Image.Entries_.push_back({Key, Entry.Holder_, Entry.ClaimedAt_, Entry.Done_, Entry.Status_,
+                              Entry.Body_, Entry.Floor_, Entry.ChangedAt_});
   std::sort(Image.Entries_.begin(), Image.Entries_.end(),
             [](const ClaimEntry &A, const ClaimEntry &B) { return A.Key_ < B.Key_; });
   return Image;
--- a/Source/Core/Calls/ClaimTable.h
+++ b/Source/Core/Calls/ClaimTable.h
@@ -64,13 +64,26 @@
   ClaimImage image() const;
 
 private:
+  /// A key's state without the key, which the map holds.
+  struct Known {
+    /// Dropped once the call is done: any call is answered alike from then on.
+    RequestId Holder_;
+    LogOffset ClaimedAt_ = NoOffset;
+    LogOffset Floor_{0};
+    LogOffset ChangedAt_ = NoOffset;
+    std::string Body_;
+    std::uint32_t Status_ = 0;
+    bool Done_ = false;
+
+    bool isTaken() const { return Done_ || !Holder_.empty(); }
+  };
   void applyItem(LogOffset Offset, const ClaimItem &Item);
   void claim(LogOffset Offset, const ClaimItem &Item);
   void forget(LogOffset Offset, const ClaimForget &Forget);
 
   LogOffset Tail_{0};
   LogOffset Floor_{0};
-  std::unordered_map<IdempotencyKey, ClaimEntry> Entries_;
+  std::unordered_map<IdempotencyKey, Known> Entries_;
 };
 
 } // namespace rattancart
