--- a/Source/Router/ViewFollower.cpp
+++ b/Source/Router/ViewFollower.cpp
@@ -8,6 +8,14 @@
 
 namespace rattancart {
 
+namespace {
+
+/// A stall of the event loop longer than this is noticed.
+constexpr Duration ClaimSettleTime = std::chrono::milliseconds(250);
+constexpr Duration BeatInterval = std::chrono::milliseconds(50);
+
+} // namespace
+
 ViewFollower::ViewFollower(boost::asio::io_context &Loop, const Clock &Time, Logger &Log,
                            std::mt19937_64 &Random, RouterIdentity Identity,
                            std::vector<NetAddress> Controls, EndpointTable &Endpoints,
@@ -15,9 +23,13 @@
     : Time_(Time), Log_(Log), Identity_(std::move(Identity)), Endpoints_(Endpoints),
       Listener_(Listener),
       Dialer_(Loop, Time, static_cast<PeerLinkOwner &>(*this), Random, std::move(Controls)),
-      Claims_(Loop, Time, Log, static_cast<FrameSender &>(*this)) {}
+      Claims_(Loop, Time, Log, static_cast<FrameSender &>(*this)), ClaimPosition_(ClaimSettleTime),
+      BeatTimer_(Loop) {}
 
-void ViewFollower::start() { Dialer_.start(); }
+void ViewFollower::start() {
+  BeatTimer_.every(BeatInterval, [this] { ClaimPosition_.beat(Time_.now()); });
+  Dialer_.start();
+}
 
 bool ViewFollower::isUp() const { return Dialer_.link() != nullptr; }
 
@@ -79,7 +91,7 @@
 }
 
 void ViewFollower::take(const PeerLinkPtr &Link, const wire::HeartbeatT &Beat) {
-  ClaimTail_ = std::max(ClaimTail_, LogOffset(Beat.claim_tail));
+  ClaimPosition_.learned(LogOffset(Beat.claim_tail), Time_.now());
   // Frames keep their order, so whatever the control knew when it made this heartbeat and had to
   // tell has arrived before it.
   if (Beat.settings_offset <= Settings_.offset().value())
@@ -154,7 +166,7 @@
   State["settings_offset"] = Settings_.offset().value();
   State["settings_digest"] = std::to_string(Settings_.digest());
   State["settings_stopped"] = Settings_.stopped();
-  State["claim_tail"] = ClaimTail_.value();
+  State["claim_tail"] = ClaimPosition_.newest().value();
   State["view_age_s"] = RenewedAt_ == TimePoint{}
                             ? -1.0
                             : std::chrono::duration<double>(Time_.now() - RenewedAt_).count();
--- a/Source/Router/ViewFollower.h
+++ b/Source/Router/ViewFollower.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "Core/Admission/AdmissionTypes.h"
+#include "Core/Calls/ArrivalPosition.h"
 #include "Core/Common/Clock.h"
 #include "Core/Common/Logger.h"
 #include "Core/Membership/EndpointTable.h"
 #include "Core/Settings/SettingsReplica.h"
 #include "Link/LinkDialer.h"
+#include "Net/Timer.h"
 #include "Router/FrameClaimClient.h"
 
 #include <boost/json/object.hpp>
@@ -47,8 +49,8 @@
   void start();
   ClaimClient &claims() { return Claims_; }
   const SettingsReplica &settings() const { return Settings_; }
-  /// The tail of the claims stream as last heard; it only rises.
-  LogOffset claimTail() const { return ClaimTail_; }
+  /// The claim position of a request that is read now; it only rises.
+  LogOffset claimTail() const { return ClaimPosition_.position(Time_.now()); }
   /// Whether a control process is connected.
   bool isUp() const override;
   /// Whether settings and endpoints were received at least once.
@@ -80,7 +82,9 @@
   SettingsReplica Settings_;
   LinkDialer Dialer_;
   FrameClaimClient Claims_;
-  LogOffset ClaimTail_{0};
+  /// Notices stalls whenever it is asked.
+  mutable ArrivalPosition ClaimPosition_;
+  Timer BeatTimer_;
   bool EndpointsSeen_ = false;
   TimePoint RenewedAt_{};
   std::uint64_t LinksLost_ = 0;
