--- a/Tests/Router/ModelHandlerTest.cpp
+++ b/Tests/Router/ModelHandlerTest.cpp
@@ -1,17 +1,13 @@
-#include "Router/ModelHandler.h"
-
 #include "Core/Common/ErrorCode.h"
 #include "Tests/Router/FakeEngineHandler.h"
+#include "Tests/Router/ModelFront.h"
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include <array>
 #include <memory>
-#include <optional>
 
 using namespace rattancart;
 namespace data = boost::unit_test::data;
@@ -20,111 +16,22 @@
 
 constexpr std::uint32_t AnswerTokens = 5;
 
-class NoClaims final : public ClaimClient {
-public:
-  bool available() const override { return false; }
-  void claim(const RequestId &, const IdempotencyKey &, LogOffset,
-             std::function<void(const ClaimReply &)>) override {}
-  void abandon(const RequestId &) override {}
-  void finish(const RequestId &, const IdempotencyKey &, std::uint32_t, std::string) override {}
-  void release(const RequestId &, const IdempotencyKey &) override {}
-};
-
-/// Two engines for each half of the model, and a front that hands every request to the handler.
-struct Fixture : HttpHandler {
-  Fixture() : Client_(Loop_), Front_(Loop_, {}, *this, Log_) {
-    View_ = std::make_shared<SettingsView>();
-    View_->Models_.push_back({ModelId("brief"), ModelVersion("3"), 48, 4096, 64});
-    Route Model;
-    Model.Id_ = RouteId("brief");
-    Model.Model_ = ModelId("brief");
-    Model.Version_ = ModelVersion("3");
-    View_->Routes_.push_back(Model);
+/// Two engines for each half of the model.
+struct Fixture : ModelFront {
+  Fixture() {
     for (int Index = 0; Index < 4; ++Index)
       addEngine(Index);
-    makeHandler(std::chrono::seconds(5));
-    BOOST_REQUIRE(!Front_.listen(NetAddress("127.0.0.1:0")));
-  }
-
-  /// Steps may be silent for the time Silence.
-  void makeHandler(Duration Silence) {
-    ModelHandlerOptions Options;
-    Options.Deadline_ = {Silence, Silence, Silence, 4, 1};
-    Handler_ = std::make_unique<ModelHandler>(Services_, Options);
   }
 
   void addEngine(int Index) {
     const std::string Id = "e" + std::to_string(Index);
     Engines_.push_back(std::make_unique<FakeEngineHandler>(Id, AnswerTokens));
-    Servers_.push_back(
-        std::make_unique<HttpServer>(Loop_, HttpServerOptions{}, *Engines_.back(), Log_));
-    BOOST_REQUIRE(!Servers_.back()->listen(NetAddress("127.0.0.1:0")));
-    Endpoint Engine;
-    Engine.Id_ = EndpointId(Id);
-    Engine.Kind_ = EndpointKind::Engine;
-    Engine.Address_ = Servers_.back()->address();
-    Engine.Model_ = ModelId("brief");
-    Engine.Version_ = ModelVersion("3");
-    Engine.Layers_ = Index % 2 == 0 ? LayerRange{0, 24} : LayerRange{24, 48};
     // The first two are so much faster that chains take them as long as they can.
-    Engine.Load_.StepTime_ = std::chrono::milliseconds(Index < 2 ? 1 : 1000);
-    Engine.Load_.BatchSlots_ = 4;
-    Engine.LoadSequence_ = 1;
-    Table_.apply(Engine, Time_.now());
-  }
-
-  void handle(HttpRequest Request, HttpResponderPtr Responder) override {
-    RoutedRequest Routed;
-    Routed.Id_ = RequestId("r" + std::to_string(++Requests_));
-    Routed.Http_ = std::move(Request);
-    Routed.View_ = View_;
-    Routed.Route_ = &View_->Routes_.front();
-    Routed.ArrivedAt_ = Time_.now();
-    Routed.Deadline_ = Routed.ArrivedAt_ + Timeout_;
-    Routed.Responder_ = std::move(Responder);
-    Routed.Finished_ = [this](const RequestEnd &End) {
-      ++Finished_;
-      End_ = End;
-    };
-    Handler_->handle(std::move(Routed));
-  }
-
-  HttpResult ask(const std::string &Body = "how do I tie a bowline") {
-    HttpRequest Request;
-    Request.Method_ = "POST";
-    Request.Target_ = "/brief";
-    Request.Body_ = Body;
-    std::optional<HttpResult> Got;
-    Client_.send(Front_.address(), std::move(Request), {},
-                 [&](HttpResult R) { Got = std::move(R); });
-    while (!Got)
-      Loop_.run_one();
-    return *Got;
-  }
-
-  void runUntil(const std::function<bool()> &Condition) {
-    while (!Condition())
-      Loop_.run_one();
+    serveEngine(Id, *Engines_.back(), Index % 2 == 0 ? LayerRange{0, 24} : LayerRange{24, 48},
+                std::chrono::milliseconds(Index < 2 ? 1 : 1000));
   }
 
-  Duration Timeout_ = std::chrono::seconds(20);
-  boost::asio::io_context Loop_;
-  SystemClock Time_;
-  NullLogger Log_;
-  HttpClient Client_;
-  EndpointTable Table_;
-  NoClaims Claims_;
-  std::mt19937_64 Random_{3};
-  RouterServices Services_{
-      Loop_, Time_, Log_, Client_, Table_, Claims_, Random_, DataCenterId("k"), InstanceId("i1")};
-  std::shared_ptr<SettingsView> View_;
   std::vector<std::unique_ptr<FakeEngineHandler>> Engines_;
-  std::vector<std::unique_ptr<HttpServer>> Servers_;
-  std::unique_ptr<ModelHandler> Handler_;
-  HttpServer Front_;
-  int Requests_ = 0;
-  int Finished_ = 0;
-  RequestEnd End_;
 };
 
 std::string expectedText() {
