Claims: say whether a refused claim may still win

While the log was down each refused claim was watched for a late win for five minutes in its router, 50,000 at most: after 50 s of 1,000 refused calls a second every further claim would have been refused, also once the log was back. A claim that was never handed to the log is now forgotten at once, unless several controls were asked for it.

--- a/Source/Control/ClaimOrderer.cpp
+++ b/Source/Control/ClaimOrderer.cpp
@@ -262,10 +262,12 @@
   Answer.offset = Decision.Outcome_.Offset_.value();
   Answer.status = static_cast<std::uint16_t>(Decision.Outcome_.Status_);
   Answer.body = Decision.Outcome_.Body_;
+  if (Decision.Outcome_.MayStillWin_)
+    Answer.status = ClaimMayStillWin;
   const ClaimAnswerHandler Handler = Place->second.Answer_;
-  // A refused claim may still win, and a lost one be finished.
-  const bool IsFinal = Decision.Outcome_.State_ != ClaimOutcome::State::Lost &&
-                       Decision.Outcome_.State_ != ClaimOutcome::State::Unavailable;
+  // A claim in doubt may still win, and a lost one be finished.
+  const bool IsFinal =
+      Decision.Outcome_.State_ != ClaimOutcome::State::Lost && !Decision.Outcome_.MayStillWin_;
   if (IsFinal)
     Answers_.erase(Place);
   Handler(Answer);
--- a/Source/Control/ClaimOrderer.h
+++ b/Source/Control/ClaimOrderer.h
@@ -38,9 +38,9 @@
   /// Starts to read the stream.
   void start();
   /// Takes a router's claim. Answer is called with Lost first and a final answer later, or with
-  /// the final answer alone: Won, NotEligible, Done. Unavailable may be followed by a late Won,
-  /// which the router must release. A second request of one call replaces its Answer. Never
-  /// called from within claim.
+  /// the final answer alone: Won, NotEligible, Done. Unavailable with
+  /// status ClaimMayStillWin may be followed by a late Won, which the router must release. A second
+  /// request of one call replaces its Answer. Never called from within claim.
   void claim(const wire::ClaimRequestT &Request, ClaimAnswerHandler Answer);
   /// Takes the end of a claim from its holder.
   void close(const wire::ClaimCloseT &Close);
--- a/Source/Core/Calls/CallMachine.h
+++ b/Source/Core/Calls/CallMachine.h
@@ -37,6 +37,8 @@
 struct ClaimOutcome {
   enum class State : std::uint8_t { Won, Lost, NotEligible, Done, Unavailable };
   State State_ = State::Unavailable;
+  /// Unavailable only: a record of the claim may exist or may yet be appended.
+  bool MayStillWin_ = false;
   LogOffset Offset_ = NoOffset;
   std::uint32_t Status_ = 0;
   std::string Body_;
--- a/Source/Core/Calls/ClaimSequencer.cpp
+++ b/Source/Core/Calls/ClaimSequencer.cpp
@@ -188,10 +188,14 @@
     return;
   ++Stats_.Unavailable_;
   reply(Call, ClaimOutcome::State::Unavailable);
-  if (Place->second.State_ == FollowState::Queued)
-    drop(Call);
-  else
+  // A claim that waits to be appended again may have taken effect the first time.
+  const bool MayWin =
+      Place->second.State_ != FollowState::Queued || Place->second.RetryAt_ != TimePoint{};
+  Replies_.back().Outcome_.MayStillWin_ = MayWin;
+  if (MayWin)
     Place->second.Refused_ = true;
+  else
+    drop(Call);
 }
 
 void ClaimSequencer::refuseQueued() {
--- a/Source/Net/FrameCodec.h
+++ b/Source/Net/FrameCodec.h
@@ -14,6 +14,8 @@
 
 /// Version of the frames; peers of another version are refused.
 inline constexpr std::uint16_t FrameProtocol = 1;
+/// The status of a ClaimAnswer that is Unavailable although its claim may still win.
+inline constexpr std::uint16_t ClaimMayStillWin = 1;
 
 /// Encodes one frame. Thread-safe.
 std::vector<std::uint8_t> encodeFrame(const wire::FrameT &Frame);
--- a/Source/Router/FrameClaimClient.cpp
+++ b/Source/Router/FrameClaimClient.cpp
@@ -140,9 +140,11 @@
       Claims_.erase(Place);
     break;
   case ClaimReply::State::Unavailable:
-    // The claim may still win later.
-    Place->second.Reply_ = nullptr;
     ++GivenUp_;
+    Place->second.Reply_ = nullptr;
+    // A claim that was never handed to the log need not be watched.
+    if (Answer.status != ClaimMayStillWin && !Place->second.Resent_)
+      Claims_.erase(Place);
     break;
   case ClaimReply::State::Won:
     if (!Handler)
@@ -166,6 +168,7 @@
 void FrameClaimClient::onLinkUp() {
   for (auto &[Call, Entry] : Claims_) {
     Resent_ += Entry.Sent_ ? 1 : 0;
+    Entry.Resent_ = Entry.Sent_;
     sendClaim(Entry);
   }
   sendCloses(true);
--- a/Source/Router/FrameClaimClient.h
+++ b/Source/Router/FrameClaimClient.h
@@ -67,6 +67,8 @@
     ReplyHandler Reply_;
     TimePoint Since_{};
     bool Sent_ = false;
+    /// Asked over several links; one control alone can't say that the claim never wins.
+    bool Resent_ = false;
     /// Answered Lost, and followed for the other call's answer.
     bool Lost_ = false;
   };
--- a/Tests/Control/ClaimOrdererTest.cpp
+++ b/Tests/Control/ClaimOrdererTest.cpp
@@ -151,6 +151,7 @@
   F.Platform_.setDown(true);
   F.runUntil([&] { return !F.Orderer_.isAvailable(); });
   BOOST_TEST((F.claim("a") == ClaimState::Unavailable));
+  BOOST_TEST(F.Answers_["a"][0].status == 0);
   BOOST_TEST(F.Platform_.Records_.empty());
   F.Platform_.setDown(false);
   F.awaitAvailable();
@@ -181,6 +182,7 @@
   F.start();
   F.Platform_.Faults_ = {AppendFault::NeverTaken};
   BOOST_TEST((F.claim("a") == ClaimState::Unavailable));
+  BOOST_TEST(F.Answers_["a"][0].status == ClaimMayStillWin);
   ClaimRecord Late;
   ClaimItem Item;
   Item.Call_ = RequestId("a");
--- a/Tests/Router/ClaimWorld.cpp
+++ b/Tests/Router/ClaimWorld.cpp
@@ -406,6 +406,8 @@
     Answer.state = static_cast<wire::ClaimState>(Reply.Outcome_.State_);
     Answer.offset = Reply.Outcome_.Offset_.value();
     Answer.status = static_cast<std::uint16_t>(Reply.Outcome_.Status_);
+    if (Reply.Outcome_.MayStillWin_)
+      Answer.status = ClaimMayStillWin;
     for (const auto &To : Routers_)
       if (Controls_[To->Link_.Control_].get() == &Each)
         To->Link_.ToRouter_.push_back(Answer);
--- a/Tests/Router/FrameClaimClientTest.cpp
+++ b/Tests/Router/FrameClaimClientTest.cpp
@@ -33,7 +33,8 @@
 };
 
 /// Events, one letter each: c claim at position 5, a abandon, f finish, r release; answers w won,
-/// l lost, i not eligible, d done, u unavailable; link: - lost, + up again; p patience runs out,
+/// l lost, i not eligible, d done, u unavailable
+/// and in doubt, n unavailable and never appended; link: - lost, + up again; p patience runs out,
 /// s the time to send ends again runs out.
 /// Sent: c5 claim, F finish, R release. Replies as the answers.
 struct Case {
@@ -56,6 +57,8 @@
     {"win after abandon over a new link", "ca-+w", "c5c5R", ""},
     {"second win after abandon", "caww", "c5R", ""},
     {"win after unavailable is released", "cuw", "c5R", "u"},
+    {"a claim that was never appended is forgotten", "cn-+w", "c5", "u"},
+    {"one control can't speak for another", "c-+nw", "c5c5R", "u"},
     {"win after patience ran out is released", "cpw", "c5R", "u"},
     {"a loser that is abandoned is forgotten", "cla-+", "c5", "l"},
     {"abandoned, then lost", "cal-+", "c5", ""},
@@ -70,11 +73,12 @@
 struct Fixture {
   Fixture() : Client_(Loop_, Time_, Log_, Sender_, {}) {}
 
-  void answer(wire::ClaimState State) {
+  void answer(wire::ClaimState State, std::uint16_t Status = 0) {
     wire::ClaimAnswerT Answer;
     Answer.id = Sender_.LastId_;
     Answer.call = "a";
     Answer.state = State;
+    Answer.status = Status;
     Client_.onAnswer(Answer);
   }
   void wait(Duration Step) {
@@ -105,6 +109,8 @@
     case 'd':
       return answer(wire::ClaimState::Done);
     case 'u':
+      return answer(wire::ClaimState::Unavailable, ClaimMayStillWin);
+    case 'n':
       return answer(wire::ClaimState::Unavailable);
     case '-':
       Sender_.Up_ = false;
