--- a/Tests/StandIns/EngineContractTest.cpp
+++ b/Tests/StandIns/EngineContractTest.cpp
@@ -107,6 +107,7 @@
      {},
      {{"POST", "/v1/step", "x", 400},
       {"POST", "/v1/step", "{}", 400},
+      {"POST", "/v1/step", R"({"request":"r1","incarnation":7})", 409, "incarnation"},
       step({"r1", 1, 0, 1, 0, 48, "1", "brief", "{}"}, 409, "tensor"),
       {"GET", "/v2", "", 404}}},
 };
