--- a/bench/PolicyBench.cpp
+++ b/bench/PolicyBench.cpp
@@ -73,10 +73,12 @@
 
 void measureShares(std::size_t Customers, std::size_t Routers, std::size_t Controls) {
   std::vector<DataCenterId> Centres;
+  Centres.reserve(7);
   for (int I = 0; I < 7; ++I)
     Centres.emplace_back("dc" + std::to_string(I));
   LimitShares Shares({Centres[0], Centres});
   std::vector<CustomerDemand> Demand;
+  Demand.reserve(Customers);
   for (std::size_t I = 0; I < Customers; ++I)
     Demand.push_back({customer(I), 3, 700});
   const double Before = residentMb();
