--- a/Source/Ctl/CtlCommands.cpp
+++ b/Source/Ctl/CtlCommands.cpp
@@ -10,6 +10,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <ostream>
 #include <random>
 #include <thread>
@@ -52,6 +53,14 @@
   Out += "\n" + std::string(2 * Depth, ' ') + (IsObject ? "}" : "]");
 }
 
+/// Whether a text can stand between two slashes of a request's target as it is.
+bool isTargetSegment(std::string_view Text) {
+  return !Text.empty() && std::none_of(Text.begin(), Text.end(), [](unsigned char C) {
+    return C <= ' ' || C >= 0x7f ||
+           std::string_view("/?#%").find(static_cast<char>(C)) != std::string_view::npos;
+  });
+}
+
 std::string newChangeId() {
   std::random_device Device;
   std::uniform_int_distribution<std::uint64_t> Draw;
@@ -119,12 +128,12 @@
 }
 
 int CtlCommands::get(const std::string &Path) {
-  const CtlAnswer Answer = Client_.send("GET", "/v1/settings?numbers=exact&path=" + Path);
-  if (Answer.Error_ || Options_.Json_)
-    return show(Answer);
   const Result<SettingsPath> Root = SettingsPath::parse(Path);
   if (!Root)
     return fail(Root.error().Code_, Root.error().Detail_);
+  const CtlAnswer Answer = Client_.send("GET", "/v1/settings?numbers=exact&path=" + Path);
+  if (Answer.Error_ || Options_.Json_)
+    return show(Answer);
   const Result<std::vector<SettingsLeaf>> Leaves =
       leavesFromJson(*Root, json::serialize(Answer.Body_.at("value")), NumberStyle::Exact);
   if (!Leaves)
@@ -193,6 +202,8 @@
 }
 
 int CtlCommands::drain(const std::string &Endpoint, bool Undo) {
+  if (!isTargetSegment(Endpoint))
+    return fail(ErrorCode::Usage, "not an endpoint id: " + Endpoint);
   const std::string Body = Undo ? R"({"drain":false})" : R"({"drain":true})";
   const CtlAnswer Answer = Client_.send("POST", "/v1/endpoints/" + Endpoint + "/drain", Body);
   const std::string Id = Answer.Body_.is_object() ? textOf(Answer.Body_.as_object(), "id") : "";
@@ -200,6 +211,8 @@
 }
 
 int CtlCommands::change(const std::string &Id) {
+  if (!isTargetSegment(Id))
+    return fail(ErrorCode::Usage, "not a change id: " + Id);
   const CtlAnswer Answer = Client_.send("GET", "/v1/changes/" + Id);
   if (Answer.Error_ || !Answer.Body_.is_object())
     return fail(Answer.Error_, Answer.Detail_);
@@ -232,8 +245,8 @@
   const std::string State = textOf(Fields, "state");
   const std::int64_t Number = numberOf(Fields, "error");
   const std::int64_t Revision = numberOf(Fields, "revision");
-  if (State == "accepted")
-    waitEverywhere(Revision);
+  if (State == "accepted" && !waitEverywhere(Revision))
+    Errors_ << fmt::format("not every control has revision {} yet\n", Revision);
   if (Options_.Json_)
     Out_ << json::serialize(Fields) << '\n';
   else if (State == "accepted")
@@ -245,18 +258,28 @@
   return State == "accepted" ? 0 : errorInfo(static_cast<ErrorCode>(Number)).ExitCode_;
 }
 
-void CtlCommands::waitEverywhere(std::int64_t Revision) {
+bool CtlCommands::hasRevision(const NetAddress &Address, std::int64_t Revision) {
+  const CtlAnswer Answer = Client_.sendTo(Address, "GET", "/v1/settings/revision");
+  return !Answer.Error_ && Answer.Body_.is_object() &&
+         numberOf(Answer.Body_.as_object(), "offset") >= Revision;
+}
+
+bool CtlCommands::waitEverywhere(std::int64_t Revision) {
+  if (Options_.Wait_ == std::chrono::seconds(0))
+    return true;
   const auto GiveUpAt = std::chrono::steady_clock::now() + Options_.Wait_;
   for (const NetAddress &Address : Client_.controls())
-    while (std::chrono::steady_clock::now() < GiveUpAt) {
-      const CtlAnswer Answer = Client_.sendTo(Address, "GET", "/v1/settings/revision");
-      if (Answer.Body_.is_object() && numberOf(Answer.Body_.as_object(), "offset") >= Revision)
-        break;
+    while (!hasRevision(Address, Revision)) {
+      if (std::chrono::steady_clock::now() >= GiveUpAt)
+        return false;
       std::this_thread::sleep_for(PollPause);
     }
+  return true;
 }
 
 int CtlCommands::history(const std::string &Path, std::uint32_t Limit) {
+  if (const Result<SettingsPath> Root = SettingsPath::parse(Path); !Root)
+    return fail(Root.error().Code_, Root.error().Detail_);
   const CtlAnswer Answer =
       Client_.send("GET", fmt::format("/v1/history?path={}&limit={}", Path, Limit));
   if (Answer.Error_ || Options_.Json_ || !Answer.Body_.is_object() ||
--- a/Source/Ctl/CtlCommands.h
+++ b/Source/Ctl/CtlCommands.h
@@ -40,7 +40,9 @@
   int plan(const std::string &File, Plan &Out);
   int settle(const std::string &Id, CtlAnswer Answer);
   int reportChange(const boost::json::object &Fields);
-  void waitEverywhere(std::int64_t Revision);
+  bool hasRevision(const NetAddress &Address, std::int64_t Revision);
+  /// Whether all controls have the revision before the time is over.
+  bool waitEverywhere(std::int64_t Revision);
   int fail(const std::error_code &Code, const std::string &Detail);
   int show(const CtlAnswer &Answer);
 
--- a/Source/Ctl/CtlMain.cpp
+++ b/Source/Ctl/CtlMain.cpp
@@ -79,7 +79,9 @@
   for (const NetAddress &Address : Controls)
     if (!parseAddress(Address))
       return usage(Address.str() + " is not IP:PORT");
-  CtlClient Client(Controls, Given.Token_, std::chrono::seconds(Given.TimeoutSeconds_));
+  // A state server asks for no token, so it gets none.
+  const std::string Token = Command == "state" ? std::string() : Given.Token_;
+  CtlClient Client(Controls, Token, std::chrono::seconds(Given.TimeoutSeconds_));
   CtlOptions Options = Given.Options_;
   Options.Wait_ = std::chrono::seconds(Given.WaitSeconds_);
   CtlCommands Commands(Client, Options, std::cout, std::cerr);
--- a/Tests/Ctl/CtlCommandsTest.cpp
+++ b/Tests/Ctl/CtlCommandsTest.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
@@ -111,7 +112,7 @@
   std::ostringstream Errors;
   CtlOptions Options;
   Options.Json_ = Json;
-  Options.Wait_ = std::chrono::seconds(5);
+  Options.Wait_ = std::chrono::seconds(1);
   CtlCommands Commands(Client, Options, Out, Errors);
   const int Exit = Command(Commands);
   return {Exit, Out.str(), Errors.str()};
@@ -192,6 +193,11 @@
   const Outcome Missing =
       runCommand(Controls, [](CtlCommands &Ctl) { return Ctl.apply("no-such-file.yaml"); });
   BOOST_TEST(Missing.Exit_ == errorInfo(ErrorCode::SettingsFileUnreadable).ExitCode_);
+  const Outcome BadPath = runCommand(Controls, [](CtlCommands &Ctl) { return Ctl.get("a b"); });
+  BOOST_TEST(BadPath.Exit_ == errorInfo(ErrorCode::BadPath).ExitCode_);
+  const Outcome BadId =
+      runCommand(Controls, [](CtlCommands &Ctl) { return Ctl.drain("a/b", false); });
+  BOOST_TEST(BadId.Exit_ == errorInfo(ErrorCode::Usage).ExitCode_);
   BOOST_TEST(runCommand(Controls, [](CtlCommands &Ctl) { return Ctl.change("nobody"); }).Exit_ ==
              errorInfo(ErrorCode::ChangeUnknown).ExitCode_);
 }
--- a/bench/SettingsBench.cpp
+++ b/bench/SettingsBench.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr int Customers = 8300;
+constexpr int SmallCustomers = Customers / 10;
 constexpr int Models = 16;
 constexpr int Teams = 100;
 constexpr int RoutesPerTeam = 4;
@@ -69,12 +70,12 @@
 
 void benchMemory() {
   for (const bool WithView : {false, true}) {
-    const double Small = replicaBytes(Customers / 10, WithView);
+    const double Small = replicaBytes(SmallCustomers, WithView);
     const double Large = replicaBytes(Customers, WithView);
     const char *Name = WithView ? "settings_replica_and_view" : "settings_replica";
     fmt::print("{}_bytes {:.0f} bytes\n", Name, Large);
-    fmt::print("{}_bytes_per_customer {:.0f} bytes\n", Name,
-               (Large - Small) / (Customers - Customers / 10));
+    constexpr double More = Customers - SmallCustomers;
+    fmt::print("{}_bytes_per_customer {:.0f} bytes\n", Name, (Large - Small) / More);
   }
 }
 
