Engine stand-in: another incarnation after it was down

An engine that is down loses its sequences. Coming back under the same incarnation it would run a step again that its earlier run ran, against the protocol, and the history checker would report it. Its incarnation now rises in the load report and in the instance list.

--- a/Source/StandIns/EngineFront.cpp
+++ b/Source/StandIns/EngineFront.cpp
@@ -72,8 +72,11 @@
 
 bool EngineFront::setFaultText(const std::string &Text) {
   const bool WasLeaving = Faults_.Leaving_;
+  const bool WasDown = Faults_.Common_.Down_;
   if (!applyFaults(Faults_, Text))
     return false;
+  if (WasDown && !Faults_.Common_.Down_)
+    comeBack();
   if (Faults_.Leaving_ != WasLeaving)
     setLeaving(Faults_.Leaving_);
   if (Faults_.Common_.Down_)
@@ -81,6 +84,12 @@
   return true;
 }
 
+void EngineFront::comeBack() {
+  // An engine that lost its sequences is another run of it.
+  Config_.Incarnation_ = Config_.Incarnation_.next();
+  announce({Model_.leaving(), Config_.Incarnation_});
+}
+
 void EngineFront::goDown() {
   Faults_.Common_.Down_ = true;
   Batch_.cancel();
@@ -372,7 +381,7 @@
     return loadWeights(Order, Responder);
   if (Kind == "leave") {
     setLeaving(true);
-    announceLeaving();
+    announce({true, Config_.Incarnation_});
   } else if (Kind != "role") {
     return deliver(Responder, malformed());
   }
--- a/Source/StandIns/EngineFront.h
+++ b/Source/StandIns/EngineFront.h
@@ -82,6 +82,7 @@
   void releaseCrossed();
   std::string stepText(const StepResult &Result) const;
   void goDown();
+  void comeBack();
 
   void serveCancel(const HttpRequest &Request, const HttpResponderPtr &Responder);
   void serveLoad(const HttpResponderPtr &Responder);
--- a/Source/StandIns/StandInFront.cpp
+++ b/Source/StandIns/StandInFront.cpp
@@ -101,9 +101,9 @@
   });
 }
 
-void StandInFront::announceLeaving() const {
-  if (Leaving_)
-    Leaving_();
+void StandInFront::announce(const EntryChange &Change) const {
+  if (EntryChanged_)
+    EntryChanged_(Change);
 }
 
 std::string StandInFront::historyText(std::uint64_t From) const {
--- a/Source/StandIns/StandInFront.h
+++ b/Source/StandIns/StandInFront.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Common/Clock.h"
+#include "Core/Common/Ids.h"
 #include "Core/Common/Logger.h"
 #include "Net/HttpServer.h"
 #include "StandIns/Faults.h"
@@ -14,6 +15,12 @@
 
 namespace rattancart {
 
+/// What changes in a stand-in's entry of the instance list.
+struct EntryChange {
+  bool Leaving_ = false;
+  Incarnation Incarnation_{0};
+};
+
 /// What the HTTP fronts of the stand-ins share: /healthz, /faults and /v1/history, which no fault
 /// touches, and the common faults before everything else. /healthz tells how many requests wait
 /// for a delay or a hang to end. Not thread-safe.
@@ -29,8 +36,11 @@
   virtual bool isIdle() const = 0;
   /// Tells the front the address that it is reached at.
   virtual void setAddress(const NetAddress &Address) { (void)Address; }
-  /// Called when the front begins to leave by an order.
-  void onLeaving(std::function<void()> Handler) { Leaving_ = std::move(Handler); }
+  /// Handler is called when the entry in the instance list has to change: the front begins to
+  /// leave by an order, or is another incarnation after it was down.
+  void onEntryChanged(std::function<void(const EntryChange &)> Handler) {
+    EntryChanged_ = std::move(Handler);
+  }
 
 protected:
   virtual void serve(HttpRequest Request, HttpResponderPtr Responder) = 0;
@@ -44,7 +54,7 @@
   void deliver(const HttpResponderPtr &Responder, HttpResponse Response);
   /// Calls Handler after Delay, at once if it is zero.
   void after(Duration Delay, std::function<void()> Handler);
-  void announceLeaving() const;
+  void announce(const EntryChange &Change) const;
   /// Requests that wait for a delay or a hang to end.
   std::size_t waitingRequests() const { return Delayed_ + HeldRequests_.size(); }
 
@@ -67,7 +77,7 @@
   std::size_t Delayed_ = 0;
   std::deque<HeldRequest> HeldRequests_;
   std::deque<HeldAnswer> HeldAnswers_;
-  std::function<void()> Leaving_;
+  std::function<void(const EntryChange &)> EntryChanged_;
 };
 
 /// An answer with a JSON body.
--- a/Source/StandIns/StandInProcess.cpp
+++ b/Source/StandIns/StandInProcess.cpp
@@ -61,8 +61,9 @@
   if (Options_.Advertise_.empty())
     Options_.Advertise_ = Server_.address().str();
   Front_.setAddress(NetAddress(Options_.Advertise_));
-  Front_.onLeaving([this] {
-    Leaving_ = true;
+  Front_.onEntryChanged([this](const EntryChange &Change) {
+    Leaving_ = Leaving_ || Change.Leaving_;
+    Options_.Incarnation_ = Change.Incarnation_;
     registerSelf();
   });
   fmt::print("listening {}\n", Server_.address().str());
--- a/Tests/StandIns/EngineContractTest.cpp
+++ b/Tests/StandIns/EngineContractTest.cpp
@@ -281,6 +281,23 @@
   BOOST_TEST(Report.at("version").as_string() == "2");
 }
 
+BOOST_AUTO_TEST_CASE(EngineThatWasDownIsAnotherIncarnation) {
+  Cluster Group;
+  Group.start({engineSpec("eng-1", {0, 48}, 48)});
+  const auto Before = Group.http().getJson(Group.address("eng-1"), "/v1/load").at("incarnation");
+  Group.setFaults("eng-1", R"({"down":true})");
+  Group.setFaults("eng-1", R"({"down":false})");
+  const auto After = Group.http().getJson(Group.address("eng-1"), "/v1/load").at("incarnation");
+  BOOST_TEST(After.to_number<std::int64_t>() == Before.to_number<std::int64_t>() + 1);
+  const std::string Listed = fmt::format(R"("incarnation":{}}})", After.to_number<std::int64_t>());
+  Group.http().await(
+      Group.platformAddress(), "/v1/instances",
+      [&](const HttpResult &Result) {
+        return Result.Response_.Body_.find(Listed) != std::string::npos;
+      },
+      "the new incarnation");
+}
+
 BOOST_AUTO_TEST_CASE(LeavingEngineFinishesItsSequences) {
   Cluster Group;
   Group.start({engineSpec("eng-1", {0, 48}, 48)});
