Router: admission by the engines' slots and the expected tokens

The chain policy and the pools' bounds need to know how many routers share the engines; controls count them and say so with the limit shares. Cost and token limits follow the running mean of the tokens produced.

--- a/Schemas/Frames_generated.h
+++ b/Schemas/Frames_generated.h
@@ -648,6 +648,7 @@
   int64_t claim_tail = 0;
   bool platform_up = false;
   std::vector<std::unique_ptr<rattancart::wire::CustomerDemandT>> demand{};
+  uint32_t routers = 0;
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -663,7 +664,8 @@
     VT_SETTINGS_OFFSET = 8,
     VT_CLAIM_TAIL = 10,
     VT_PLATFORM_UP = 12,
-    VT_DEMAND = 14
+    VT_DEMAND = 14,
+    VT_ROUTERS = 16
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -683,6 +685,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::CustomerDemand>> *demand() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::CustomerDemand>> *>(VT_DEMAND);
   }
+  uint32_t routers() const {
+    return GetField<uint32_t>(VT_ROUTERS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -693,6 +698,7 @@
            VerifyOffset(verifier, VT_DEMAND) &&
            verifier.VerifyVector(demand()) &&
            verifier.VerifyVectorOfTables(demand()) &&
+           VerifyField<uint32_t>(verifier, VT_ROUTERS, 4) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -722,6 +728,9 @@
   void add_demand(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::CustomerDemand>>> demand) {
     fbb_.AddOffset(Heartbeat::VT_DEMAND, demand);
   }
+  void add_routers(uint32_t routers) {
+    fbb_.AddElement<uint32_t>(Heartbeat::VT_ROUTERS, routers, 0);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -740,12 +749,14 @@
     int64_t settings_offset = -1LL,
     int64_t claim_tail = 0,
     bool platform_up = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::CustomerDemand>>> demand = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::CustomerDemand>>> demand = 0,
+    uint32_t routers = 0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_claim_tail(claim_tail);
   builder_.add_settings_offset(settings_offset);
   builder_.add_echo(echo);
   builder_.add_sequence(sequence);
+  builder_.add_routers(routers);
   builder_.add_demand(demand);
   builder_.add_platform_up(platform_up);
   return builder_.Finish();
@@ -758,7 +769,8 @@
     int64_t settings_offset = -1LL,
     int64_t claim_tail = 0,
     bool platform_up = false,
-    const std::vector<flatbuffers::Offset<rattancart::wire::CustomerDemand>> *demand = nullptr) {
+    const std::vector<flatbuffers::Offset<rattancart::wire::CustomerDemand>> *demand = nullptr,
+    uint32_t routers = 0) {
   auto demand__ = demand ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::CustomerDemand>>(*demand) : 0;
   return rattancart::wire::CreateHeartbeat(
       _fbb,
@@ -767,7 +779,8 @@
       settings_offset,
       claim_tail,
       platform_up,
-      demand__);
+      demand__,
+      routers);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1426,6 +1439,7 @@
   typedef LimitShares TableType;
   std::vector<std::unique_ptr<rattancart::wire::LimitShareT>> shares{};
   double default_share = 1.0;
+  uint32_t routers = 1;
   LimitSharesT() = default;
   LimitSharesT(const LimitSharesT &o);
   LimitSharesT(LimitSharesT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1437,7 +1451,8 @@
   typedef LimitSharesBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SHARES = 4,
-    VT_DEFAULT_SHARE = 6
+    VT_DEFAULT_SHARE = 6,
+    VT_ROUTERS = 8
   };
   const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::LimitShare>> *shares() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::LimitShare>> *>(VT_SHARES);
@@ -1445,12 +1460,16 @@
   double default_share() const {
     return GetField<double>(VT_DEFAULT_SHARE, 1.0);
   }
+  uint32_t routers() const {
+    return GetField<uint32_t>(VT_ROUTERS, 1);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SHARES) &&
            verifier.VerifyVector(shares()) &&
            verifier.VerifyVectorOfTables(shares()) &&
            VerifyField<double>(verifier, VT_DEFAULT_SHARE, 8) &&
+           VerifyField<uint32_t>(verifier, VT_ROUTERS, 4) &&
            verifier.EndTable();
   }
   LimitSharesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1468,6 +1487,9 @@
   void add_default_share(double default_share) {
     fbb_.AddElement<double>(LimitShares::VT_DEFAULT_SHARE, default_share, 1.0);
   }
+  void add_routers(uint32_t routers) {
+    fbb_.AddElement<uint32_t>(LimitShares::VT_ROUTERS, routers, 1);
+  }
   explicit LimitSharesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1482,9 +1504,11 @@
 inline flatbuffers::Offset<LimitShares> CreateLimitShares(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::LimitShare>>> shares = 0,
-    double default_share = 1.0) {
+    double default_share = 1.0,
+    uint32_t routers = 1) {
   LimitSharesBuilder builder_(_fbb);
   builder_.add_default_share(default_share);
+  builder_.add_routers(routers);
   builder_.add_shares(shares);
   return builder_.Finish();
 }
@@ -1492,12 +1516,14 @@
 inline flatbuffers::Offset<LimitShares> CreateLimitSharesDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<flatbuffers::Offset<rattancart::wire::LimitShare>> *shares = nullptr,
-    double default_share = 1.0) {
+    double default_share = 1.0,
+    uint32_t routers = 1) {
   auto shares__ = shares ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::LimitShare>>(*shares) : 0;
   return rattancart::wire::CreateLimitShares(
       _fbb,
       shares__,
-      default_share);
+      default_share,
+      routers);
 }
 
 flatbuffers::Offset<LimitShares> CreateLimitShares(flatbuffers::FlatBufferBuilder &_fbb, const LimitSharesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2060,7 +2086,8 @@
         echo(o.echo),
         settings_offset(o.settings_offset),
         claim_tail(o.claim_tail),
-        platform_up(o.platform_up) {
+        platform_up(o.platform_up),
+        routers(o.routers) {
   demand.reserve(o.demand.size());
   for (const auto &demand_ : o.demand) { demand.emplace_back((demand_) ? new rattancart::wire::CustomerDemandT(*demand_) : nullptr); }
 }
@@ -2072,6 +2099,7 @@
   std::swap(claim_tail, o.claim_tail);
   std::swap(platform_up, o.platform_up);
   std::swap(demand, o.demand);
+  std::swap(routers, o.routers);
   return *this;
 }
 
@@ -2090,6 +2118,7 @@
   { auto _e = claim_tail(); _o->claim_tail = _e; }
   { auto _e = platform_up(); _o->platform_up = _e; }
   { auto _e = demand(); if (_e) { _o->demand.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->demand[_i] = std::unique_ptr<rattancart::wire::CustomerDemandT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = routers(); _o->routers = _e; }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2106,6 +2135,7 @@
   auto _claim_tail = _o->claim_tail;
   auto _platform_up = _o->platform_up;
   auto _demand = _o->demand.size() ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::CustomerDemand>> (_o->demand.size(), [](size_t i, _VectorArgs *__va) { return CreateCustomerDemand(*__va->__fbb, __va->__o->demand[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _routers = _o->routers;
   return rattancart::wire::CreateHeartbeat(
       _fbb,
       _sequence,
@@ -2113,7 +2143,8 @@
       _settings_offset,
       _claim_tail,
       _platform_up,
-      _demand);
+      _demand,
+      _routers);
 }
 
 inline SettingsImageT *SettingsImage::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -2336,7 +2367,8 @@
 }
 
 inline LimitSharesT::LimitSharesT(const LimitSharesT &o)
-      : default_share(o.default_share) {
+      : default_share(o.default_share),
+        routers(o.routers) {
   shares.reserve(o.shares.size());
   for (const auto &shares_ : o.shares) { shares.emplace_back((shares_) ? new rattancart::wire::LimitShareT(*shares_) : nullptr); }
 }
@@ -2344,6 +2376,7 @@
 inline LimitSharesT &LimitSharesT::operator=(LimitSharesT o) FLATBUFFERS_NOEXCEPT {
   std::swap(shares, o.shares);
   std::swap(default_share, o.default_share);
+  std::swap(routers, o.routers);
   return *this;
 }
 
@@ -2358,6 +2391,7 @@
   (void)_resolver;
   { auto _e = shares(); if (_e) { _o->shares.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->shares[_i] = std::unique_ptr<rattancart::wire::LimitShareT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = default_share(); _o->default_share = _e; }
+  { auto _e = routers(); _o->routers = _e; }
 }
 
 inline flatbuffers::Offset<LimitShares> LimitShares::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LimitSharesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2370,10 +2404,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LimitSharesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _shares = _o->shares.size() ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::LimitShare>> (_o->shares.size(), [](size_t i, _VectorArgs *__va) { return CreateLimitShare(*__va->__fbb, __va->__o->shares[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _default_share = _o->default_share;
+  auto _routers = _o->routers;
   return rattancart::wire::CreateLimitShares(
       _fbb,
       _shares,
-      _default_share);
+      _default_share,
+      _routers);
 }
 
 inline ClaimRequestT *ClaimRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Config/RouterSettings.cpp
+++ b/Source/Config/RouterSettings.cpp
@@ -41,8 +41,6 @@
   Settings.Http_ = readHttpOptions(Root.section("http"));
 
   YamlSection Admission = Root.section("admission");
-  Settings.MaxConcurrent_ =
-      static_cast<std::uint32_t>(Admission.number("max-concurrent", 256, {1, 100'000}));
   Settings.MaxQueued_ =
       static_cast<std::uint32_t>(Admission.number("max-queued", 1'024, {0, 1'000'000}));
   Admission.finish();
--- a/Source/Config/RouterSettings.h
+++ b/Source/Config/RouterSettings.h
@@ -18,9 +18,7 @@
   /// Frame addresses of control processes, the preferred one first.
   std::vector<NetAddress> Controls_;
   HttpServerOptions Http_;
-  /// Requests that are served at once; further ones wait.
-  std::uint32_t MaxConcurrent_ = 256;
-  /// Requests that may wait.
+  /// Requests that may wait for one model or service.
   std::uint32_t MaxQueued_ = 1024;
   /// An endpoint's record counts for this long after it was last true.
   Duration EndpointFreshness_ = std::chrono::seconds(4);
--- a/Source/Control/ControlProcess.h
+++ b/Source/Control/ControlProcess.h
@@ -58,6 +58,7 @@
   std::string settingsImage() const override;
   LogOffset claimTail() const override { return Claims_.tail(); }
   bool platformUp() const override { return List_.isUp(); }
+  std::size_t ownRouters() const override { return Distributor_.ownRouters(); }
   std::vector<CustomerDemand> ownDemand() const override { return Shares_.ownDemand(); }
 
   void onPeerImage(LogOffset Offset, std::string_view Image) override;
--- a/Source/Control/Distributor.cpp
+++ b/Source/Control/Distributor.cpp
@@ -72,6 +72,7 @@
                           demandOf(Beat), Time_.now());
 
   Subscriber &Item = Subscribers_[Link];
+  Item.Routers_ = Beat.routers;
   const LogOffset Has(Beat.settings_offset);
   if (Has >= State_.settingsOffset()) {
     Item.Behind_ = 0;
@@ -139,12 +140,28 @@
   Item.FeedVersion_ = Feed_.version();
 }
 
+std::size_t Distributor::ownRouters() const {
+  return static_cast<std::size_t>(
+      std::count_if(Subscribers_.begin(), Subscribers_.end(), [](const auto &Entry) {
+        return Entry.first->hello().role == wire::Role::Router;
+      }));
+}
+
+std::uint32_t Distributor::allRouters() const {
+  auto Count = static_cast<std::uint32_t>(ownRouters());
+  for (const auto &[Link, Item] : Subscribers_)
+    Count += Item.Routers_;
+  return std::max(Count, 1U);
+}
+
 void Distributor::sendShares() {
+  const std::uint32_t Routers = allRouters();
   for (auto &[Link, Item] : Subscribers_) {
     if (Link->hello().role != wire::Role::Router)
       continue;
     wire::LimitSharesT Shares;
     Shares.default_share = Shares_.defaultShare();
+    Shares.routers = Routers;
     for (const CustomerShare &Share : Shares_.sharesOf(InstanceId(Link->hello().instance))) {
       auto Entry = std::make_unique<wire::LimitShareT>();
       Entry->customer = Share.Customer_.str();
--- a/Source/Control/Distributor.h
+++ b/Source/Control/Distributor.h
@@ -34,8 +34,10 @@
   void onSettingsRecord(LogOffset Offset, std::string_view Body);
   /// A settings image was taken over.
   void onSettingsImage();
-  /// Sends the limit shares to the routers.
+  /// Sends the limit shares and the number of routers to the routers.
   void sendShares();
+  /// Routers that are linked to this process.
+  std::size_t ownRouters() const;
   /// Bytes that all links received and sent so far.
   std::uint64_t bytesIn() const;
   std::uint64_t bytesOut() const;
@@ -48,6 +50,8 @@
     std::uint64_t FeedVersion_ = 0;
     /// Heartbeats in a row that showed the peer behind what it was sent.
     int Behind_ = 0;
+    /// Routers behind the peer, if it is a control.
+    std::uint32_t Routers_ = 0;
   };
 
   wire::HelloT makeHello() override;
@@ -58,6 +62,7 @@
 
   void take(const PeerLinkPtr &Link, const wire::HeartbeatT &Beat);
   void take(const PeerLinkPtr &Link, const wire::ClaimRequestT &Request);
+  std::uint32_t allRouters() const;
   void pushEndpoints();
   void pushEndpointsTo(const PeerLinkPtr &Link, Subscriber &Item);
   void sendImage(const PeerLinkPtr &Link, Subscriber &Item);
--- a/Source/Control/LocalState.h
+++ b/Source/Control/LocalState.h
@@ -3,6 +3,8 @@
 #include "Core/Admission/AdmissionTypes.h"
 #include "Core/Common/Ids.h"
 
+#include <cstddef>
+#include <string>
 #include <vector>
 
 namespace rattancart {
@@ -16,6 +18,8 @@
   virtual std::string settingsImage() const = 0;
   virtual LogOffset claimTail() const = 0;
   virtual bool platformUp() const = 0;
+  /// Routers that are linked to this process.
+  virtual std::size_t ownRouters() const = 0;
   /// The sum of the own routers' demand.
   virtual std::vector<CustomerDemand> ownDemand() const = 0;
 };
--- a/Source/Core/Admission/AdmissionController.cpp
+++ b/Source/Core/Admission/AdmissionController.cpp
@@ -44,7 +44,7 @@
   const auto It = Pools_.find(Id);
   if (It != Pools_.end())
     return It->second;
-  Pool Fresh{FairQueue(Options_.Order_, Options_.AgeingStep_), Options_.MakeLimit_(), 0, {}};
+  Pool Fresh{FairQueue(Options_.Order_, Options_.AgeingStep_), Options_.MakeLimit_(Id), 0, {}};
   Fresh.Usage_.Pool_ = Id;
   return Pools_.emplace(Id, std::move(Fresh)).first->second;
 }
--- a/Source/Core/Admission/AdmissionController.h
+++ b/Source/Core/Admission/AdmissionController.h
@@ -23,7 +23,7 @@
   /// The part of the time to the deadline that the expected wait and service may fill.
   double DeadlineMargin_ = 0.85;
   /// Makes the bound of a new pool.
-  std::function<std::unique_ptr<ConcurrencyLimit>()> MakeLimit_ = [] {
+  std::function<std::unique_ptr<ConcurrencyLimit>(const PoolId &)> MakeLimit_ = [](const PoolId &) {
     return makeAdaptiveConcurrency({});
   };
 };
--- a/Source/Core/Routing/AffinityPolicy.h
+++ b/Source/Core/Routing/AffinityPolicy.h
@@ -29,6 +29,7 @@
       : Options_(Options), Capacity_(Options.Capacity_), Index_(Index) {}
 
   std::vector<const Endpoint *> choose(const ChainQuery &Query, std::mt19937_64 &Random) override;
+  void setRouters(std::size_t Count) override { Capacity_.setRouters(Count); }
 
 private:
   const Endpoint *preferred(const ChainQuery &Query, const LayerGroup &Group,
--- a/Source/Core/Routing/ChainPlanner.h
+++ b/Source/Core/Routing/ChainPlanner.h
@@ -30,6 +30,8 @@
   /// A chain that covers all layers once, without excluded engines and without any that may take
   /// no new work. Errors: NoChain.
   Result<Chain> plan(const PlanRequest &Request);
+  /// The number of routers that send to the same engines, this one included. At least 1.
+  void setRouters(std::size_t Count) { Policy_->setRouters(Count); }
 
 private:
   const EndpointTable &Endpoints_;
--- a/Source/Core/Routing/ChainPolicy.h
+++ b/Source/Core/Routing/ChainPolicy.h
@@ -4,6 +4,7 @@
 #include "Core/Routing/ChainGraph.h"
 #include "Core/Routing/OwnLoad.h"
 
+#include <cstddef>
 #include <random>
 #include <string>
 #include <vector>
@@ -27,6 +28,8 @@
   /// Precondition: the graph is not empty.
   virtual std::vector<const Endpoint *> choose(const ChainQuery &Query,
                                                std::mt19937_64 &Random) = 0;
+  /// The number of routers that send to the same engines, this one included. At least 1.
+  virtual void setRouters(std::size_t Count) { static_cast<void>(Count); }
 };
 
 } // namespace rattancart
--- a/Source/Load/PipelineSimulation.cpp
+++ b/Source/Load/PipelineSimulation.cpp
@@ -38,7 +38,7 @@
 
 AdmissionOptions admissionOptions(AdmissionMode Mode, double Slots) {
   AdmissionOptions Options;
-  Options.MakeLimit_ = [Slots] { return makeFixedConcurrency(Slots); };
+  Options.MakeLimit_ = [Slots](const PoolId &) { return makeFixedConcurrency(Slots); };
   if (Mode == AdmissionMode::Arrival) {
     Options.Order_ = QueueOrder::Arrival;
     Options.RefuseEarly_ = false;
--- a/Source/Router/ModelHandler.h
+++ b/Source/Router/ModelHandler.h
@@ -71,6 +71,8 @@
   std::size_t inFlight() const override { return Sessions_.size(); }
   boost::json::object state() const override;
   void onViewChanged() override;
+  /// The number of routers that send to the same engines, this one included. At least 1.
+  void setRouters(std::size_t Count) { Shared_.Planner_.setRouters(Count); }
   const ModelHandlerStats &stats() const { return Shared_.Stats_; }
 
 private:
--- a/Source/Router/RequestFront.cpp
+++ b/Source/Router/RequestFront.cpp
@@ -1,5 +1,7 @@
 #include "Router/RequestFront.h"
 
+#include "Router/PoolCapacity.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -15,27 +17,16 @@
 /// Requests are held at most this long after a pause.
 constexpr Duration RenewalTimeout = std::chrono::seconds(2);
 constexpr std::size_t MaxHeld = 4096;
+/// Tokens that a model's first request is expected to produce.
+constexpr double InitialTokens = 64;
+/// Weight of the newest request in the running mean of tokens.
+constexpr double TokenMeanWeight = 0.05;
 
 double toSeconds(Duration Value) { return std::chrono::duration<double>(Value).count(); }
 
-PoolId poolOf(const Route &Target) {
-  if (Target.Model_)
-    return PoolId("model:" + Target.Model_->str() + "/" + Target.Version_.str());
-  return PoolId("service:" + Target.Service_->str());
-}
-
-AdmissionRequest admissionOf(const RoutedRequest &Request) {
-  AdmissionRequest Asked;
-  Asked.Customer_ = Request.Customer_;
-  Asked.Pool_ = poolOf(*Request.Route_);
-  Asked.Priority_ = Request.Route_->Priority_;
-  Asked.Deadline_ = Request.Deadline_;
-  return Asked;
-}
-
-AdmissionEnd admissionEndOf(const RequestEnd &End, double Cost) {
+AdmissionEnd admissionEndOf(const RequestEnd &End) {
   AdmissionEnd Result;
-  Result.Cost_ = Cost;
+  Result.Cost_ = std::max<double>(End.Tokens_, 1);
   Result.Tokens_ = End.Tokens_;
   if (End.Status_ >= 200 && End.Status_ < 500)
     Result.Result_ = AdmissionEnd::Result::Succeeded;
@@ -68,6 +59,27 @@
   Ticker_.every(TickInterval, [this] { tick(); });
 }
 
+AdmissionRequest RequestFront::admissionOf(const RoutedRequest &Request) const {
+  AdmissionRequest Asked;
+  Asked.Customer_ = Request.Customer_;
+  Asked.Pool_ = poolOf(*Request.Route_);
+  Asked.Priority_ = Request.Route_->Priority_;
+  Asked.Deadline_ = Request.Deadline_;
+  if (Request.Route_->Model_) {
+    const auto Mean = MeanTokens_.find(Asked.Pool_);
+    Asked.Tokens_ = Mean == MeanTokens_.end() ? InitialTokens : Mean->second;
+    Asked.Cost_ = Asked.Tokens_;
+  }
+  return Asked;
+}
+
+void RequestFront::learnTokens(const PoolId &Pool, std::uint32_t Tokens) {
+  if (Tokens == 0)
+    return;
+  const auto Place = MeanTokens_.try_emplace(Pool, Tokens).first;
+  Place->second += (Tokens - Place->second) * TokenMeanWeight;
+}
+
 RequestId RequestFront::nextId() { return RequestId(IdPrefix_ + std::to_string(NextRequest_++)); }
 
 void RequestFront::handle(HttpRequest Http, HttpResponderPtr Responder) {
@@ -153,7 +165,7 @@
   Pending Item;
   Item.ArrivedAt_ = Request.ArrivedAt_;
   Item.RouteName_ = Request.Route_->Id_.str();
-  Item.Cost_ = Asked.Cost_;
+  Item.Pool_ = Asked.Pool_;
   Item.Request_ = std::move(Request);
   Pending &Place = Pending_.emplace(Ticket, std::move(Item)).first->second;
   if (Decision.State_ == AdmissionState::Admitted)
@@ -194,7 +206,8 @@
                                        {"status", End.Status_},
                                        {"outcome", std::string(outcomeName(End.Outcome_))},
                                        {"seconds", toSeconds(Now - Item.ArrivedAt_)}});
-  Admission_.finished(Ticket, admissionEndOf(End, Item.Cost_), Now);
+  learnTokens(Item.Pool_, End.Tokens_);
+  Admission_.finished(Ticket, admissionEndOf(End), Now);
   Pending_.erase(Place);
   takeReady();
 }
--- a/Source/Router/RequestFront.h
+++ b/Source/Router/RequestFront.h
@@ -69,9 +69,11 @@
     std::optional<RoutedRequest> Request_;
     TimePoint ArrivedAt_{};
     std::string RouteName_;
-    double Cost_ = 1;
+    PoolId Pool_;
   };
 
+  AdmissionRequest admissionOf(const RoutedRequest &Request) const;
+  void learnTokens(const PoolId &Pool, std::uint32_t Tokens);
   void tick();
   void notePause(TimePoint Now);
   void releaseHeld();
@@ -94,6 +96,8 @@
   std::unique_ptr<RouteTable> Routes_;
   std::map<AdmissionTicket, Pending> Pending_;
   std::deque<Arrival> Held_;
+  /// Tokens that a request of each model's pool produces in the mean.
+  std::map<PoolId, double> MeanTokens_;
   /// When the process went on after a pause; empty while the view is trusted.
   std::optional<TimePoint> ResumedAt_;
   PauseDetector Pause_;
--- a/Source/Router/RouterProcess.cpp
+++ b/Source/Router/RouterProcess.cpp
@@ -1,6 +1,7 @@
 #include "Router/RouterProcess.h"
 
 #include "Process/ProcessUsage.h"
+#include "Router/PoolCapacity.h"
 #include "Watch/EndpointJson.h"
 
 #include <utility>
@@ -15,6 +16,7 @@
 AdmissionOptions admissionOptions(const RouterSettings &Settings) {
   AdmissionOptions Options;
   Options.MaxQueued_ = Settings.MaxQueued_;
+  Options.MakeLimit_ = makePoolLimit;
   return Options;
 }
 
@@ -91,6 +93,7 @@
   if (!View_.hasView())
     return;
   Front_.onViewChanged();
+  updatePoolCapacity(Admission_, Endpoints_, Routers_);
   Models_.onViewChanged();
   Calls_.onViewChanged();
 }
@@ -99,6 +102,12 @@
   Admission_.setShares(Shares, Default, Time_.now());
 }
 
+void RouterProcess::onRouters(std::size_t Count) {
+  Routers_ = Count;
+  Models_.setRouters(Count);
+  updatePoolCapacity(Admission_, Endpoints_, Count);
+}
+
 std::vector<CustomerDemand> RouterProcess::takeDemand() { return Admission_.demand(Time_.now()); }
 
 std::size_t RouterProcess::inFlight() const {
@@ -140,6 +149,7 @@
   State["not_ready"] = notReadyReason();
   State["process"] = processUsage();
   State["view"] = View_.state();
+  State["routers"] = Routers_;
   State["front"] = Front_.state();
   State["models"] = Models_.state();
   State["calls"] = Calls_.state();
--- a/Source/Router/RouterProcess.h
+++ b/Source/Router/RouterProcess.h
@@ -56,6 +56,7 @@
 
   void onViewChanged() override;
   void onShares(const std::vector<CustomerShare> &Shares, double Default) override;
+  void onRouters(std::size_t Count) override;
   std::vector<CustomerDemand> takeDemand() override;
 
   bool needsOwnPoll(const Endpoint &Known) const;
@@ -88,6 +89,8 @@
   DrainState Drain_;
   Timer DrainTimer_;
   bool Accepting_ = true;
+  /// Routers that share the endpoints, this one included.
+  std::size_t Routers_ = 1;
 };
 
 } // namespace rattancart
--- a/Source/Router/ViewFollower.cpp
+++ b/Source/Router/ViewFollower.cpp
@@ -154,6 +154,7 @@
   for (const auto &Item : Shares.shares)
     Parts.push_back({CustomerId(Item->customer), Item->share});
   Listener_.onShares(Parts, Shares.default_share);
+  Listener_.onRouters(std::max(Shares.routers, 1U));
 }
 
 boost::json::object ViewFollower::state() const {
--- a/Source/Router/ViewFollower.h
+++ b/Source/Router/ViewFollower.h
@@ -33,6 +33,8 @@
   /// The settings or the endpoints changed.
   virtual void onViewChanged() = 0;
   virtual void onShares(const std::vector<CustomerShare> &Shares, double Default) = 0;
+  /// The number of routers that send to the same endpoints, this one included.
+  virtual void onRouters(std::size_t Count) = 0;
   /// What customers asked for since the last heartbeat.
   virtual std::vector<CustomerDemand> takeDemand() = 0;
 };
--- a/Tests/Core/Admission/AdmissionControllerTest.cpp
+++ b/Tests/Core/Admission/AdmissionControllerTest.cpp
@@ -22,7 +22,7 @@
   AdmissionOptions Options;
   Options.Order_ = Order;
   Options.RefuseEarly_ = RefuseEarly;
-  Options.MakeLimit_ = [] { return makeFixedConcurrency(Slots); };
+  Options.MakeLimit_ = [](const PoolId &) { return makeFixedConcurrency(Slots); };
   return Options;
 }
 
@@ -160,7 +160,7 @@
     std::mt19937_64 Random(Seed);
     AdmissionOptions Options;
     Options.MaxQueued_ = 8;
-    Options.MakeLimit_ = [] { return makeAdaptiveConcurrency({4, 2, 8, 2, 0.9}); };
+    Options.MakeLimit_ = [](const PoolId &) { return makeAdaptiveConcurrency({4, 2, 8, 2, 0.9}); };
     AdmissionController Controller(Options);
     ManualClock Time;
     std::set<AdmissionTicket> Waiting;
--- a/Tests/System/SettingsSpreadTest.cpp
+++ b/Tests/System/SettingsSpreadTest.cpp
@@ -165,6 +165,7 @@
   Deployment Site(threeCentres());
   OffsetSampler Sampler(Site);
   std::vector<std::string> Files;
+  Files.reserve(4);
   for (int Operator = 0; Operator < 4; ++Operator)
     Files.push_back(
         Site.writeFile(fmt::format("race-{}.yaml", Operator), limitSettings(100 + Operator)));
@@ -173,6 +174,7 @@
   std::string Refused;
   for (int Round = 0; Round < 5; ++Round) {
     std::vector<std::thread> Operators;
+    Operators.reserve(Files.size());
     for (const std::string &File : Files)
       Operators.emplace_back([&, File] {
         const ProgramResult Result = Site.ctl({"apply", File});
@@ -191,6 +193,7 @@
   BOOST_TEST(Violations.empty(), Violations);
   Site.await("one digest", [&] {
     std::vector<std::string> Digests;
+    Digests.reserve(Site.entries().size());
     for (const EntryInstance &Entry : Site.entries())
       Digests.emplace_back(
           Site.state(Entry.StateAddress_).at("view").at("settings_digest").as_string());
--- a/bench/PolicyBench.cpp
+++ b/bench/PolicyBench.cpp
@@ -42,7 +42,7 @@
   AdmissionOptions Options;
   Options.RefuseEarly_ = false;
   Options.MaxQueued_ = Queued + 1;
-  Options.MakeLimit_ = [] { return makeFixedConcurrency(1); };
+  Options.MakeLimit_ = [](const PoolId &) { return makeFixedConcurrency(1); };
   AdmissionController Controller(Options);
   auto View = std::make_shared<SettingsView>();
   View->DefaultLimit_ = {1e6, 1e9, 100000, 1};
