--- a/Tests/Support/ChildProcessTest.cpp
+++ b/Tests/Support/ChildProcessTest.cpp
@@ -44,6 +44,15 @@
   BOOST_TEST(runProgram({"rattancart-fake-engine", {"--help"}}).ExitCode_ == 0);
 }
 
+BOOST_AUTO_TEST_CASE(HistoryOutlivesAKilledService) {
+  Cluster Group;
+  Group.start({serviceSpec("svc-1", "lift-desk")});
+  Group.http().post(Group.address("svc-1"), "/orders", "{}");
+  Group.endpoint("svc-1").kill();
+  Group.endpoint("svc-1").wait();
+  BOOST_TEST(Group.history().find(R"("path":"/orders")") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(ClusterListsItsEndpointsAndForgetsLeavingOnes) {
   Cluster Group;
   Group.start({engineSpec("eng-1", {0, 24}, 48), engineSpec("eng-2", {24, 48}, 48),
--- a/Tests/Support/Cluster.cpp
+++ b/Tests/Support/Cluster.cpp
@@ -7,6 +7,10 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
 #include <utility>
 
 namespace rattancart {
@@ -17,6 +21,13 @@
   return {"rattancart-fake-platform", std::move(Arguments)};
 }
 
+std::filesystem::path newFolder() {
+  std::string Name = (std::filesystem::temp_directory_path() / "rattancart-XXXXXX").string();
+  if (!mkdtemp(Name.data()))
+    throw std::runtime_error("can't make a folder for histories");
+  return Name;
+}
+
 bool lists(const HttpResult &Result, const std::string &Id) {
   if (Result.Error_ || Result.Response_.Status_ != 200)
     return false;
@@ -46,13 +57,18 @@
 }
 
 Cluster::Cluster(std::vector<std::string> PlatformArguments)
-    : Platform_(platformCall(std::move(PlatformArguments))) {}
+    : Platform_(platformCall(std::move(PlatformArguments))), Folder_(newFolder()) {}
+
+Cluster::~Cluster() {
+  std::error_code Ignored;
+  std::filesystem::remove_all(Folder_, Ignored);
+}
 
 void Cluster::start(const std::vector<EndpointSpec> &Specs) {
   for (const EndpointSpec &Spec : Specs) {
     ProgramCall Call{Spec.Program_,
                      {"--id", Spec.Id_, "--data-center", Spec.DataCenter_, "--platform",
-                      platformAddress().str()}};
+                      platformAddress().str(), "--history-file", (Folder_ / Spec.Id_).string()}};
     Call.Arguments_.insert(Call.Arguments_.end(), Spec.Arguments_.begin(), Spec.Arguments_.end());
     Endpoints_.emplace(Spec.Id_, ChildProcess(Call));
   }
@@ -66,11 +82,12 @@
   Http_.setFaults(Id == "platform" ? platformAddress() : address(Id), std::move(Faults));
 }
 
-std::string Cluster::history() {
+std::string Cluster::history() const {
   std::string Lines;
-  for (auto &[Id, Process] : Endpoints_)
-    if (Process.isRunning())
-      Lines += Http_.get(Process.address(), "/v1/history").Response_.Body_;
+  for (const auto &[Id, Process] : Endpoints_) {
+    std::ifstream File(Folder_ / Id);
+    Lines.append(std::istreambuf_iterator<char>(File), {});
+  }
   return Lines;
 }
 
--- a/Tests/Support/Cluster.h
+++ b/Tests/Support/Cluster.h
@@ -3,6 +3,7 @@
 #include "Tests/Support/BlockingHttp.h"
 #include "Tests/Support/ChildProcess.h"
 
+#include <filesystem>
 #include <map>
 #include <string>
 #include <vector>
@@ -31,6 +32,9 @@
 public:
   /// Starts the platform. Further arguments go to it.
   explicit Cluster(std::vector<std::string> PlatformArguments = {});
+  ~Cluster();
+  Cluster(const Cluster &) = delete;
+  Cluster &operator=(const Cluster &) = delete;
 
   /// Starts endpoints and waits until the platform's list shows them. Throws
   /// std::runtime_error if that takes longer than half a minute.
@@ -42,8 +46,8 @@
   const NetAddress &address(const std::string &Id) { return endpoint(Id).address(); }
   /// Sets faults of an endpoint, or of the platform if Id is "platform".
   void setFaults(const std::string &Id, std::string Faults);
-  /// The histories of all running endpoints, as JSON lines.
-  std::string history();
+  /// The histories of all endpoints as JSON lines, also of those that were killed or paused.
+  std::string history() const;
   BlockingHttp &http() { return Http_; }
 
 private:
@@ -52,6 +56,8 @@
   BlockingHttp Http_;
   ChildProcess Platform_;
   std::map<std::string, ChildProcess> Endpoints_;
+  /// Holds one file of history for each endpoint.
+  std::filesystem::path Folder_;
 };
 
 } // namespace rattancart
