History checker: executions by call and key in the not-run check

The check compared every not-run call with every execution, and a system test with 50,000 of them took minutes. Executions are looked up by call and by key now. history_test passes.

--- a/Source/History/ExecutionCheck.cpp
+++ b/Source/History/ExecutionCheck.cpp
@@ -23,17 +23,36 @@
 
   std::optional<Violation> run(const History &Events) const override {
     const auto Calls = callsById(Events);
+    std::multimap<RequestId, const ExecutionEvent *> ByCall;
+    std::multimap<IdempotencyKey, const ExecutionEvent *> ByKey;
+    for (const ExecutionEvent &Execution : Events.Executions_) {
+      ByCall.emplace(Execution.Call_, &Execution);
+      ByKey.emplace(Execution.Key_, &Execution);
+    }
     for (const CallEvent &Call : Events.Calls_) {
       if (Call.Outcome_ != "not-run")
         continue;
-      for (const ExecutionEvent &Execution : Events.Executions_)
-        if (contradicts(Call, Execution, Calls))
-          return violation("a call was told not-run and executed", {Call.Line_, Execution.Line_});
+      if (auto Found = judge(Call, ByCall.equal_range(Call.Request_), Calls))
+        return Found;
+      if (auto Found = judge(Call, ByKey.equal_range(Call.Key_), Calls))
+        return Found;
     }
     return std::nullopt;
   }
 
 private:
+  template <typename Range>
+  std::optional<Violation> judge(const CallEvent &Call, const Range &Executions,
+                                 const std::map<RequestId, const CallEvent *> &Calls) const {
+    // Executions without an id or a key say nothing about others without one.
+    for (auto Place = Executions.first; Place != Executions.second && !Place->first.empty();
+         ++Place)
+      if (contradicts(Call, *Place->second, Calls))
+        return violation("a call was told not-run and executed",
+                         {Call.Line_, Place->second->Line_});
+    return std::nullopt;
+  }
+
   static bool contradicts(const CallEvent &Call, const ExecutionEvent &Execution,
                           const std::map<RequestId, const CallEvent *> &Calls) {
     if (!Call.Request_.empty() && Execution.Call_ == Call.Request_)
