--- a/Source/Control/ControlProcess.cpp
+++ b/Source/Control/ControlProcess.cpp
@@ -15,6 +15,10 @@
 constexpr Duration EndpointFreshness = std::chrono::seconds(4);
 /// A load report is passed on at most this often.
 constexpr Duration LoadRefreshInterval = std::chrono::seconds(1);
+/// A record of the log is no larger, so no change need be.
+constexpr std::size_t MaxChangeBytes = 4UL * 1024 * 1024;
+/// Time between two appends of claims, over all controls: 300 a second.
+constexpr Duration AppendSpacing = std::chrono::microseconds(3'333);
 constexpr Duration SharesInterval = std::chrono::seconds(1);
 /// Control processes of a data centre that poll one endpoint; two, so that one may die unnoticed.
 constexpr std::size_t PollersPerEndpoint = 2;
@@ -23,6 +27,20 @@
   return Incarnation(static_cast<std::uint64_t>(Time.wallNow().time_since_epoch().count()));
 }
 
+HttpServerOptions adminOptions() {
+  HttpServerOptions Options;
+  Options.MaxBodyBytes_ = MaxChangeBytes;
+  return Options;
+}
+
+SequencerOptions claimOptions(const ControlSettings &Settings) {
+  SequencerOptions Options;
+  // Each control appends batches of its own, so together they stay within what the log takes.
+  const auto Controls = static_cast<std::int64_t>(Settings.Peers_.size() + 1);
+  Options.MinInterval_ = std::max(Options.MinInterval_, AppendSpacing * Controls);
+  return Options;
+}
+
 SettingsFollowerOptions followerOptions(const ControlSettings &Settings) {
   SettingsFollowerOptions Options;
   Options.Self_ = Settings.Process_.Instance_;
@@ -43,7 +61,8 @@
       Follower_({Platform_, Time, Scheduler_, Log, Random_}, followerOptions(Settings_), *this),
       Claims_(Loop_, Time, Log, Platform_,
               Settings_.Process_.Instance_.str() + "-" +
-                  std::to_string(Identity_.Incarnation_.value())),
+                  std::to_string(Identity_.Incarnation_.value()),
+              claimOptions(Settings_)),
       List_(Loop_, Time, Log, Platform_, Endpoints_,
             [this](const EndpointId &Id, EndpointChange Change) { Feed_.onChange(Id, Change); }),
       Poller_(
@@ -52,7 +71,7 @@
           [this](const EndpointId &Id, EndpointChange Change) { Feed_.onChange(Id, Change); }),
       Distributor_(Loop_, Time, Log, Identity_, *this, Feed_, Shares_, Claims_),
       Admin_(Follower_, *this, Log, Random_, {Settings_.BootstrapTokenHash_}),
-      StateHandler_(*this, this), AdminHttp_(Loop_, {}, StateHandler_, Log),
+      StateHandler_(*this, this), AdminHttp_(Loop_, adminOptions(), StateHandler_, Log),
       Signals_(Loop_, [this] { Loop_.stop(); }), SharesTimer_(Loop_) {
   const LocalState &Local = *this;
   PeerListener &Listener = *this;
--- a/Source/Router/ViewFollower.cpp
+++ b/Source/Router/ViewFollower.cpp
@@ -73,6 +73,8 @@
   ++LinksLost_;
   Log_.log(LogEvent::PeerLost, {{"peer", Link->hello().instance}, {"error", Reason.value()}});
   Claims_.onLinkLost();
+  // Demand moves on without this router, so its own shares no longer hold.
+  Listener_.onShares({}, DefaultShare_);
 }
 
 void ViewFollower::onLinkFrame(const PeerLinkPtr &Link, const wire::FrameT &Frame) {
@@ -153,7 +155,8 @@
   std::vector<CustomerShare> Parts;
   for (const auto &Item : Shares.shares)
     Parts.push_back({CustomerId(Item->customer), Item->share});
-  Listener_.onShares(Parts, Shares.default_share);
+  DefaultShare_ = Shares.default_share;
+  Listener_.onShares(Parts, DefaultShare_);
   Listener_.onRouters(std::max(Shares.routers, 1U));
 }
 
--- a/Source/Router/ViewFollower.h
+++ b/Source/Router/ViewFollower.h
@@ -89,6 +89,8 @@
   Timer BeatTimer_;
   bool EndpointsSeen_ = false;
   TimePoint RenewedAt_{};
+  /// The last default share heard; what is left to a router without a control.
+  double DefaultShare_ = 1;
   std::uint64_t LinksLost_ = 0;
 };
 
--- a/Tests/System/Deployment.cpp
+++ b/Tests/System/Deployment.cpp
@@ -83,36 +83,63 @@
 
 void Deployment::writeSettings() {
   const ProgramResult Hash = runProgram({"rattancartctl", {"hash-token", Token}});
+  for (const EntryInstance &Entry : Entries_)
+    writeEntrySettings(Entry, Hash.Output_.substr(0, Hash.Output_.find('\n')));
+}
+
+void Deployment::writeEntrySettings(const EntryInstance &Entry, const std::string &TokenHash) {
   std::string DataCenters;
   for (const std::string &DataCenter : Spec_.DataCenters_)
     DataCenters += (DataCenters.empty() ? "" : ", ") + DataCenter;
-  for (const EntryInstance &Entry : Entries_) {
-    std::string Peers;
-    // The own control first, then those of the own data centre, then the others.
-    std::string Controls = "  - " + Entry.FrameAddress_.str() + "\n";
-    std::string Remote;
-    for (const EntryInstance &Other : Entries_) {
-      if (&Other == &Entry)
-        continue;
-      Peers += "  - " + Other.FrameAddress_.str() + "\n";
-      (Other.DataCenter_ == Entry.DataCenter_ ? Controls : Remote) +=
-          "  - " + Other.FrameAddress_.str() + "\n";
-    }
-    writeFile(Entry.Name_ + "-control.yaml",
-              fmt::format("instance: {}\ndata-center: {}\nframe-listen: {}\nadmin-listen: {}\n"
-                          "platform: {}\n{}{}data-centers: [{}]\nbootstrap-token-hash: \"{}\"\n",
-                          Entry.Name_, Entry.DataCenter_, Entry.FrameAddress_.str(),
-                          Entry.AdminAddress_.str(), Cluster_.platformAddress().str(),
-                          Peers.empty() ? "" : "peers:\n", Peers, DataCenters,
-                          Hash.Output_.substr(0, Hash.Output_.find('\n'))));
-    writeFile(Entry.Name_ + "-router.yaml",
-              fmt::format("instance: {}\ndata-center: {}\nlisten: {}\nstate-listen: {}\n"
-                          "controls:\n{}{}shutdown: {{grace: 300ms, limit: 60s}}\n",
-                          Entry.Name_, Entry.DataCenter_, Entry.CallerAddress_.str(),
-                          Entry.StateAddress_.str(), Controls, Remote));
+  std::string Peers;
+  // The own control first, then those of the own data centre, then the others.
+  std::string Controls = "  - " + Entry.FrameAddress_.str() + "\n";
+  std::string Remote;
+  for (const EntryInstance &Other : Entries_) {
+    if (&Other == &Entry)
+      continue;
+    const std::string Line = "  - " + route(Entry, Other).str() + "\n";
+    Peers += Line;
+    (Other.DataCenter_ == Entry.DataCenter_ ? Controls : Remote) += Line;
+  }
+  NetAddress Platform = Cluster_.platformAddress();
+  if (Spec_.Relayed_ && isFirst(Entry))
+    Platform = relayed(Platform);
+  writeFile(Entry.Name_ + "-control.yaml",
+            fmt::format("instance: {}\ndata-center: {}\nframe-listen: {}\nadmin-listen: {}\n"
+                        "platform: {}\n{}{}data-centers: [{}]\nbootstrap-token-hash: \"{}\"\n",
+                        Entry.Name_, Entry.DataCenter_, Entry.FrameAddress_.str(),
+                        Entry.AdminAddress_.str(), Platform.str(), Peers.empty() ? "" : "peers:\n",
+                        Peers, DataCenters, TokenHash));
+  writeFile(Entry.Name_ + "-router.yaml",
+            fmt::format("instance: {}\ndata-center: {}\nlisten: {}\nstate-listen: {}\n"
+                        "controls:\n{}{}shutdown: {{grace: 300ms, limit: 60s}}\n",
+                        Entry.Name_, Entry.DataCenter_, Entry.CallerAddress_.str(),
+                        Entry.StateAddress_.str(), Controls, Remote));
+}
+
+NetAddress Deployment::route(const EntryInstance &From, const EntryInstance &To) {
+  const bool Crosses = Spec_.Relayed_ && (isFirst(From) || isFirst(To));
+  return Crosses ? relayed(To.FrameAddress_) : To.FrameAddress_;
+}
+
+NetAddress Deployment::relayed(const NetAddress &Target) {
+  Relays_.push_back(std::make_unique<Relay>(Target));
+  return Relays_.back()->address();
+}
+
+void Deployment::isolate() {
+  for (const auto &Item : Relays_) {
+    Item->silenceOpen();
+    Item->silenceNew();
   }
 }
 
+void Deployment::rejoin() {
+  for (const auto &Item : Relays_)
+    Item->pass();
+}
+
 void Deployment::startControl(EntryInstance &Entry) {
   Entry.Control_.reset();
   Entry.Control_ = std::make_unique<ChildProcess>(ProgramCall{
--- a/Tests/System/Deployment.h
+++ b/Tests/System/Deployment.h
@@ -2,6 +2,7 @@
 
 #include "Tests/Support/ChildProcess.h"
 #include "Tests/Support/Cluster.h"
+#include "Tests/Support/Relay.h"
 
 #include <boost/json/value.hpp>
 
@@ -22,6 +23,8 @@
   std::size_t PairsPerDataCenter_ = 1;
   std::vector<EndpointSpec> Endpoints_;
   std::vector<std::string> PlatformArguments_;
+  /// Lets isolate() cut the first entry off.
+  bool Relayed_ = false;
   /// Operators' settings, as rattancartctl reads them.
   std::string Settings_;
 };
@@ -58,6 +61,11 @@
   /// (Re)starts a program of an entry at its address. The earlier process is killed.
   void startControl(EntryInstance &Entry);
   void startRouter(EntryInstance &Entry);
+  /// Silences all connections between the first entry and the platform and the other entries, new
+  /// ones too. Precondition: the deployment is relayed.
+  void isolate();
+  /// New connections work again; those that were silenced stay silent for good.
+  void rejoin();
   /// The state dump of a process; null if it does not answer.
   boost::json::value state(const NetAddress &Address);
   /// Waits until all routers may send work to Count endpoints.
@@ -74,10 +82,16 @@
 private:
   std::size_t usableEndpoints(const NetAddress &State);
   void writeSettings();
+  void writeEntrySettings(const EntryInstance &Entry, const std::string &TokenHash);
+  /// The address by which From reaches To, through a relay where isolate() may cut.
+  NetAddress route(const EntryInstance &From, const EntryInstance &To);
+  NetAddress relayed(const NetAddress &Target);
+  bool isFirst(const EntryInstance &Entry) const { return &Entry == &Entries_.front(); }
 
   DeploymentSpec Spec_;
   std::filesystem::path Folder_;
   Cluster Cluster_;
+  std::vector<std::unique_ptr<Relay>> Relays_;
   std::vector<EntryInstance> Entries_;
 };
 
