--- a/Source/Control/Distributor.cpp
+++ b/Source/Control/Distributor.cpp
@@ -24,7 +24,10 @@
       Server_(Loop,
               [this](FrameConnectionPtr Connection) {
                 PeerLinkOwner &Self = *this;
-                std::make_shared<PeerLink>(Loop_, Time_, Self, std::move(Connection))->start();
+                const auto Link =
+                    std::make_shared<PeerLink>(Loop_, Time_, Self, std::move(Connection));
+                Links_.insert(Link);
+                Link->start();
               }),
       PushTimer_(Loop) {
   PushTimer_.every(PushInterval, [this] { pushEndpoints(); });
@@ -50,6 +53,7 @@
 void Distributor::onLinkDown(const PeerLinkPtr &Link, std::error_code Reason) {
   ClosedBytesIn_ += Link->bytesIn();
   ClosedBytesOut_ += Link->bytesOut();
+  Links_.erase(Link);
   if (Subscribers_.erase(Link) > 0)
     Log_.log(LogEvent::PeerLost, {{"peer", Link->hello().instance}, {"error", Reason.value()}});
 }
--- a/Source/Control/Distributor.h
+++ b/Source/Control/Distributor.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string_view>
 
 namespace rattancart {
@@ -75,6 +76,8 @@
   EndpointFeed &Feed_;
   LimitShares &Shares_;
   ClaimOrderer &Claims_;
+  /// All accepted links; those that are up are subscribers, too.
+  std::set<PeerLinkPtr> Links_;
   std::map<PeerLinkPtr, Subscriber> Subscribers_;
   std::uint64_t ClosedBytesIn_ = 0;
   std::uint64_t ClosedBytesOut_ = 0;
--- a/Source/Link/PeerLink.cpp
+++ b/Source/Link/PeerLink.cpp
@@ -29,8 +29,10 @@
         if (const auto Self = Weak.lock())
           Self->receive(Payload);
       },
-      // The connection holds the link until it is closed, so that the owner always hears of it.
-      [Self = shared_from_this()](std::error_code Reason) { Self->closed(Reason); });
+      [Weak](std::error_code Reason) {
+        if (const auto Self = Weak.lock())
+          Self->closed(Reason);
+      });
   Connection_->send(encodeFrame(makeFrame(Owner_.makeHello())));
   sendHeartbeat();
   Ticker_.every(HeartbeatInterval, [Weak] {
--- a/Source/Link/PeerLink.h
+++ b/Source/Link/PeerLink.h
@@ -21,7 +21,7 @@
 class PeerLink;
 using PeerLinkPtr = std::shared_ptr<PeerLink>;
 
-/// What a process does with its links. Not thread-safe.
+/// What a process does with its links. It holds each link until onLinkDown. Not thread-safe.
 class PeerLinkOwner {
 public:
   virtual ~PeerLinkOwner() = default;
--- a/Source/Net/Timer.cpp
+++ b/Source/Net/Timer.cpp
@@ -7,25 +7,26 @@
 namespace rattancart {
 
 struct Timer::State : std::enable_shared_from_this<Timer::State> {
+  using Handler = std::shared_ptr<const std::function<void()>>;
+
   explicit State(boost::asio::io_context &Loop) : Timer_(Loop) {}
 
-  void arm(Duration Delay, bool Repeat) {
+  /// The pending wait alone holds the handler, so that a handler that holds its own timer is freed
+  /// with the wait.
+  void arm(Duration Delay, bool Repeat, Handler Call) {
     Timer_.expires_after(Delay);
-    Timer_.async_wait(
-        [Self = shared_from_this(), Delay, Repeat, Round = Round_](boost::system::error_code E) {
-          // A handler that was queued before a cancel still runs, so the round is compared.
-          if (E || Round != Self->Round_)
-            return;
-          // The handler may replace or cancel itself; keep it alive while it runs.
-          const std::function<void()> Handler = Self->Handler_;
-          Handler();
-          if (Repeat && Round == Self->Round_)
-            Self->arm(Delay, true);
-        });
+    Timer_.async_wait([Self = shared_from_this(), Delay, Repeat, Call = std::move(Call),
+                       Round = Round_](boost::system::error_code E) {
+      // A handler that was queued before a cancel still runs, so the round is compared.
+      if (E || Round != Self->Round_)
+        return;
+      (*Call)();
+      if (Repeat && Round == Self->Round_)
+        Self->arm(Delay, true, Call);
+    });
   }
 
   boost::asio::steady_timer Timer_;
-  std::function<void()> Handler_;
   std::uint64_t Round_ = 0;
 };
 
@@ -35,14 +36,12 @@
 
 void Timer::after(Duration Delay, std::function<void()> Handler) {
   cancel();
-  State_->Handler_ = std::move(Handler);
-  State_->arm(Delay, false);
+  State_->arm(Delay, false, std::make_shared<const std::function<void()>>(std::move(Handler)));
 }
 
 void Timer::every(Duration Interval, std::function<void()> Handler) {
   cancel();
-  State_->Handler_ = std::move(Handler);
-  State_->arm(Interval, true);
+  State_->arm(Interval, true, std::make_shared<const std::function<void()>>(std::move(Handler)));
 }
 
 void Timer::cancel() {
--- a/Tests/Link/PeerLinkTest.cpp
+++ b/Tests/Link/PeerLinkTest.cpp
@@ -49,7 +49,9 @@
 struct Fixture {
   Fixture()
       : Server_(Loop_, [this](FrameConnectionPtr Connection) {
-          std::make_shared<PeerLink>(Loop_, Time_, ServerOwner_, std::move(Connection))->start();
+          Links_.push_back(
+              std::make_shared<PeerLink>(Loop_, Time_, ServerOwner_, std::move(Connection)));
+          Links_.back()->start();
         }) {
     BOOST_REQUIRE(!Server_.listen(NetAddress("127.0.0.1:0")));
   }
@@ -65,6 +67,7 @@
   std::mt19937_64 Random_{1};
   CountingOwner ServerOwner_;
   CountingOwner ClientOwner_;
+  std::vector<PeerLinkPtr> Links_;
   FrameServer Server_;
 };
 
