State dump: customers' shares and refusals; a known weakness of limits

Seen: with three routers, a customer's third request within a second got 429 although its limit is 50 a second. Cause: without demand a router holds a tenth of the limit divided by the routers. Ruled out: token and concurrency limits (the dump shows share 0.033, none at once).

--- a/Source/Router/RequestFront.cpp
+++ b/Source/Router/RequestFront.cpp
@@ -262,6 +262,14 @@
     Pools.push_back(std::move(Item));
   }
   State["pools"] = std::move(Pools);
+  boost::json::array Customers;
+  for (const CustomerUsage &Usage : Admission_.customers())
+    Customers.push_back({{"customer", Usage.Customer_.str()},
+                         {"share", Usage.Share_},
+                         {"concurrent", Usage.Concurrent_},
+                         {"admitted", Usage.Admitted_},
+                         {"refused", Usage.Refused_}});
+  State["customers"] = std::move(Customers);
   return State;
 }
 
