--- a/Tests/System/LeavingTest.cpp
+++ b/Tests/System/LeavingTest.cpp
@@ -1,11 +1,13 @@
 #include "Tests/System/CallerPool.h"
 #include "Tests/System/Deployment.h"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <fmt/format.h>
 
-#include <algorithm>
+#include <ostream>
 #include <thread>
 
 using namespace rattancart;
@@ -40,60 +42,51 @@
   Site.cluster().setFaults("eng-0-1", R"({"leaving":true})");
 }
 
-} // namespace
+/// What is wrong while endpoints begin to leave.
+struct LeavingCase {
+  const char *Name_;
+  void (*Before_)(Deployment &);
+  void (*After_)(Deployment &);
+};
 
-BOOST_AUTO_TEST_CASE(LeavingEndpointsGetNoNewWork) {
-  Deployment Site(twoCentres());
-  CallerPool Callers = mixedCallers(Site);
-  Callers.awaitMore(50);
-  leave(Site);
-  std::this_thread::sleep_for(LeavingBound + std::chrono::seconds(1));
-  Callers.awaitMore(100);
-  const std::vector<CallerRecord> Records = Callers.stop();
-  const std::string Violations = checkHistory(Records, Site.cluster().history());
-  BOOST_TEST(Violations.empty(), Violations);
-}
+std::ostream &operator<<(std::ostream &Out, const LeavingCase &Case) { return Out << Case.Name_; }
 
-BOOST_AUTO_TEST_CASE(LeavingIsSeenWithoutThePlatform) {
-  Deployment Site(twoCentres());
-  Site.cluster().setFaults("platform", R"({"down":true})");
-  CallerPool Callers = mixedCallers(Site);
-  Callers.awaitMore(50);
-  leave(Site);
-  std::this_thread::sleep_for(LeavingBound + std::chrono::seconds(1));
-  Callers.awaitMore(100);
-  const std::vector<CallerRecord> Records = Callers.stop();
-  const std::string Violations = checkHistory(Records, Site.cluster().history());
-  BOOST_TEST(Violations.empty(), Violations);
-}
+void nothing(Deployment &) {}
 
-// All control processes die, so the routers ask the endpoints themselves.
-BOOST_AUTO_TEST_CASE(LeavingIsSeenWithoutControls) {
-  Deployment Site(twoCentres());
-  CallerPool Callers = mixedCallers(Site);
-  Callers.awaitMore(50);
+void stopPlatform(Deployment &Site) { Site.cluster().setFaults("platform", R"({"down":true})"); }
+
+void killControls(Deployment &Site) {
   for (EntryInstance &Entry : Site.entries())
     Entry.Control_->kill();
-  leave(Site);
-  std::this_thread::sleep_for(LeavingBound + std::chrono::seconds(1));
-  Callers.awaitMore(100);
-  const std::vector<CallerRecord> Records = Callers.stop();
-  const std::string Violations = checkHistory(Records, Site.cluster().history());
-  BOOST_TEST(Violations.empty(), Violations);
-  BOOST_TEST(Records.back().Outcome_ == "done");
 }
 
-// A router that was stopped across the change must not act on what it knew before.
-BOOST_AUTO_TEST_CASE(RouterFrozenAcrossTheChange) {
+void pauseRouter(Deployment &Site) { Site.entry(0).Router_->pause(); }
+
+void resumeRouter(Deployment &Site) { Site.entry(0).Router_->resume(); }
+
+const LeavingCase LeavingCases[] = {
+    {"no fault", nothing, nothing},
+    {"platform down", stopPlatform, nothing},
+    // The routers ask the endpoints themselves.
+    {"all controls dead", killControls, nothing},
+    // A router that was stopped across the change must not act on what it knew before.
+    {"router frozen across the change", pauseRouter, resumeRouter},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(LeavingEndpointsGetNoNewWork, boost::unit_test::data::make(LeavingCases),
+                     Case) {
   Deployment Site(twoCentres());
   CallerPool Callers = mixedCallers(Site);
   Callers.awaitMore(50);
-  Site.entry(0).Router_->pause();
+  Case.Before_(Site);
   leave(Site);
   std::this_thread::sleep_for(LeavingBound + std::chrono::seconds(1));
-  Site.entry(0).Router_->resume();
+  Case.After_(Site);
   Callers.awaitMore(100);
   const std::vector<CallerRecord> Records = Callers.stop();
   const std::string Violations = checkHistory(Records, Site.cluster().history());
   BOOST_TEST(Violations.empty(), Violations);
+  BOOST_TEST(Records.back().Outcome_ == "done", Records.back().Body_);
 }
