Planner tests: settling is bounded by the engines that may move

The bound that follows from the design is one round for gaps, one for surplus and one move for each engine, so it is now the number of engines plus three (17 at most on these deployments). All cases pass.

--- a/Tests/Core/Layers/LayerPlannerTest.cpp
+++ b/Tests/Core/Layers/LayerPlannerTest.cpp
@@ -38,10 +38,11 @@
              Engine->Kind_->SizeMb_;
 }
 
-/// Plans until nothing changes, as an owner does whose orders are all carried out.
+/// Plans until nothing changes, as an owner does whose orders are all carried out. Gaps are closed
+/// and surplus given up in two rounds; spare engines then move one a round, each once at most.
 std::size_t settle(const LayeredModel &Model, std::vector<PlannedEngine> &Engines) {
   std::size_t Orders = 0;
-  for (int Round = 0; Round < 30; ++Round) {
+  for (std::size_t Round = 0; Round < Engines.size() + 3; ++Round) {
     const auto Plan = planLayers(Model, Engines);
     for (const LayerPlacement &Placement : Plan)
       BOOST_TEST(fits(Model, Placement, Engines));
