An engine that turns work away although it has room is left alone for a while

Ruled out: lost engines (none was silent), want of memory (reports showed room).

Change: the roster keeps new work from such an engine for 400 ms, twice as long each time it goes on, up to 3.2 s; engines short of memory or with a queue are not meant. The planner no longer relies on an engine that turned work away twice in a row, unless an order is under way there. The stand-in engine that leaves now refuses as a later stage too, as the protocol says.

Tests, failing before: 30 of 30 requests were turned away by the leaving engine (GatewayTest), now fewer than 15; roster and controller cases.

--- a/Source/Core/Layers/PlacementController.cpp
+++ b/Source/Core/Layers/PlacementController.cpp
@@ -47,6 +47,14 @@
   }
 }
 
+bool PlacementController::isUsable(const EndpointRecord &Record, TimePoint Now) const {
+  if (Record.Listing_.State_ != EndpointState::Live || Record.silent(Now))
+    return false;
+  // While an order is under way, an engine turns away what it can't run at the time.
+  const bool Ordered = Pending_.contains(Record.Listing_.Id_) || Record.Report_.Busy_;
+  return Ordered || !Record.declinesForLong(Now);
+}
+
 bool PlacementController::gathering(const std::vector<PlannedEngine> &Engines, TimePoint Now) {
   if (Engines.size() != EnginesSeen_) {
     EnginesSeen_ = Engines.size();
@@ -89,7 +97,7 @@
   std::size_t Loading = 0;
   for (const auto &[Id, Record] : Roster.all()) {
     if (Record.Listing_.Service_ != Service || Record.Listing_.DataCenter_ != Place ||
-        !Roster.takesWork(Record, Now))
+        !isUsable(Record, Now))
       continue;
     PlannedEngine Engine = plannedEngine(Model, Record);
     if (!Engine.Kind_)
--- a/Source/Core/Layers/PlacementController.h
+++ b/Source/Core/Layers/PlacementController.h
@@ -69,6 +69,8 @@
     OrderOutcome Outcome_ = OrderOutcome::Unknown;
   };
 
+  /// Whether an engine can be planned with.
+  bool isUsable(const EndpointRecord &Record, TimePoint Now) const;
   /// Whether the engines have just started together and more of them may be about to appear.
   bool gathering(const std::vector<PlannedEngine> &Engines, TimePoint Now);
   bool settled(const Pending &Order, const EndpointRecord &Record, TimePoint Now) const;
--- a/Source/Core/Serving/EndpointRoster.cpp
+++ b/Source/Core/Serving/EndpointRoster.cpp
@@ -10,9 +10,26 @@
 /// Entries that lapsed during an outage are back this long after it, if the endpoint lives; a
 /// property of the platform.
 constexpr Duration RelistTime = std::chrono::seconds(2);
+/// Reports lag behind by 200 ms, so an engine that moved layers is known right after this time.
+constexpr Duration LeastDecline = std::chrono::milliseconds(400);
+/// An engine that leaves goes on for some seconds; one request in this time finds out.
+constexpr Duration MostDecline = std::chrono::milliseconds(3200);
+/// Free part of an engine's memory. Between two reports a data centre's requests take less than a
+/// tenth.
+constexpr double AmpleShare = 0.2;
 
 } // namespace
 
+bool EndpointRecord::declinesForLong(TimePoint Now) const {
+  return DeclineHold_ > LeastDecline && Now - DeclinesUntil_ < DeclineHold_;
+}
+
+bool EndpointRecord::hasAmpleRoom() const {
+  const double Used = std::max(Report_.UsedTokenLayers_, OwnTokenLayers_);
+  return reported() && Report_.Waiting_ == 0 && Report_.TotalTokenLayers_ > 0 &&
+         Report_.TotalTokenLayers_ - Used >= AmpleShare * Report_.TotalTokenLayers_;
+}
+
 EndpointRoster::Change EndpointRoster::list(EndpointListing Listing, TimePoint Now) {
   const auto Place = Records_.find(Listing.Id_);
   if (Place == Records_.end()) {
@@ -36,6 +53,8 @@
     Record.Report_ = {};
     Record.ReportedAt_ = {};
     Record.SilentUntil_ = {};
+    Record.DeclinesUntil_ = {};
+    Record.DeclineHold_ = {};
   }
   Record.Missing_ = false;
   Record.ListedAt_ = Now;
@@ -103,6 +122,18 @@
     Place->second.SilentUntil_ = {};
 }
 
+bool EndpointRoster::markDeclining(const EndpointId &Id, TimePoint Now) {
+  const auto Place = Records_.find(Id);
+  if (Place == Records_.end() || Place->second.declines(Now))
+    return false;
+  EndpointRecord &Record = Place->second;
+  const bool Again =
+      Record.DeclineHold_ > Duration{} && Now - Record.DeclinesUntil_ < Record.DeclineHold_;
+  Record.DeclineHold_ = Again ? std::min(2 * Record.DeclineHold_, MostDecline) : LeastDecline;
+  Record.DeclinesUntil_ = Now + Record.DeclineHold_;
+  return true;
+}
+
 void EndpointRoster::addOwn(const EndpointId &Id, int Requests, double TokenLayers) {
   const auto Place = Records_.find(Id);
   if (Place == Records_.end())
@@ -114,7 +145,8 @@
 }
 
 bool EndpointRoster::takesWork(const EndpointRecord &Record, TimePoint Now) const {
-  return Record.Listing_.State_ == EndpointState::Live && !Record.silent(Now);
+  return Record.Listing_.State_ == EndpointState::Live && !Record.silent(Now) &&
+         !Record.declines(Now);
 }
 
 const EndpointRecord *EndpointRoster::find(const EndpointId &Id) const {
--- a/Source/Core/Serving/EndpointRoster.h
+++ b/Source/Core/Serving/EndpointRoster.h
@@ -57,6 +57,9 @@
   TimePoint ReportedAt_{};
   /// The endpoint failed to answer; no new work until then.
   TimePoint SilentUntil_{};
+  /// The endpoint turned work away that it has room for; no new work until then.
+  TimePoint DeclinesUntil_{};
+  Duration DeclineHold_{};
   /// Requests that this process has under way there, and the memory that they are expected to take.
   std::uint32_t OwnRequests_ = 0;
   double OwnTokenLayers_ = 0;
@@ -68,6 +71,11 @@
     return reported() && ReportedAt_ >= ListedAt_ ? Report_.Layers_ : Listing_.Layers_;
   }
   bool silent(TimePoint Now) const { return Now < SilentUntil_; }
+  bool declines(TimePoint Now) const { return Now < DeclinesUntil_; }
+  /// Whether it turned work away again when it was tried again, so that it is not to be relied on.
+  bool declinesForLong(TimePoint Now) const;
+  /// Whether the engine has so much free memory that this can't be why it turned a request away.
+  bool hasAmpleRoom() const;
 };
 
 /// The endpoints of all services: the platform's list, what engines report, who is silent and what
@@ -95,6 +103,11 @@
   void markSilent(const EndpointId &Id, TimePoint Until);
   void markHeard(const EndpointId &Id);
 
+  /// Keeps new work from an endpoint that turned some away although it has room. It is about to
+  /// leave or to give up layers, which the list may not say for as long as the platform is away.
+  /// The time doubles while it goes on. False if the endpoint is unknown or declines already.
+  bool markDeclining(const EndpointId &Id, TimePoint Now);
+
   /// Counts work of this process; the negative of it at its end.
   void addOwn(const EndpointId &Id, int Requests, double TokenLayers);
 
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -229,9 +229,11 @@
 void StreamExchange::learnFrom(const HttpResult &Result) {
   const EndpointId First = Attempt_->Endpoint_;
   if (Attempt_->Answer_.Fault_) {
-    // The named engine may be lost, or only short of memory; its report tells.
+    // The named engine may be lost, short of memory, or about to leave; its report tells.
     if (const EndpointRecord *Engine = Parts_.Roster_.findByAddress(*Attempt_->Answer_.Fault_)) {
       Limits_.Avoid_.insert(Engine->Listing_.Id_);
+      if (Attempt_->Answer_.NotRun_ && Engine->hasAmpleRoom())
+        noteDeclining(*Engine);
       Parts_.Health_.check({Engine->Listing_.Id_}, [](const std::vector<EndpointId> &) {});
       return;
     }
@@ -241,6 +243,21 @@
     Parts_.Health_.check({First}, [](const std::vector<EndpointId> &) {});
 }
 
+void StreamExchange::noteDeclining(const EndpointRecord &Engine) {
+  const TimePoint Now = Parts_.Time_.now();
+  if (!Parts_.Roster_.markDeclining(Engine.Listing_.Id_, Now))
+    return;
+  Parts_.Metrics_.count("declines_total", Engine.Listing_.DataCenter_.str());
+  Parts_.Log_.log(LogEvent::EndpointDeclines,
+                  {{"endpoint", Engine.Listing_.Id_.str()},
+                   {"id", Routed_.Caller_.Id_.str()},
+                   {"status", Attempt_->Head_.Status_},
+                   {"used", Engine.Report_.UsedTokenLayers_},
+                   {"total", Engine.Report_.TotalTokenLayers_},
+                   {"report_age_ms", (Now - Engine.ReportedAt_) / milliseconds(1)},
+                   {"hold_ms", Engine.DeclineHold_ / milliseconds(1)}});
+}
+
 void StreamExchange::goOn(bool MayHaveRun, std::string_view Cause) {
   MayHaveRun_ = MayHaveRun_ || MayHaveRun;
   const bool Allowed = !MayHaveRun_ || Routed_.Route_->repeatable();
--- a/Source/StandIns/Site/LayerEngineFront.cpp
+++ b/Source/StandIns/Site/LayerEngineFront.cpp
@@ -172,9 +172,16 @@
     Ledger_.Faults_.push_back(fmt::format("{} does not run every layer", Id));
   if (Request.Headers_.has("Authorization"))
     Ledger_.Faults_.push_back(fmt::format("{} carries its key", Id));
-  const NetAddress Broken = brokenStage(Path);
-  if (!Broken.empty() || Leaving_)
-    return refuse(*Responder, Request, 503, Broken.empty() ? address() : Broken);
+  NetAddress Broken = brokenStage(Path);
+  for (const Stage &Each : Path)
+    if (const auto Place = Peers_.find(Each.Address_);
+        Broken.empty() && Place != Peers_.end() && Place->second->leaving())
+      Broken = Each.Address_;
+  if (!Broken.empty()) {
+    if (const auto Place = Peers_.find(Broken); Place != Peers_.end())
+      ++Ledger_.Refusals_[Place->second->options().Id_];
+    return refuse(*Responder, Request, 503, Broken);
+  }
 
   Stream Begun;
   Begun.Responder_ = Responder;
--- a/Source/StandIns/Site/SiteLedger.h
+++ b/Source/StandIns/Site/SiteLedger.h
@@ -12,6 +12,8 @@
 struct SiteLedger {
   /// Runs of each request id, by endpoint.
   std::map<std::string, std::vector<std::string>> Runs_;
+  /// Requests that were turned away, by the engine at fault.
+  std::map<std::string, std::size_t> Refusals_;
   /// Bookings by request id.
   std::set<std::string> Bookings_;
   /// What broke the protocol: a layer left out, a wrong customer, an unknown path.
--- a/Tests/Core/Layers/PlacementControllerTest.cpp
+++ b/Tests/Core/Layers/PlacementControllerTest.cpp
@@ -1,6 +1,8 @@
 #include "Core/Layers/PlacementController.h"
 #include "Tests/Core/Layers/Deployments.h"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <deque>
@@ -60,6 +62,7 @@
   /// Lets the owner work for a step of 200 ms.
   void step(PlacementController &Owner, double LateShare) {
     Now_ += 200ms;
+    Roster_.markDeclining(Declining_, Now_);
     for (ModelEngine &Engine : Engines_)
       report(Engine);
     for (const PlacementOrder &Order : Owner.tick(Model_, Service, Home, 3, Roster_, Now_))
@@ -70,6 +73,9 @@
     }
   }
 
+  /// The engine turns work away from now on, and the list does not say why.
+  void decline(std::size_t Index) { Declining_ = Engines_[Index].Listing_.Id_; }
+
   void lose(std::size_t Index) {
     Roster_.unlist(Engines_[Index].Listing_.Id_, false, Now_);
     Engines_.erase(Engines_.begin() + static_cast<std::ptrdiff_t>(Index));
@@ -88,11 +94,21 @@
   bool whole() const {
     std::vector<bool> Covered(Model_.Layers_, false);
     for (const ModelEngine &Engine : Engines_)
-      for (std::uint32_t Layer = Engine.Held_.Begin_; Layer < Engine.Held_.End_; ++Layer)
-        Covered[Layer] = true;
+      if (Engine.Listing_.Id_ != Declining_)
+        for (std::uint32_t Layer = Engine.Held_.Begin_; Layer < Engine.Held_.End_; ++Layer)
+          Covered[Layer] = true;
     return std::find(Covered.begin(), Covered.end(), false) == Covered.end();
   }
 
+  /// Whether the engines' memory bears the whole model, with the least room that is planned for.
+  bool couldBeWhole() const {
+    const double LeastRoomTokens = 20'000;
+    std::uint32_t Total = 0;
+    for (const ModelEngine &Engine : Engines_)
+      Total += layerCapacity(Model_, *Model_.kind(Engine.Listing_.Kind_), LeastRoomTokens);
+    return Total >= Model_.Layers_;
+  }
+
   std::size_t size() const { return Engines_.size(); }
   std::mt19937 Random_;
 
@@ -127,6 +143,7 @@
 
   LayeredModel Model_;
   EndpointRoster Roster_;
+  EndpointId Declining_;
   std::vector<ModelEngine> Engines_;
   std::deque<std::pair<TimePoint, PlacementOrder>> Late_;
   TimePoint Now_{1h};
@@ -144,19 +161,19 @@
 
 BOOST_AUTO_TEST_CASE(OwnersThatChangeAndOrdersThatAreLateLeaveTheModelWhole) {
   const unsigned Seeds = 400;
+  unsigned Bearable = 0;
   for (unsigned Seed = 1; Seed <= Seeds; ++Seed) {
     World Place(Seed, deployments()[Seed % 3]);
     PlacementController First;
     PlacementController Second;
     std::int64_t Fence = 1;
-    bool Lost = false;
+    int Lost = 0;
     First.setOwner(FencingNumber(Fence));
     for (int Step = 0; Step < 120; ++Step) {
       const unsigned Draw = Place.Random_() % 100;
       if (Draw < 3)
         Place.restart(Place.Random_() % Place.size());
-      // One engine for good; the others can hold the model without any one of them.
-      if (Draw == 3 && !std::exchange(Lost, true))
+      if (Draw == 3 && Lost++ < 3)
         Place.lose(Place.Random_() % Place.size());
       if (Draw == 4) {
         // The other one takes over; the old one does not know, and goes on until it is refused.
@@ -171,9 +188,27 @@
     (Fence % 2 == 1 ? Second : First).setOwner(std::nullopt);
     for (int Step = 0; Step < 120; ++Step)
       Place.step(Owner, 0);
+    if (!Place.couldBeWhole())
+      continue;
+    ++Bearable;
     BOOST_TEST_CONTEXT("seed " << Seed)
     BOOST_TEST(Place.whole());
   }
+  BOOST_TEST(Bearable > Seeds * 9 / 10);
+}
+
+BOOST_DATA_TEST_CASE(LayersOfAnEngineThatTurnsWorkAwayAreTakenOver,
+                     boost::unit_test::data::xrange(0, 3), Index) {
+  World Place(1, deployments()[static_cast<std::size_t>(Index)]);
+  PlacementController Owner;
+  Owner.setOwner(FencingNumber(1));
+  for (int Step = 0; Step < 40; ++Step)
+    Place.step(Owner, 0);
+  BOOST_TEST(Place.whole());
+  Place.decline(0);
+  for (int Step = 0; Step < 40; ++Step)
+    Place.step(Owner, 0);
+  BOOST_TEST(Place.whole());
 }
 
 BOOST_AUTO_TEST_CASE(ARefusedOwnerOrdersNothingMore) {
--- a/Tests/Core/Serving/EndpointRosterTest.cpp
+++ b/Tests/Core/Serving/EndpointRosterTest.cpp
@@ -115,6 +115,46 @@
   BOOST_TEST(takesWork(Roster, Start + 2s));
 }
 
+BOOST_AUTO_TEST_CASE(AnEndpointThatTurnsWorkAwayIsTriedAgainEverLater) {
+  EndpointRoster Roster;
+  Roster.list(listing(1), Start);
+  BOOST_TEST(Roster.markDeclining(Id, Start));
+  BOOST_TEST(!takesWork(Roster, Start + 300ms));
+  // Others that were turned away in the meantime add nothing.
+  BOOST_TEST(!Roster.markDeclining(Id, Start + 300ms));
+  BOOST_TEST(takesWork(Roster, Start + 400ms));
+  BOOST_TEST(!Roster.find(Id)->declinesForLong(Start + 400ms));
+  BOOST_TEST(Roster.markDeclining(Id, Start + 420ms));
+  BOOST_TEST(!takesWork(Roster, Start + 1200ms));
+  BOOST_TEST(Roster.find(Id)->declinesForLong(Start + 1300ms));
+  // Long after, it counts as the first time again.
+  BOOST_TEST(Roster.markDeclining(Id, Start + 10s));
+  BOOST_TEST(takesWork(Roster, Start + 10400ms));
+  // A new run knows nothing of it.
+  Roster.markDeclining(Id, Start + 10500ms);
+  Roster.list(listing(2), Start + 10600ms);
+  BOOST_TEST(takesWork(Roster, Start + 10600ms));
+}
+
+BOOST_AUTO_TEST_CASE(AmpleRoomNeedsAReportAndNoQueue) {
+  EndpointRoster Roster;
+  Roster.list(listing(1), Start);
+  const auto Ample = [&](double Used, std::uint32_t Waiting) {
+    EngineReport Report = report(1, {0, 8});
+    Report.UsedTokenLayers_ = Used;
+    Report.TotalTokenLayers_ = 100;
+    Report.Waiting_ = Waiting;
+    Roster.report(Id, Report, Start);
+    return Roster.find(Id)->hasAmpleRoom();
+  };
+  BOOST_TEST(!Roster.find(Id)->hasAmpleRoom());
+  BOOST_TEST(Ample(80, 0));
+  BOOST_TEST(!Ample(81, 0));
+  BOOST_TEST(!Ample(0, 1));
+  Roster.addOwn(Id, 1, 90);
+  BOOST_TEST(!Ample(0, 0));
+}
+
 BOOST_AUTO_TEST_CASE(OwnWorkNeverCountsBelowNothing) {
   EndpointRoster Roster;
   Roster.list(listing(1), Start);
--- a/Tests/System/GatewayTest.cpp
+++ b/Tests/System/GatewayTest.cpp
@@ -225,6 +225,22 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(AnEngineThatLeavesWhileTheStoreIsAwayIsNotTriedByEachRequest) {
+  GatewayDeployment Deployment({"east", "west"});
+  BOOST_TEST(statusOf(Deployment.call(0, "a", "POST", site::BriefPath, 3)) == 200U);
+  Deployment.site().setStoreFault(StoreFault::Silent);
+  const std::string Leaving = Deployment.soleHolder("east", "");
+  Deployment.site().drainEngine(Leaving);
+  const std::size_t Calls = 30;
+  for (std::size_t I = 0; I < Calls; ++I) {
+    const std::string Id = "b" + std::to_string(I);
+    const HttpResult Result = Deployment.call(0, Id, "POST", site::BriefPath, 3);
+    BOOST_TEST(holdsEvents(Result.Response_.Body_, 1, 3));
+  }
+  BOOST_TEST(Deployment.site().ledger().Refusals_[Leaving] < Calls / 2);
+  Deployment.site().setStoreFault(StoreFault::None);
+}
+
 BOOST_AUTO_TEST_CASE(AnotherGatewayTakesThePlacementOver) {
   // Frozen, the owner comes back later and must give way; killed, it never does.
   for (const bool Frozen : {true, false}) {
