Signs of life of an engine count only from when the missing event was due, and events are signs too

And all engines of a path were probed, though other streams' events showed most of them at work: 10,395 probes for 4,523 requests.

Change: a look counts signs from after the missing event was due, or after the last look; an event that passes through an engine is a sign. The time of the last sign is in the roster, EngineHealth keeps no copy.

Tests: StreamPulse and roster cases; the first fails with the old rule.

--- a/Source/Core/Recovery/StreamPulse.cpp
+++ b/Source/Core/Recovery/StreamPulse.cpp
@@ -47,10 +47,18 @@
   CheckAt_ = Now + allowedSilence();
 }
 
-void StreamPulse::foundAlive(TimePoint Now) { CheckAt_ = Now + LookAgain; }
+void StreamPulse::foundAlive(TimePoint Now) {
+  LookedAt_ = Now;
+  CheckAt_ = Now + LookAgain;
+}
 
 bool StreamPulse::connectionLost(TimePoint Now) const { return quiet(Now) >= ConnectionSilence; }
 
+TimePoint StreamPulse::evidenceSince() const {
+  const Duration Expected = Events_ > 0 ? UsualGap_ : FirstSilence / 2;
+  return std::max(ProgressAt_ + Expected, LookedAt_);
+}
+
 Duration StreamPulse::allowedSilence() const {
   return std::clamp<Duration>(UsualGap_ * SilentGaps, SilenceLeast, SilenceMost);
 }
--- a/Source/Core/Recovery/StreamPulse.h
+++ b/Source/Core/Recovery/StreamPulse.h
@@ -30,6 +30,9 @@
   /// Whether the silence is so long that, with engines that all answer, the connection must have
   /// fallen silent.
   bool connectionLost(TimePoint Now) const;
+  /// An answer of an engine from before this time does not tell whether it is at fault: the next
+  /// event was not due yet, or the engines were looked at since.
+  TimePoint evidenceSince() const;
   /// A report younger than this tells about the present silence.
   TimePoint silentSince() const { return ProgressAt_ + allowedSilence(); }
   TimePoint progressAt() const { return ProgressAt_; }
@@ -45,6 +48,7 @@
 
   TimePoint ProgressAt_{};
   TimePoint CheckAt_{};
+  TimePoint LookedAt_{};
   TimePoint FirstEventAt_{};
   TimePoint LastEventAt_{};
   /// Running mean of the time between events.
--- a/Source/Core/Serving/EndpointRoster.cpp
+++ b/Source/Core/Serving/EndpointRoster.cpp
@@ -53,6 +53,7 @@
     Record.Report_ = {};
     Record.ReportedAt_ = {};
     Record.SilentUntil_ = {};
+    Record.SignAt_ = {};
     Record.DeclinesUntil_ = {};
     Record.DeclineHold_ = {};
   }
@@ -117,9 +118,15 @@
   Place->second.SilentUntil_ = std::max(Place->second.SilentUntil_, Until);
 }
 
-void EndpointRoster::markHeard(const EndpointId &Id) {
+void EndpointRoster::markHeard(const EndpointId &Id, TimePoint Now) {
   if (const auto Place = Records_.find(Id); Place != Records_.end())
     Place->second.SilentUntil_ = {};
+  noteSign(Id, Now);
+}
+
+void EndpointRoster::noteSign(const EndpointId &Id, TimePoint Now) {
+  if (const auto Place = Records_.find(Id); Place != Records_.end())
+    Place->second.SignAt_ = Now;
 }
 
 bool EndpointRoster::markDeclining(const EndpointId &Id, TimePoint Now) {
--- a/Source/Core/Serving/EndpointRoster.h
+++ b/Source/Core/Serving/EndpointRoster.h
@@ -55,6 +55,9 @@
   EngineReport Report_;
   /// When the report was true; the epoch if there is none of this run.
   TimePoint ReportedAt_{};
+  /// When this process last had a sign that the endpoint works: an answer, or an event of a stream
+  /// that passes through it.
+  TimePoint SignAt_{};
   /// The endpoint failed to answer; no new work until then.
   TimePoint SilentUntil_{};
   /// The endpoint turned work away that it has room for; no new work until then.
@@ -101,7 +104,9 @@
   /// Keeps new work from an endpoint until Until, or until this process hears it again. Reports
   /// that others pass on don't end that: the endpoint may be cut off from this process alone.
   void markSilent(const EndpointId &Id, TimePoint Until);
-  void markHeard(const EndpointId &Id);
+  void markHeard(const EndpointId &Id, TimePoint Now);
+  /// The endpoint works, as something that passed through it shows.
+  void noteSign(const EndpointId &Id, TimePoint Now);
 
   /// Keeps new work from an endpoint that turned some away although it has room. It is about to
   /// leave or to give up layers, which the list may not say for as long as the platform is away.
--- a/Source/Gateway/EngineHealth.cpp
+++ b/Source/Gateway/EngineHealth.cpp
@@ -18,8 +18,6 @@
 /// A kept connection may have fallen silent by itself; then a new one is tried.
 constexpr Duration PollConnectTime = milliseconds(120);
 constexpr Duration PollTime = milliseconds(250);
-/// An answer this recent needs no new probe.
-constexpr Duration RecentAnswer = milliseconds(150);
 /// A silent engine gets no work for this long, unless it answers before.
 constexpr Duration SilentHold = milliseconds(1500);
 /// How often silent engines are asked again.
@@ -35,7 +33,7 @@
   Timer_.every(RecheckInterval, [this] { recheck(); });
 }
 
-void EngineHealth::check(const std::vector<EndpointId> &Engines, Callback Done) {
+void EngineHealth::check(const std::vector<EndpointId> &Engines, TimePoint Since, Callback Done) {
   struct Round {
     std::size_t Open_ = 0;
     std::vector<EndpointId> Silent_;
@@ -45,7 +43,7 @@
   State->Open_ = Engines.size();
   State->Done_ = std::move(Done);
   for (const EndpointId &Engine : Engines)
-    ask(Engine, [State, Engine](bool Answers) {
+    ask(Engine, Since, [State, Engine](bool Answers) {
       if (!Answers)
         State->Silent_.push_back(Engine);
       if (--State->Open_ == 0)
@@ -53,13 +51,12 @@
     });
 }
 
-void EngineHealth::ask(const EndpointId &Engine, std::function<void(bool)> Answered) {
-  const TimePoint Now = Time_.now();
+void EngineHealth::ask(const EndpointId &Engine, TimePoint Since,
+                       std::function<void(bool)> Answered) {
   const EndpointRecord *Record = Roster_.find(Engine);
-  if (!Record || Record->silent(Now))
+  if (!Record || Record->silent(Time_.now()))
     return Answered(false);
-  if (const auto Last = AnsweredAt_.find(Engine);
-      Last != AnsweredAt_.end() && Now - Last->second < RecentAnswer)
+  if (Record->SignAt_ >= Since)
     return Answered(true);
   probe(Engine, std::move(Answered));
 }
@@ -148,16 +145,14 @@
   const TimePoint Now = Time_.now();
   bool FoundSilent = false;
   if (Answers) {
-    AnsweredAt_[Engine] = Now;
     if (const auto Silent = Silent_.find(Engine); Silent != Silent_.end()) {
       Log_.log(
           LogEvent::EndpointAnswers,
           {{"endpoint", Engine.str()}, {"silent_ms", (Now - Silent->second) / milliseconds(1)}});
       Silent_.erase(Silent);
     }
-    Roster_.markHeard(Engine);
+    Roster_.markHeard(Engine, Now);
   } else {
-    AnsweredAt_.erase(Engine);
     FoundSilent = Silent_.emplace(Engine, Now).second;
     Roster_.markSilent(Engine, Now + SilentHold);
   }
@@ -190,14 +185,13 @@
                    finish(Engine, true);
                    return Answered();
                  }
-                 ask(Engine, [Answered](bool) { Answered(); });
+                 ask(Engine, Time_.now(), [Answered](bool) { Answered(); });
                });
 }
 
 void EngineHealth::recheck() {
   const TimePoint Now = Time_.now();
   std::erase_if(Silent_, [&](const auto &Entry) { return !Roster_.find(Entry.first); });
-  std::erase_if(AnsweredAt_, [&](const auto &Entry) { return !Roster_.find(Entry.first); });
   for (const auto &[Engine, Since] : Silent_) {
     // Work stays away while the probe is on its way.
     Roster_.markSilent(Engine, Now + SilentHold);
--- a/Source/Gateway/EngineHealth.h
+++ b/Source/Gateway/EngineHealth.h
@@ -29,8 +29,10 @@
   EngineHealth(boost::asio::io_context &Loop, const Clock &Time, Logger &Log, MetricSet &Metrics,
                HttpClient &Client, const EndpointDialect &Dialect, EndpointRoster &Roster);
 
-  /// Asks each engine unless its last answer is recent.
-  void check(const std::vector<EndpointId> &Engines, Callback Done);
+  /// Asks each engine unless there was a sign of it since then.
+  void check(const std::vector<EndpointId> &Engines, TimePoint Since, Callback Done);
+  /// An event of a stream came through the engine, so it need not be asked.
+  void noteWork(const EndpointId &Engine) { Roster_.noteSign(Engine, Time_.now()); }
   /// Asks an engine at once, whatever it answered before: there is a sign that it is gone.
   void suspect(const EndpointId &Engine);
   /// Calls Handler whenever an engine is found silent.
@@ -54,7 +56,7 @@
   };
   using ProbePtr = std::shared_ptr<Probe>;
 
-  void ask(const EndpointId &Engine, std::function<void(bool)> Answered);
+  void ask(const EndpointId &Engine, TimePoint Since, std::function<void(bool)> Answered);
   void probe(const EndpointId &Engine, std::function<void(bool)> Answered);
   void send(const EndpointId &Engine, const ProbePtr &Asked);
   void onAnswer(const EndpointId &Engine, const ProbePtr &Asked, const HttpResult &Outcome);
@@ -74,7 +76,6 @@
   boost::asio::io_context &Loop_;
   std::map<EndpointId, ProbePtr> Probes_;
   std::vector<std::function<void(const EndpointId &)>> SilentHandlers_;
-  std::map<EndpointId, TimePoint> AnsweredAt_;
   /// Engines that this process found silent, with the time.
   std::map<EndpointId, TimePoint> Silent_;
 };
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -190,6 +190,8 @@
   if (Event.Id_)
     LastEvent_ = Event.Id_;
   Pulse_.event(Parts_.Time_.now());
+  for (const PathStage &Stage : Path_.Stages_)
+    Parts_.Health_.noteWork(Stage.Engine_);
   if (!std::exchange(Started_, true)) {
     Parts_.Metrics_.observe("first_event_seconds", Routed_.Service_->Id_.str(),
                             Pulse_.firstEventAt() - Routed_.ArrivedAt_);
@@ -234,13 +236,14 @@
       Limits_.Avoid_.insert(Engine->Listing_.Id_);
       if (Attempt_->Answer_.NotRun_ && Engine->hasAmpleRoom())
         noteDeclining(*Engine);
-      Parts_.Health_.check({Engine->Listing_.Id_}, [](const std::vector<EndpointId> &) {});
+      Parts_.Health_.check({Engine->Listing_.Id_}, Attempt_->SentAt_,
+                           [](const std::vector<EndpointId> &) {});
       return;
     }
   }
   Limits_.Avoid_.insert(First);
   if (Result.Error_)
-    Parts_.Health_.check({First}, [](const std::vector<EndpointId> &) {});
+    Parts_.Health_.check({First}, Parts_.Time_.now(), [](const std::vector<EndpointId> &) {});
 }
 
 void StreamExchange::noteDeclining(const EndpointRecord &Engine) {
@@ -330,7 +333,7 @@
   for (const PathStage &Stage : Path_.Stages_)
     Engines.push_back(Stage.Engine_);
   Checking_ = true;
-  Parts_.Health_.check(Engines,
+  Parts_.Health_.check(Engines, Pulse_.evidenceSince(),
                        [Self = std::static_pointer_cast<StreamExchange>(shared_from_this()),
                         Checked = Attempt_](const std::vector<EndpointId> &Silent) {
                          Self->Checking_ = false;
--- a/Tests/Core/Recovery/StreamPulseTest.cpp
+++ b/Tests/Core/Recovery/StreamPulseTest.cpp
@@ -66,6 +66,21 @@
   BOOST_TEST(Pulse.connectionLost(Start + 1100ms));
 }
 
+BOOST_AUTO_TEST_CASE(OnlySignsFromAfterTheMissingEventTellWhoIsAtFault) {
+  // Load pattern: an engine answers another stream's probe and is lost right after; the streams
+  // on it must not take that answer for a sign of life.
+  StreamPulse Pulse;
+  Pulse.sent(Start);
+  BOOST_TEST((Pulse.evidenceSince() == Start + 150ms));
+  for (int I = 0; I < 10; ++I)
+    Pulse.event(Start + I * 40ms);
+  BOOST_TEST((Pulse.evidenceSince() == Start + 400ms));
+  Pulse.foundAlive(Start + 480ms);
+  BOOST_TEST((Pulse.evidenceSince() == Start + 480ms));
+  Pulse.event(Start + 500ms);
+  BOOST_TEST((Pulse.evidenceSince() > Start + 540ms));
+}
+
 BOOST_AUTO_TEST_CASE(APauseOverALossIsTheLongest) {
   StreamPulse Pulse;
   Pulse.sent(Start);
--- a/Tests/Core/Serving/EndpointRosterTest.cpp
+++ b/Tests/Core/Serving/EndpointRosterTest.cpp
@@ -111,8 +111,13 @@
   BOOST_TEST(!takesWork(Roster, Start + 200ms));
   BOOST_TEST(takesWork(Roster, Start + 1s));
   Roster.markSilent(Id, Start + 9s);
-  Roster.markHeard(Id);
+  Roster.noteSign(Id, Start + 1900ms);
+  BOOST_TEST(!takesWork(Roster, Start + 2s));
+  Roster.markHeard(Id, Start + 2s);
   BOOST_TEST(takesWork(Roster, Start + 2s));
+  BOOST_TEST((Roster.find(Id)->SignAt_ == Start + 2s));
+  Roster.list(listing(2), Start + 3s);
+  BOOST_TEST((Roster.find(Id)->SignAt_ == TimePoint{}));
 }
 
 BOOST_AUTO_TEST_CASE(AnEndpointThatTurnsWorkAwayIsTriedAgainEverLater) {
