An engine that closes a gap cuts its streams off while the other data centres have no room

Change: orders that close a gap cut streams off only while fewer than two other data centres hold the model. The controller gets that count with the place.

Test: orders of the controller by the number of others that are whole.

--- a/Source/Core/Layers/PlacementController.cpp
+++ b/Source/Core/Layers/PlacementController.cpp
@@ -17,6 +17,8 @@
 /// Engines that start together appear in the list within one heartbeat of each other; a plan for
 /// the first few of them would give each too many layers.
 constexpr Duration GatherTime = std::chrono::milliseconds(1500);
+/// One data centre alone has no memory for the requests of another beside its own.
+constexpr std::size_t EnoughElsewhere = 2;
 
 } // namespace
 
@@ -82,8 +84,7 @@
 
 std::vector<PlacementOrder> PlacementController::tick(const LayeredModel &Model,
                                                       const ServiceId &Service,
-                                                      const DataCenterId &Place,
-                                                      std::size_t DataCenters,
+                                                      const PlacementScope &Scope,
                                                       const EndpointRoster &Roster, TimePoint Now) {
   std::vector<PlacementOrder> Orders;
   if (!Fence_)
@@ -96,7 +97,7 @@
   std::vector<PlannedEngine> Engines;
   std::size_t Loading = 0;
   for (const auto &[Id, Record] : Roster.all()) {
-    if (Record.Listing_.Service_ != Service || Record.Listing_.DataCenter_ != Place ||
+    if (Record.Listing_.Service_ != Service || Record.Listing_.DataCenter_ != Scope.Place_ ||
         !isUsable(Record, Now))
       continue;
     PlannedEngine Engine = plannedEngine(Model, Record);
@@ -110,7 +111,7 @@
     return Orders;
   // Second copies wait while many loads run: each further load slows all of them.
   const std::size_t CopiesAtOnce =
-      std::max<std::size_t>(1, Model.LoadsAtOnce_ / std::max<std::size_t>(1, DataCenters));
+      std::max<std::size_t>(1, Model.LoadsAtOnce_ / std::max<std::size_t>(1, Scope.DataCenters_));
   for (const LayerPlacement &Placement : planLayers(Model, Engines)) {
     if (!Placement.FillsGap_ && Loading >= CopiesAtOnce)
       continue;
@@ -120,7 +121,8 @@
         Placement.Layers_,    Record->Listing_.Run_, Record->Report_.Orders_, TimePoint{}, Now,
         OrderOutcome::Unknown};
     Orders.push_back({Placement.Engine_, Record->Listing_.Address_, Placement.Layers_, *Fence_,
-                      Record->Report_.Orders_, Placement.FillsGap_});
+                      Record->Report_.Orders_, Placement.FillsGap_,
+                      Placement.FillsGap_ && Scope.OthersWhole_ < EnoughElsewhere});
   }
   return Orders;
 }
--- a/Source/Core/Layers/PlacementController.h
+++ b/Source/Core/Layers/PlacementController.h
@@ -20,6 +20,17 @@
   /// has accepted another since.
   std::uint64_t ExpectedOrders_ = 0;
   bool FillsGap_ = false;
+  /// Streams that pass through layers given up are cut off, instead of finishing first. They go on
+  /// elsewhere after a pause.
+  bool CutsStreams_ = false;
+};
+
+/// The data centre that orders are for, among all.
+struct PlacementScope {
+  DataCenterId Place_;
+  std::size_t DataCenters_ = 1;
+  /// Other data centres that hold the whole model now.
+  std::size_t OthersWhole_ = 0;
 };
 
 /// What became of an order.
@@ -41,7 +52,11 @@
 /// Answers owners that change, freeze or are cut off, and orders that are carried out late: each
 /// order names the owner's fencing number and the count of orders that the engine was last seen
 /// with, so that of two orders decided on the same state only one is carried out. An order without
-/// an answer blocks its engine until a newer report shows what became of it. Not thread-safe.
+/// an answer blocks its engine until a newer report shows what became of it.
+///
+/// Answers engines that are replaced one after the other: an engine that takes layers over first
+/// finishes its streams, which takes seconds. While other data centres have room for the requests,
+/// that costs nothing; while they don't, the streams are cut off. Not thread-safe.
 class PlacementController {
 public:
   /// Takes the ownership up under a fencing number, or gives it up.
@@ -50,8 +65,8 @@
 
   /// Orders to send now. Call it at least each second, and whenever engines changed.
   std::vector<PlacementOrder> tick(const LayeredModel &Model, const ServiceId &Service,
-                                   const DataCenterId &Place, std::size_t DataCenters,
-                                   const EndpointRoster &Roster, TimePoint Now);
+                                   const PlacementScope &Scope, const EndpointRoster &Roster,
+                                   TimePoint Now);
   /// Reports the outcome of an order of tick.
   void ended(const PlacementOrder &Order, OrderOutcome Outcome, TimePoint Now);
 
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -65,7 +65,7 @@
       Bulletin_(Loop_, Time, Log, *Store_, Roster_, Settings_.Process_.DataCenter_,
                 Settings_.DataCenters_),
       Placement_({Loop_, Time, Log, Metrics_, Client_, Platform.Dialect_, *Store_, Roster_, Config_,
-                  Health_, Bulletin_},
+                  Paths_, Health_, Bulletin_},
                  Settings_.Process_.DataCenter_, Settings_.DataCenters_.size()),
       Parts_{Loop_,
              Time,
--- a/Source/Gateway/PlacementOwner.cpp
+++ b/Source/Gateway/PlacementOwner.cpp
@@ -165,11 +165,17 @@
   const ServingIndexPtr &Config = Use_.Config_.current();
   if (!owns() || !Config)
     return;
-  for (const ServingService &Service : Config->config().Services_)
-    if (Service.Model_)
-      for (const PlacementOrder &Order : Controller_.tick(
-               *Service.Model_, Service.Id_, Home_, DataCenters_, Use_.Roster_, Use_.Time_.now()))
-        send(Order);
+  const TimePoint Now = Use_.Time_.now();
+  for (const ServingService &Service : Config->config().Services_) {
+    if (!Service.Model_)
+      continue;
+    auto Whole = Use_.Paths_.whole(*Service.Model_, Service.Id_, Now);
+    std::erase(Whole, Home_);
+    const PlacementScope Scope{Home_, DataCenters_, Whole.size()};
+    for (const PlacementOrder &Order :
+         Controller_.tick(*Service.Model_, Service.Id_, Scope, Use_.Roster_, Now))
+      send(Order);
+  }
 }
 
 void PlacementOwner::send(const PlacementOrder &Order) {
@@ -178,7 +184,8 @@
                                           {"to", Order.Layers_.End_},
                                           {"fence", Order.Fence_.value()},
                                           {"expected_orders", Order.ExpectedOrders_},
-                                          {"fills_gap", static_cast<int>(Order.FillsGap_)}});
+                                          {"fills_gap", static_cast<int>(Order.FillsGap_)},
+                                          {"cuts", static_cast<int>(Order.CutsStreams_)}});
   HttpSendOptions Options;
   Options.Use_ = ConnectionUse::Fresh;
   Options.ConnectTimeout_ = OrderConnectTime;
--- a/Source/Gateway/PlacementOwner.h
+++ b/Source/Gateway/PlacementOwner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Common/Logger.h"
+#include "Core/Layers/PathChooser.h"
 #include "Core/Layers/PlacementController.h"
 #include "Core/Serving/ServingIndex.h"
 #include "Gateway/EndpointDialect.h"
@@ -30,6 +31,7 @@
     MetadataStore &Store_;
     EndpointRoster &Roster_;
     const ConfigHolder &Config_;
+    const PathChooser &Paths_;
     EngineHealth &Health_;
     EngineBulletin &Bulletin_;
   };
--- a/Tests/Core/Layers/PlacementControllerTest.cpp
+++ b/Tests/Core/Layers/PlacementControllerTest.cpp
@@ -65,8 +65,11 @@
     Roster_.markDeclining(Declining_, Now_);
     for (ModelEngine &Engine : Engines_)
       report(Engine);
-    for (const PlacementOrder &Order : Owner.tick(Model_, Service, Home, 3, Roster_, Now_))
+    for (const PlacementOrder &Order :
+         Owner.tick(Model_, Service, {Home, 3, OthersWhole_}, Roster_, Now_)) {
+      ++(Order.CutsStreams_ ? Cutting_ : Waiting_);
       deliver(Owner, Order, LateShare);
+    }
     while (!Late_.empty() && Late_.front().first <= Now_) {
       find(Late_.front().second.Engine_).take(Late_.front().second, Model_.LayerMb_, Now_);
       Late_.pop_front();
@@ -110,6 +113,11 @@
   }
 
   std::size_t size() const { return Engines_.size(); }
+  /// Other data centres that hold the whole model.
+  std::size_t OthersWhole_ = 2;
+  /// Orders given by the last steps that cut streams off, and those that don't.
+  std::size_t Cutting_ = 0;
+  std::size_t Waiting_ = 0;
   std::mt19937 Random_;
 
 private:
@@ -211,6 +219,25 @@
   BOOST_TEST(Place.whole());
 }
 
+BOOST_AUTO_TEST_CASE(StreamsAreCutOffOnlyWhereOthersHaveNoRoomForTheRequests) {
+  for (const std::size_t Others : {0U, 1U, 2U}) {
+    World Place(1, deployments().front());
+    PlacementController Owner;
+    Owner.setOwner(FencingNumber(1));
+    for (int Step = 0; Step < 40; ++Step)
+      Place.step(Owner, 0);
+    Place.Cutting_ = Place.Waiting_ = 0;
+    Place.OthersWhole_ = Others;
+    Place.lose(0);
+    for (int Step = 0; Step < 40; ++Step)
+      Place.step(Owner, 0);
+    BOOST_TEST_CONTEXT(Others << " others are whole") {
+      BOOST_TEST((Place.Cutting_ > 0) == (Others < 2));
+      BOOST_TEST(Place.whole());
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ARefusedOwnerOrdersNothingMore) {
   World Place(7, deployments().front());
   PlacementController Old;
