Gateway: metrics for what decides, and how long repairs and waits take

For on-call engineers without anything but the metrics address: endpoints by data centre and state, which data centres hold the model whole, ages of reports, list and configuration, retry budget left, calls to the store by outcome, time from a lost path to the next event, waits for room, delay of the event loop, memory.

Stand-in engines read a prompt for a time, hold memory for the streams that pass and turn away what does not fit. System tests, with real processes: an engine lost while the prompt is read and after the first event (6 cases), and requests beyond the engines' memory are refused and have not run.

--- a/Source/Core/Recovery/RetryShare.cpp
+++ b/Source/Core/Recovery/RetryShare.cpp
@@ -35,13 +35,15 @@
   ++slot(Service, Now).First_;
 }
 
-double RetryShare::left(const ServiceId &Service, TimePoint Now) {
+double RetryShare::left(const ServiceId &Service, TimePoint Now) const {
   const std::int64_t Index = indexOf(Now);
   double First = 0;
   double Repeats = 0;
   // Windows slide: repeats are counted over one slot more than a window holds, first sends over no
   // more than one, so that no window sees more repeats than its first sends allow.
-  for (const Slot &Each : Rings_[Service]) {
+  const auto Place = Rings_.find(Service);
+  const Ring None{};
+  for (const Slot &Each : Place == Rings_.end() ? None : Place->second) {
     const std::int64_t Age = Index - Each.Index_;
     if (Each.Index_ < 0 || Age > static_cast<std::int64_t>(Slots))
       continue;
--- a/Source/Core/Recovery/RetryShare.h
+++ b/Source/Core/Recovery/RetryShare.h
@@ -33,7 +33,7 @@
   /// Takes one repeat, if one is left in the window.
   bool tryRepeat(const ServiceId &Service, TimePoint Now);
   /// Repeats left in the window.
-  double left(const ServiceId &Service, TimePoint Now);
+  double left(const ServiceId &Service, TimePoint Now) const;
 
 private:
   static constexpr std::size_t Slots = 10;
--- /dev/null
+++ b/Source/Gateway/GatewayGauges.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "Core/Layers/PathChooser.h"
+#include "Core/Recovery/RetryShare.h"
+#include "Core/Serving/EndpointRoster.h"
+#include "Core/Serving/ServingIndex.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace rattancart {
+
+/// One label of a gauge.
+struct GaugeLabel {
+  std::string_view Name_;
+  std::string Value_;
+};
+
+/// Gauges in Prometheus text format. Not thread-safe.
+class GaugeText {
+public:
+  /// Prefix stands in front of each name.
+  explicit GaugeText(std::string_view Prefix) : Prefix_(Prefix) {}
+
+  /// Gauges of one name are added in a row.
+  void add(std::string_view Name, double Value, const std::vector<GaugeLabel> &Labels = {});
+  const std::string &text() const { return Text_; }
+
+private:
+  std::string Prefix_;
+  std::string Last_;
+  std::string Text_;
+};
+
+/// Endpoints by data centre and state, and the age of the oldest report that paths rest on.
+void addEndpointGauges(GaugeText &Gauges, const EndpointRoster &Roster, TimePoint Now);
+
+/// The configuration in force, the retry budget left by service, and for each layered model which
+/// data centres hold it whole.
+void addServingGauges(GaugeText &Gauges, const ConfigHolder &Config, const EndpointRoster &Roster,
+                      const PathChooser &Paths, const RetryShare &Retries, TimePoint Now);
+
+} // namespace rattancart
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/GatewayProcess.h"
 
 #include "Core/Common/ErrorCode.h"
+#include "Gateway/GatewayGauges.h"
 #include "Process/ProcessUsage.h"
 
 #include <fmt/format.h>
@@ -17,6 +18,8 @@
 
 constexpr Duration DrainInterval = milliseconds(50);
 constexpr Duration HousekeepingInterval = milliseconds(200);
+/// How late this timer comes tells how long the event loop keeps others waiting.
+constexpr Duration LoopProbeInterval = milliseconds(250);
 /// Idle connections kept to one endpoint; a stream occupies one for its whole time.
 constexpr std::size_t IdleConnections = 16;
 /// Added to the gateways that are known, as a margin of the common retry budget.
@@ -58,7 +61,7 @@
     : Settings_(std::move(Settings)), SettingsFile_(std::move(SettingsFile)), Time_(Time),
       Log_(Log), Random_(std::random_device{}()), Client_(Loop_, IdleConnections),
       StoreClient_(Loop_, IdleConnections),
-      Store_(Platform.MakeStore_(Loop_, Time, Log, StoreClient_, Settings_.Store_)),
+      Store_(Platform.MakeStore_(Loop_, Time, Log, Metrics_, StoreClient_, Settings_.Store_)),
       Health_(Loop_, Time, Log, Metrics_, Client_, Platform.Dialect_, Roster_),
       Paths_(Roster_, Settings_.Process_.DataCenter_),
       Retries_(Settings_.Retries_, Settings_.Gateways_),
@@ -84,7 +87,7 @@
       StateHandler_(*this), StateHttp_(Loop_, {}, StateHandler_, Log),
       MetricsHttp_(Loop_, {}, StateHandler_, Log), Signals_(Loop_, [this] { onShutdownSignal(); }),
       ReloadSignal_(Loop_, SIGHUP), Drain_({Settings_.ShutdownGrace_, Settings_.ShutdownLimit_}),
-      DrainTimer_(Loop_), Housekeeping_(Loop_) {}
+      DrainTimer_(Loop_), Housekeeping_(Loop_), LoopProbe_(Loop_) {}
 
 GatewayProcess::~GatewayProcess() = default;
 
@@ -103,6 +106,7 @@
   Placement_.start();
   watchReload();
   Housekeeping_.every(HousekeepingInterval, [this] { checkReady(); });
+  measureLoopDelay();
   Log_.log(LogEvent::ProcessStarted, {{"listen", Callers_.address().str()},
                                       {"state", StateHttp_.address().str()},
                                       {"peers", Bulletin_.member()},
@@ -146,6 +150,7 @@
 }
 
 void GatewayProcess::onListed(EndpointListing Listing) {
+  ListHeardAt_ = Time_.now();
   const EndpointId Id = Listing.Id_;
   const EndpointRoster::Change Change = Roster_.list(std::move(Listing), Time_.now());
   if (Change == EndpointRoster::Change::None)
@@ -200,6 +205,14 @@
     Log_.log(LogEvent::ProcessNotReady, {{"reason", Reason}});
 }
 
+void GatewayProcess::measureLoopDelay() {
+  const TimePoint Due = Time_.now() + LoopProbeInterval;
+  LoopProbe_.after(LoopProbeInterval, [this, Due] {
+    Metrics_.observe("loop_delay_seconds", "timer", Time_.now() - Due);
+    measureLoopDelay();
+  });
+}
+
 std::string GatewayProcess::notReadyReason() const {
   if (!Drain_.isReady())
     return "shutting down";
@@ -298,18 +311,20 @@
 
 std::string GatewayProcess::metricsText() const {
   static constexpr std::string_view Prefix = "rattancart_gateway_";
-  std::string Text = Metrics_.prometheusText(Prefix);
-  const auto Gauge = [&](std::string_view Name, auto Value) {
-    fmt::format_to(std::back_inserter(Text), "# TYPE {0}{1} gauge\n{0}{1} {2}\n", Prefix, Name,
-                   Value);
-  };
-  Gauge("in_flight", Front_.inFlight());
-  Gauge("ready", notReadyReason().empty() ? 1 : 0);
-  Gauge("waiting", Waiting_.size());
-  Gauge("store_reachable", StoreReachable_ ? 1 : 0);
-  Gauge("owns_placement", Placement_.owns() ? 1 : 0);
-  Gauge("endpoints", Roster_.all().size());
-  return Text;
+  const std::string Text = Metrics_.prometheusText(Prefix);
+  GaugeText Gauges(Prefix);
+  Gauges.add("in_flight", static_cast<double>(Front_.inFlight()));
+  Gauges.add("ready", notReadyReason().empty() ? 1 : 0);
+  Gauges.add("waiting", static_cast<double>(Waiting_.size()));
+  Gauges.add("store_reachable", StoreReachable_ ? 1 : 0);
+  Gauges.add("owns_placement", Placement_.owns() ? 1 : 0);
+  Gauges.add("resident_bytes", static_cast<double>(residentBytes()));
+  const TimePoint Now = Time_.now();
+  if (ListHeardAt_ != TimePoint{})
+    Gauges.add("list_age_seconds", std::chrono::duration<double>(Now - ListHeardAt_).count());
+  addEndpointGauges(Gauges, Roster_, Now);
+  addServingGauges(Gauges, Config_, Roster_, Paths_, Retries_, Now);
+  return Text + Gauges.text();
 }
 
 } // namespace rattancart
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -24,7 +24,7 @@
   const EndpointDialect &Dialect_;
   /// Makes the client of the platform's store.
   std::function<std::unique_ptr<MetadataStore>(boost::asio::io_context &, const Clock &, Logger &,
-                                               HttpClient &, const NetAddress &)>
+                                               MetricSet &, HttpClient &, const NetAddress &)>
       MakeStore_;
 };
 
@@ -56,6 +56,7 @@
 
   void watchEngines();
   void checkReady();
+  void measureLoopDelay();
   void onShutdownSignal();
   void drainTick();
   void finish();
@@ -92,7 +93,10 @@
   DrainState Drain_;
   Timer DrainTimer_;
   Timer Housekeeping_;
+  Timer LoopProbe_;
   bool ListComplete_ = false;
+  /// When the last record of the list came.
+  TimePoint ListHeardAt_{};
   bool StoreReachable_ = true;
   bool WasReady_ = false;
   bool Accepting_ = true;
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -149,10 +149,14 @@
 }
 
 void StreamExchange::tryWaiting(TimePoint Now) {
-  if (Parts_.Waiting_.isNext(*Ticket_, Now) && sendOnPath(/*Again=*/false))
+  const Duration Waited = Now - (WaitUntil_ - Parts_.Waiting_.options().MaxWait_);
+  if (Parts_.Waiting_.isNext(*Ticket_, Now) && sendOnPath(/*Again=*/false)) {
+    Parts_.Metrics_.observe("queue_wait_seconds", "sent", Waited);
     return stopWaiting();
+  }
   if (Now < WaitUntil_)
     return;
+  Parts_.Metrics_.observe("queue_wait_seconds", "refused", Waited);
   stopWaiting();
   refuseForPath();
 }
@@ -191,7 +195,10 @@
     return;
   if (Event.Id_)
     LastEvent_ = Event.Id_;
-  Pulse_.event(Parts_.Time_.now());
+  const TimePoint Now = Parts_.Time_.now();
+  if (const auto LostAt = std::exchange(PathLostAt_, std::nullopt))
+    Parts_.Metrics_.observe("resume_seconds", Routed_.Service_->Id_.str(), Now - *LostAt);
+  Pulse_.event(Now);
   for (const PathStage &Stage : Path_.Stages_)
     Parts_.Health_.noteWork(Stage.Engine_);
   if (!std::exchange(Started_, true)) {
@@ -267,6 +274,8 @@
 
 void StreamExchange::goOn(bool MayHaveRun, std::string_view Cause) {
   MayHaveRun_ = MayHaveRun_ || MayHaveRun;
+  if (Started_ && MayHaveRun && !PathLostAt_)
+    PathLostAt_ = Parts_.Time_.now();
   const bool Allowed = !MayHaveRun_ || Routed_.Route_->repeatable();
   if (!Allowed || Sends_ >= MaxSends || left() <= Duration{})
     return giveUp();
--- a/Source/Gateway/StreamExchange.h
+++ b/Source/Gateway/StreamExchange.h
@@ -76,6 +76,8 @@
   std::uint32_t Resumes_ = 0;
   /// Why the stream left its path; empty if the last send did not run.
   std::string_view ResumeCause_;
+  /// When a stream that had begun lost its path; set until its next event.
+  std::optional<TimePoint> PathLostAt_;
   /// Set while the stream has no path.
   std::optional<TimePoint> ResumeUntil_;
   TimePoint ResumeAt_{};
--- a/Source/Process/ProcessUsage.cpp
+++ b/Source/Process/ProcessUsage.cpp
@@ -14,6 +14,8 @@
   return static_cast<double>(Time.tv_sec) + static_cast<double>(Time.tv_usec) * 1e-6;
 }
 
+} // namespace
+
 std::uint64_t residentBytes() {
   std::ifstream Statm("/proc/self/statm");
   std::uint64_t Total = 0;
@@ -22,8 +24,6 @@
   return Resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
 }
 
-} // namespace
-
 boost::json::object processUsage() {
   rusage Usage{};
   getrusage(RUSAGE_SELF, &Usage);
--- a/Source/StandIns/Site/LayerEngineFront.cpp
+++ b/Source/StandIns/Site/LayerEngineFront.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <utility>
 
 namespace rattancart {
@@ -20,6 +21,8 @@
 
 /// Work that depends on a lost stage is cut off after this time.
 constexpr Duration StallLimit = std::chrono::milliseconds(2500);
+/// Memory of one token in one layer.
+constexpr double TokenLayerBytes = 7375;
 
 std::uint64_t numberAt(std::string_view Text, std::size_t From) {
   std::uint64_t Value = 0;
@@ -85,13 +88,12 @@
 
 void LayerEngineFront::report(HttpResponder &Responder) const {
   const LayerRange Layers = layers();
-  const double Total = (Options_.SizeMb_ - (Held_.End_ - Held_.Begin_) * Options_.LayerMb_) * 100;
   boost::json::object Body{{"busy", Time_.now() < BusyUntil_},
                            {"sequence", Orders_},
                            {"waiting", 0},
                            {"running", Streams_.size()},
-                           {"kv_used", 0},
-                           {"kv_total", std::max(0.0, Total)},
+                           {"kv_used", usedTokenLayers()},
+                           {"kv_total", totalTokenLayers()},
                            {"pace", 1.0},
                            {"born", Run_},
                            {"stalled", boost::json::array{}}};
@@ -147,6 +149,33 @@
   return {};
 }
 
+NetAddress LayerEngineFront::refusingStage(const std::vector<Stage> &Path, double Tokens) const {
+  if (NetAddress Broken = brokenStage(Path); !Broken.empty())
+    return Broken;
+  for (const Stage &Each : Path) {
+    const LayerEngineFront &Engine = *Peers_.find(Each.Address_)->second;
+    const double Needed = Tokens * (Each.Layers_.End_ - Each.Layers_.Begin_);
+    if (Engine.leaving() || Engine.usedTokenLayers() + Needed > Engine.totalTokenLayers())
+      return Each.Address_;
+  }
+  return {};
+}
+
+double LayerEngineFront::usedTokenLayers() const {
+  double Used = 0;
+  for (const auto &[Address, Engine] : Peers_)
+    for (const Stream &Each : Engine->Streams_)
+      for (const Stage &Part : Each.Path_)
+        if (Part.Address_ == address())
+          Used += Each.Tokens_ * (Part.Layers_.End_ - Part.Layers_.Begin_);
+  return Used;
+}
+
+double LayerEngineFront::totalTokenLayers() const {
+  const double FreeMb = Options_.SizeMb_ - (Held_.End_ - Held_.Begin_) * Options_.LayerMb_;
+  return std::max(0.0, FreeMb) * 1e6 / TokenLayerBytes;
+}
+
 void LayerEngineFront::start(const HttpRequest &Request, const HttpResponderPtr &Responder) {
   const std::string Id(Request.Headers_.get("X-Attempt-Id"));
   std::vector<Stage> Path;
@@ -172,61 +201,77 @@
     Ledger_.Faults_.push_back(fmt::format("{} does not run every layer", Id));
   if (Request.Headers_.has("Authorization"))
     Ledger_.Faults_.push_back(fmt::format("{} carries its key", Id));
-  NetAddress Broken = brokenStage(Path);
-  for (const Stage &Each : Path)
-    if (const auto Place = Peers_.find(Each.Address_);
-        Broken.empty() && Place != Peers_.end() && Place->second->leaving())
-      Broken = Each.Address_;
-  if (!Broken.empty()) {
-    if (const auto Place = Peers_.find(Broken); Place != Peers_.end())
+  const std::string_view Tokens = Request.Headers_.get("X-Token-Counts");
+  const double Prompt = static_cast<double>(numberAt(Tokens, 0));
+  const std::uint64_t LastEvent = numberAt(Tokens, Tokens.find(',') + 1);
+  const double AllTokens = Prompt + static_cast<double>(LastEvent);
+  if (const NetAddress Refusing = refusingStage(Path, AllTokens); !Refusing.empty()) {
+    if (const auto Place = Peers_.find(Refusing); Place != Peers_.end())
       ++Ledger_.Refusals_[Place->second->options().Id_];
-    return refuse(*Responder, Request, 503, Broken);
+    return refuse(*Responder, Request, 503, Refusing);
   }
 
   Stream Begun;
+  Begun.Id_ = Id;
   Begun.Responder_ = Responder;
   Begun.Path_ = std::move(Path);
+  Begun.Tokens_ = AllTokens;
+  Begun.ReadAt_ = Time_.now() + Options_.ReadTime_;
   Begun.NextEvent_ = numberAt(Request.Headers_.get("Last-Event-Id"), 0) + 1;
-  const std::string_view Tokens = Request.Headers_.get("X-Token-Counts");
-  Begun.LastEvent_ = numberAt(Tokens, Tokens.find(',') + 1);
+  Begun.LastEvent_ = LastEvent;
+  if (Options_.ReadTime_ == Duration{})
+    sendHead(Begun);
+  Streams_.push_back(std::move(Begun));
+}
+
+void LayerEngineFront::sendHead(Stream &Each) {
   HttpResponse Head;
-  Head.Headers_.add("X-Attempt-Id", Id);
+  Head.Headers_.add("X-Attempt-Id", Each.Id_);
   Head.Headers_.add("X-Response-Stamp", Options_.Id_);
   Head.Headers_.add("Content-Type", "text/event-stream");
-  Responder->startChunked(std::move(Head));
-  Ledger_.Runs_[Id].push_back(Options_.Id_);
-  Streams_.push_back(std::move(Begun));
+  Each.Responder_->startChunked(std::move(Head));
+  Each.HeadSent_ = true;
+  Ledger_.Runs_[Each.Id_].push_back(Options_.Id_);
+}
+
+bool LayerEngineFront::stall(Stream &Each, TimePoint Now) {
+  if (Each.StalledSince_ == TimePoint{})
+    Each.StalledSince_ = Now;
+  if (Now - Each.StalledSince_ < StallLimit)
+    return true;
+  if (Each.HeadSent_) {
+    Each.Responder_->abort();
+    return false;
+  }
+  HttpRequest Request;
+  Request.Headers_.add("X-Attempt-Id", Each.Id_);
+  refuse(*Each.Responder_, Request, 503, brokenStage(Each.Path_));
+  return false;
+}
+
+bool LayerEngineFront::advance(Stream &Each, TimePoint Now) {
+  if (!Each.Responder_->isOpen())
+    return false;
+  if (!brokenStage(Each.Path_).empty())
+    return stall(Each, Now);
+  Each.StalledSince_ = {};
+  if (Now < Each.ReadAt_)
+    return true;
+  if (!Each.HeadSent_)
+    sendHead(Each);
+  Each.Responder_->sendChunk(fmt::format("id: {0}\ndata: token {0}\n\n", Each.NextEvent_));
+  if (++Each.NextEvent_ <= Each.LastEvent_)
+    return true;
+  Each.Responder_->finishChunked();
+  return false;
 }
 
 void LayerEngineFront::tick() {
   if (Life_ != Life::Running)
     return;
   const TimePoint Now = Time_.now();
-  for (auto Each = Streams_.begin(); Each != Streams_.end();) {
-    if (!Each->Responder_->isOpen()) {
-      Each = Streams_.erase(Each);
-      continue;
-    }
-    if (!brokenStage(Each->Path_).empty()) {
-      if (Each->StalledSince_ == TimePoint{})
-        Each->StalledSince_ = Now;
-      if (Now - Each->StalledSince_ < StallLimit) {
-        ++Each;
-        continue;
-      }
-      Each->Responder_->abort();
-      Each = Streams_.erase(Each);
-      continue;
-    }
-    Each->StalledSince_ = {};
-    Each->Responder_->sendChunk(fmt::format("id: {0}\ndata: token {0}\n\n", Each->NextEvent_));
-    if (++Each->NextEvent_ <= Each->LastEvent_) {
-      ++Each;
-      continue;
-    }
-    Each->Responder_->finishChunked();
-    Each = Streams_.erase(Each);
-  }
+  for (auto Each = Streams_.begin(); Each != Streams_.end();)
+    Each = advance(*Each, Now) ? std::next(Each) : Streams_.erase(Each);
 }
 
 } // namespace rattancart
--- a/Source/StandIns/Site/LayerEngineFront.h
+++ b/Source/StandIns/Site/LayerEngineFront.h
@@ -33,6 +33,8 @@
   Duration LoadTime_ = std::chrono::milliseconds(400);
   /// Time between two events of a stream.
   Duration EventInterval_ = std::chrono::milliseconds(10);
+  /// Reading a prompt; the answer's head comes with the first event.
+  Duration ReadTime_{};
 };
 
 /// A model engine that holds layers and runs requests along a path of engines. Not thread-safe.
@@ -64,6 +66,10 @@
   /// Layers held now; empty while they load.
   LayerRange layers() const;
   std::uint64_t run() const { return Run_; }
+  /// Tokens times layers that the streams of all engines take here.
+  double usedTokenLayers() const;
+  /// Tokens times layers that the memory beside the layers holds.
+  double totalTokenLayers() const;
   /// Streams of which this many events were sent.
   std::size_t streams(std::uint64_t Events) const;
 
@@ -75,8 +81,12 @@
     LayerRange Layers_;
   };
   struct Stream {
+    std::string Id_;
     HttpResponderPtr Responder_;
     std::vector<Stage> Path_;
+    double Tokens_ = 0;
+    TimePoint ReadAt_{};
+    bool HeadSent_ = false;
     std::uint64_t NextEvent_ = 1;
     std::uint64_t LastEvent_ = 0;
     TimePoint StalledSince_{};
@@ -89,6 +99,13 @@
               const NetAddress &Fault) const;
   /// The stage that can't work now; an empty address if all can.
   NetAddress brokenStage(const std::vector<Stage> &Path) const;
+  /// The stage that takes no new stream of that many tokens; an empty address if all do.
+  NetAddress refusingStage(const std::vector<Stage> &Path, double Tokens) const;
+  /// Sends a stream's next event, or ends it. False once it has ended.
+  bool advance(Stream &Each, TimePoint Now);
+  /// A stage of the stream can't work. False once the stream has been cut off.
+  bool stall(Stream &Each, TimePoint Now);
+  void sendHead(Stream &Each);
   void tick();
 
   const Clock &Time_;
--- a/Source/StandIns/Site/Site.cpp
+++ b/Source/StandIns/Site/Site.cpp
@@ -90,6 +90,7 @@
         Engine.Kind_ = Kind;
         Engine.SizeMb_ = sizeOf(Kind);
         Engine.EventInterval_ = Options_.EventInterval_;
+        Engine.ReadTime_ = Options_.ReadTime_;
         Engines_.push_back(std::make_unique<LayerEngineFront>(Loop_, Time_, Log_, std::move(Engine),
                                                               Peers_, Ledger_));
         if (Engines_.back()->listen())
--- a/Source/StandIns/Site/Site.h
+++ b/Source/StandIns/Site/Site.h
@@ -32,6 +32,8 @@
   /// How often endpoints write to the list.
   Duration Heartbeat_ = std::chrono::milliseconds(200);
   Duration EventInterval_ = std::chrono::milliseconds(10);
+  /// How long an engine reads a prompt.
+  Duration ReadTime_{};
 };
 
 /// The users' platform in one process: its store, layered engines and desks on loopback ports, on a
--- /dev/null
+++ b/Tests/Gateway/GatewayGaugesTest.cpp
@@ -0,0 +1,100 @@
+#include "Gateway/GatewayGauges.h"
+#include "Tests/Core/Layers/Deployments.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+
+using namespace rattancart;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start{1h};
+const ServiceId Brief("brief");
+
+/// A data centre "east" of two halves of a model, and "west" with the first half only.
+struct Place {
+  EndpointRoster Roster_;
+  ConfigHolder Config_;
+  RetryShare Retries_{{0.2, 100, 10s}, 4};
+  PathChooser Paths_{Roster_, DataCenterId("east")};
+
+  Place() {
+    add("east-a", "east", {0, 40});
+    add("east-b", "east", {40, 80});
+    add("west-a", "west", {0, 40});
+    ServingConfig Config;
+    Config.Revision_ = ConfigRevision(7);
+    Config.Services_.push_back({Brief, 10, test::makeModel(80)});
+    Config_.offer(std::move(Config), Start);
+  }
+
+  void add(const char *Id, const char *Where, LayerRange Layers) {
+    EndpointListing Listing;
+    Listing.Id_ = EndpointId(Id);
+    Listing.Service_ = Brief;
+    Listing.Address_ = NetAddress(Id);
+    Listing.DataCenter_ = DataCenterId(Where);
+    Listing.Kind_ = "huge";
+    Listing.Layers_ = Layers;
+    Roster_.list(Listing, Start);
+  }
+
+  std::string text(TimePoint Now) const {
+    GaugeText Gauges("p_");
+    addEndpointGauges(Gauges, Roster_, Now);
+    addServingGauges(Gauges, Config_, Roster_, Paths_, Retries_, Now);
+    return Gauges.text();
+  }
+};
+
+struct GaugeCase {
+  const char *Name_;
+  void (*Change_)(Place &);
+  /// Lines of the text two seconds after the start.
+  std::vector<std::string> Lines_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const GaugeCase &Case) { return Out << Case.Name_; }
+
+const GaugeCase GaugeCases[] = {
+    {"all live",
+     [](Place &) {},
+     {"# TYPE p_endpoints gauge\np_endpoints{data_center=\"east\",state=\"live\"} 2\n",
+      "p_endpoints{data_center=\"west\",state=\"live\"} 1\n", "p_config_revision 7\n",
+      "p_config_age_seconds 2\n", "p_retry_budget_left{service=\"brief\"} 23.75\n",
+      "p_holds_whole_model{service=\"brief\",data_center=\"east\"} 1\n",
+      "p_holds_whole_model{service=\"brief\",data_center=\"west\"} 0\n"}},
+    {"one silent",
+     [](Place &P) { P.Roster_.markSilent(EndpointId("east-a"), Start + 3s); },
+     {"p_endpoints{data_center=\"east\",state=\"silent\"} 1\n",
+      "p_holds_whole_model{service=\"brief\",data_center=\"east\"} 0\n"}},
+    {"one missing",
+     [](Place &P) { P.Roster_.unlist(EndpointId("west-a"), true, Start); },
+     {"p_endpoints{data_center=\"west\",state=\"missing\"} 1\n"}},
+    {"one reported",
+     [](Place &P) { P.Roster_.report(EndpointId("east-b"), {}, Start + 1500ms); },
+     {"p_report_age_seconds{data_center=\"east\"} 0.5\n"}},
+    {"repeats spent",
+     [](Place &P) { P.Retries_.tryRepeat(Brief, Start + 1s); },
+     {"p_retry_budget_left{service=\"brief\"} 22.75\n"}},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(GaugesTellWhatDecides, GaugeCases, Case) {
+  Place Here;
+  Case.Change_(Here);
+  const std::string Text = Here.text(Start + 2s);
+  for (const std::string &Line : Case.Lines_)
+    BOOST_TEST(Text.find(Line) != std::string::npos, Line << " in " << Text);
+}
+
+BOOST_AUTO_TEST_CASE(NoConfigurationMeansNoServingGauges) {
+  Place Here;
+  GaugeText Gauges("p_");
+  addServingGauges(Gauges, ConfigHolder(), Here.Roster_, Here.Paths_, Here.Retries_, Start);
+  BOOST_TEST(Gauges.text().empty());
+}
--- a/Tests/System/GatewayDeployment.cpp
+++ b/Tests/System/GatewayDeployment.cpp
@@ -98,7 +98,8 @@
 }
 
 HttpResult GatewayDeployment::call(std::size_t Index, const std::string &Id, const char *Method,
-                                   const char *Path, int Events, const std::string &Key) const {
+                                   const char *Path, int Events, const std::string &Key,
+                                   int Prompt) const {
   HttpRequest Request;
   Request.Method_ = Method;
   Request.Target_ = Path;
@@ -107,7 +108,7 @@
   Request.Headers_.add("X-Attempt-Id", Id);
   Request.Headers_.add("Authorization", "Token " + Key);
   if (Events > 0)
-    Request.Headers_.add("X-Token-Counts", fmt::format("700,{}", Events));
+    Request.Headers_.add("X-Token-Counts", fmt::format("{},{}", Prompt, Events));
   boost::asio::io_context Loop;
   HttpClient Client(Loop);
   HttpSendOptions Options;
@@ -122,10 +123,10 @@
 }
 
 std::future<HttpResult> GatewayDeployment::begin(std::size_t Index, const std::string &Id,
-                                                 const char *Method, const char *Path,
-                                                 int Events) const {
+                                                 const char *Method, const char *Path, int Events,
+                                                 int Prompt) const {
   return std::async(std::launch::async,
-                    [=, this] { return call(Index, Id, Method, Path, Events); });
+                    [=, this] { return call(Index, Id, Method, Path, Events, "key-1", Prompt); });
 }
 
 void GatewayDeployment::await(const std::function<bool()> &Done, const std::string &What) {
@@ -137,11 +138,11 @@
   }
 }
 
-std::string GatewayDeployment::awaitStream() const {
+std::string GatewayDeployment::awaitStream(std::uint64_t Events) const {
   std::string Found;
   await(
       [&] {
-        for (const auto &[Id, Count] : Site_.streams(/*Events=*/5))
+        for (const auto &[Id, Count] : Site_.streams(Events))
           if (Count > 0)
             Found = Id;
         return !Found.empty();
@@ -164,6 +165,10 @@
   throw std::runtime_error("every layer has copies");
 }
 
+std::string GatewayDeployment::metrics(std::size_t Index) const {
+  return BlockingHttp().get(StateAddresses_[Index], "/metrics").Response_.Body_;
+}
+
 bool GatewayDeployment::isReady(std::size_t Index) {
   const HttpResult Result = BlockingHttp().get(StateAddresses_[Index], "/readyz");
   return !Result.Error_ && Result.Response_.Status_ == 200;
--- a/Tests/System/GatewayDeployment.h
+++ b/Tests/System/GatewayDeployment.h
@@ -29,15 +29,17 @@
   /// Starts a gateway that has ended again, on a new port.
   void restart(std::size_t Index);
 
-  /// A request of customer "crew" through a gateway. Events is the length of a stream's answer.
-  /// Thread-safe.
+  /// A request of customer "crew" through a gateway. Events is the length of a stream's answer,
+  /// Prompt the tokens to be read for it. Thread-safe.
   HttpResult call(std::size_t Index, const std::string &Id, const char *Method, const char *Path,
-                  int Events = 0, const std::string &Key = "key-1") const;
+                  int Events = 0, const std::string &Key = "key-1", int Prompt = 700) const;
   /// The same, on a thread of its own.
   std::future<HttpResult> begin(std::size_t Index, const std::string &Id, const char *Method,
-                                const char *Path, int Events = 0) const;
-  /// Waits until a stream has some events, and names the engine that it was sent to.
-  std::string awaitStream() const;
+                                const char *Path, int Events = 0, int Prompt = 700) const;
+  /// Waits until an engine runs a stream of which at least some events were sent, and names it.
+  std::string awaitStream(std::uint64_t Events = 5) const;
+  /// The metrics of a gateway in Prometheus text format.
+  std::string metrics(std::size_t Index) const;
   /// Waits until Done; fails the test with What after half a minute.
   static void await(const std::function<bool()> &Done, const std::string &What);
   /// An engine of a data centre that alone holds some layer, other than Not.
--- a/Tests/System/GatewayTest.cpp
+++ b/Tests/System/GatewayTest.cpp
@@ -58,6 +58,26 @@
      }},
 };
 
+/// When a stream that has hardly begun loses an engine.
+struct EarlyLossCase {
+  const char *Name_;
+  /// Events that were sent before.
+  std::uint64_t Events_;
+  Life Life_;
+  bool LosesFirst_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const EarlyLossCase &Case) { return Out << Case.Name_; }
+
+const EarlyLossCase EarlyLossCases[] = {
+    {"first engine crashes while it reads the prompt", 0, Life::Gone, true},
+    {"first engine falls silent while it reads the prompt", 0, Life::Dark, true},
+    {"another engine crashes while the prompt is read", 0, Life::Gone, false},
+    {"another engine falls silent while the prompt is read", 0, Life::Dark, false},
+    {"first engine crashes after the first event", 1, Life::Gone, true},
+    {"another engine falls silent after the first event", 1, Life::Dark, false},
+};
+
 /// What a desk does with a booking or lookup.
 struct DeskCase {
   const char *Name_;
@@ -110,6 +130,54 @@
                            "the model to be whole again");
   BOOST_TEST(
       holdsEvents(Deployment.call(0, "brief-2", "POST", site::BriefPath, 5).Response_.Body_, 1, 5));
+  const std::string Metrics = Deployment.metrics(0);
+  for (const char *Line : {"rattancart_gateway_resume_seconds_count{kind=\"engines\"} 1",
+                           "rattancart_gateway_store_calls_total{kind=\"join ok\"}",
+                           "rattancart_gateway_loop_delay_seconds_count"})
+    BOOST_TEST(Metrics.find(Line) != std::string::npos, Line << " in " << Metrics);
+  noFaults(Deployment.site());
+}
+
+BOOST_DATA_TEST_CASE(AStreamIsServedOverALossAtItsStart, EarlyLossCases, Case) {
+  SiteOptions Options;
+  Options.ReadTime_ = std::chrono::milliseconds(500);
+  GatewayDeployment Deployment({"east", "west"}, Options);
+  auto Answer = Deployment.begin(0, "brief-1", "POST", site::BriefPath, Events);
+  const std::string First = Deployment.awaitStream(Case.Events_);
+  Deployment.site().setEngineLife(Case.LosesFirst_ ? First : Deployment.soleHolder("east", First),
+                                  Case.Life_);
+  const HttpResult Result = Answer.get();
+  BOOST_TEST(statusOf(Result) == 200U);
+  BOOST_TEST(holdsEvents(Result.Response_.Body_, 1, Events));
+  BOOST_TEST(Deployment.site().ledger().Runs_["brief-1"].size() == (Case.Events_ > 0 ? 2U : 1U));
+  noFaults(Deployment.site());
+}
+
+BOOST_AUTO_TEST_CASE(RequestsBeyondTheEnginesMemoryAreRefusedAndDontRun) {
+  const int Callers = 24;
+  const int Prompt = 9000;
+  GatewayDeployment Deployment({"east"}, {{{"east", {{"h100", 1}, {"l4", 8}}}}});
+  std::vector<std::future<HttpResult>> Answers;
+  for (int I = 0; I < Callers; ++I)
+    Answers.push_back(Deployment.begin(0, "brief-" + std::to_string(I), "POST", site::BriefPath,
+                                       3 * Events, Prompt));
+  std::size_t Served = 0;
+  for (int I = 0; I < Callers; ++I) {
+    const HttpResult Result = Answers[static_cast<std::size_t>(I)].get();
+    const auto Runs = Deployment.site().ledger().Runs_["brief-" + std::to_string(I)];
+    BOOST_TEST_CONTEXT("caller " << I) {
+      if (statusOf(Result) == 200U) {
+        ++Served;
+        BOOST_TEST(holdsEvents(Result.Response_.Body_, 1, 3 * Events));
+        continue;
+      }
+      BOOST_TEST(statusOf(Result) == 503U);
+      BOOST_TEST(!Result.Response_.Headers_.get("Retry-After").empty());
+      BOOST_TEST(Runs.empty());
+    }
+  }
+  BOOST_TEST(Served > 0U);
+  BOOST_TEST(Served < static_cast<std::size_t>(Callers));
   noFaults(Deployment.site());
 }
 
