--- /dev/null
+++ b/Source/Core/Layers/LayoutMeasures.cpp
@@ -0,0 +1,157 @@
+#include "Core/Layers/LayoutMeasures.h"
+
+#include "Core/Layers/PathFinder.h"
+
+#include <algorithm>
+
+namespace rattancart {
+
+namespace {
+
+constexpr double BytesPerMb = 1e6;
+/// The search for the largest number of tokens ends at this precision.
+constexpr double TokenPrecision = 1;
+/// Room that the greedy layout leaves beside the layers: one request of the largest kind.
+constexpr double LeastRoom = 5'000;
+
+double tokenLayerMb(const LayeredModel &Model) {
+  return Model.TokenBytes_ / Model.Layers_ / BytesPerMb;
+}
+
+std::uint32_t layerCount(const PlannedEngine &Engine) {
+  return Engine.Layers_.End_ > Engine.Layers_.Begin_ ? Engine.Layers_.End_ - Engine.Layers_.Begin_
+                                                     : 0;
+}
+
+/// Whether each layer finds room for that many tokens.
+bool bears(const LayeredModel &Model, std::vector<PlannedEngine> Engines, double Tokens) {
+  std::sort(Engines.begin(), Engines.end(), [](const PlannedEngine &A, const PlannedEngine &B) {
+    return A.Layers_.End_ < B.Layers_.End_;
+  });
+  std::vector<double> Free;
+  Free.reserve(Engines.size());
+  for (const PlannedEngine &Engine : Engines)
+    Free.push_back(std::max(0.0, Engine.Kind_->SizeMb_ - layerCount(Engine) * Model.LayerMb_) /
+                   tokenLayerMb(Model));
+  for (std::uint32_t Layer = 0; Layer < Model.Layers_; ++Layer) {
+    double Needed = Tokens;
+    for (std::size_t I = 0; I < Engines.size() && Needed > 0; ++I) {
+      if (Layer < Engines[I].Layers_.Begin_ || Layer >= Engines[I].Layers_.End_)
+        continue;
+      const double Taken = std::min(Needed, Free[I]);
+      Free[I] -= Taken;
+      Needed -= Taken;
+    }
+    if (Needed > 0)
+      return false;
+  }
+  return true;
+}
+
+bool isWhole(const LayeredModel &Model, const std::vector<PlannedEngine> &Engines) {
+  for (std::uint32_t Layer = 0; Layer < Model.Layers_; ++Layer)
+    if (std::none_of(Engines.begin(), Engines.end(), [&](const PlannedEngine &Engine) {
+          return Layer >= Engine.Layers_.Begin_ && Layer < Engine.Layers_.End_;
+        }))
+      return false;
+  return true;
+}
+
+/// Gives each engine Size(engine) layers, one after the other; Again begins anew at the first layer
+/// once all are held.
+template <typename Count>
+void layInOrder(const LayeredModel &Model, std::vector<PlannedEngine> &Engines, bool Again,
+                Count Size) {
+  std::uint32_t Next = 0;
+  for (PlannedEngine &Engine : Engines) {
+    Engine.Layers_ = {};
+    if (Next >= Model.Layers_ && !Again)
+      continue;
+    if (Next >= Model.Layers_)
+      Next = 0;
+    const std::uint32_t Held = std::min<std::uint32_t>(Size(Engine), Model.Layers_ - Next);
+    Engine.Layers_ = {Next, Next + Held};
+    Next += Held;
+  }
+}
+
+} // namespace
+
+double tokensInFlight(const LayeredModel &Model, const std::vector<PlannedEngine> &Engines) {
+  double Least = 0;
+  double Most = tokensInFlightBound(Model, Engines);
+  if (!isWhole(Model, Engines))
+    return 0;
+  while (Most - Least > TokenPrecision) {
+    const double Middle = (Least + Most) / 2;
+    (bears(Model, Engines, Middle) ? Least : Most) = Middle;
+  }
+  return Least;
+}
+
+double tokensInFlightBound(const LayeredModel &Model, const std::vector<PlannedEngine> &Engines) {
+  double AllMb = 0;
+  for (const PlannedEngine &Engine : Engines)
+    AllMb += Engine.Kind_->SizeMb_;
+  return std::max(0.0, AllMb - Model.Layers_ * Model.LayerMb_) / tokenLayerMb(Model) /
+         Model.Layers_;
+}
+
+std::optional<Duration> tokenTime(const LayeredModel &Model,
+                                  const std::vector<PlannedEngine> &Engines) {
+  std::vector<StageCandidate> Candidates;
+  for (const PlannedEngine &Engine : Engines) {
+    if (layerCount(Engine) == 0)
+      continue;
+    StageCandidate Candidate;
+    Candidate.Id_ = Engine.Id_;
+    Candidate.Kind_ = Engine.Kind_;
+    Candidate.Layers_ = Engine.Layers_;
+    Candidates.push_back(std::move(Candidate));
+  }
+  const auto Path = findPath(Model, Candidates, {0, 1});
+  return Path ? std::optional(Path->Cost_) : std::nullopt;
+}
+
+std::size_t spareEngines(const LayeredModel &Model, const std::vector<PlannedEngine> &Engines) {
+  std::size_t Spare = 0;
+  for (std::size_t Lost = 0; Lost < Engines.size(); ++Lost) {
+    auto Others = Engines;
+    Others.erase(Others.begin() + static_cast<std::ptrdiff_t>(Lost));
+    Spare += isWhole(Model, Others) ? 1 : 0;
+  }
+  return Spare;
+}
+
+std::vector<PlannedEngine> layBaseline(Baseline Kind, const LayeredModel &Model,
+                                       std::vector<PlannedEngine> Engines) {
+  std::stable_sort(Engines.begin(), Engines.end(),
+                   [](const PlannedEngine &A, const PlannedEngine &B) {
+                     return A.Kind_->StepFactor_ < B.Kind_->StepFactor_;
+                   });
+  if (Engines.empty())
+    return Engines;
+  const double Room = plannedRoom(Model, Engines);
+  const auto Share =
+      static_cast<std::uint32_t>((Model.Layers_ + Engines.size() - 1) / Engines.size());
+  switch (Kind) {
+  case Baseline::OnePath:
+    layInOrder(Model, Engines, /*Again=*/false, [&](const PlannedEngine &Engine) {
+      return layerCapacity(Model, *Engine.Kind_, Room);
+    });
+    break;
+  case Baseline::EqualSplit:
+    layInOrder(Model, Engines, /*Again=*/true, [&](const PlannedEngine &Engine) {
+      return std::min(Share, layerCapacity(Model, *Engine.Kind_, 0));
+    });
+    break;
+  case Baseline::GreedyBySpeed:
+    layInOrder(Model, Engines, /*Again=*/true, [&](const PlannedEngine &Engine) {
+      return layerCapacity(Model, *Engine.Kind_, LeastRoom);
+    });
+    break;
+  }
+  return Engines;
+}
+
+} // namespace rattancart
--- /dev/null
+++ b/Tests/Core/Layers/LayoutMeasuresTest.cpp
@@ -0,0 +1,97 @@
+#include "Core/Layers/LayoutMeasures.h"
+#include "Tests/Core/Layers/Deployments.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+
+using namespace rattancart;
+using namespace rattancart::test;
+
+namespace {
+
+/// Engines of 100 MB with layers of 10 MB and 1 MB for a token in a layer, of a model of 4 layers.
+struct LayoutCase {
+  const char *Name_;
+  std::vector<LayerRange> Held_;
+  double Tokens_;
+  double Bound_;
+  std::size_t Spare_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const LayoutCase &Case) { return Out << Case.Name_; }
+
+const LayoutCase LayoutCases[] = {
+    // 60 MB beside 4 layers, 4 MB for a token.
+    {"one engine holds all", {{0, 4}}, 15, 15, 0},
+    // 80 MB beside 2 layers, 2 MB for a token.
+    {"two halves", {{0, 2}, {2, 4}}, 40, 40, 0},
+    // Two copies share the first half; the second half has room for 40.
+    {"second half is short", {{0, 2}, {0, 2}, {2, 4}}, 40, 65, 2},
+    // The middle engine's 80 MB go to whichever half is short: 2 N <= 80 + 80 / 2.
+    {"overlap helps both sides", {{0, 2}, {1, 3}, {2, 4}}, 60, 65, 1},
+    {"a layer that nobody holds", {{0, 2}, {3, 4}}, 0, 40, 0},
+    {"every layer twice", {{0, 2}, {0, 2}, {2, 4}, {2, 4}}, 80, 90, 4},
+};
+
+const char *baselineName(Baseline Kind) {
+  switch (Kind) {
+  case Baseline::OnePath:
+    return "one path";
+  case Baseline::EqualSplit:
+    return "equal split";
+  case Baseline::GreedyBySpeed:
+    break;
+  }
+  return "greedy by speed";
+}
+
+std::vector<PlannedEngine> planned(const LayeredModel &Model, std::vector<PlannedEngine> Engines) {
+  for (std::size_t Round = 0; Round < Engines.size() + 3; ++Round)
+    for (const LayerPlacement &Each : planLayers(Model, Engines))
+      for (PlannedEngine &Engine : Engines)
+        if (Engine.Id_ == Each.Engine_)
+          Engine.Layers_ = Each.Layers_;
+  return Engines;
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(TokensInFlightFollowTheScarcestLayers, LayoutCases, Case) {
+  LayeredModel Model;
+  Model.Layers_ = 4;
+  Model.LayerMb_ = 10;
+  Model.TokenBytes_ = 4e6;
+  Model.Kinds_ = {{"k", 100, 1, 1}};
+  std::vector<PlannedEngine> Engines;
+  for (std::size_t I = 0; I < Case.Held_.size(); ++I)
+    Engines.push_back({EndpointId(std::to_string(I)), Model.kind("k"), Case.Held_[I]});
+  BOOST_TEST(std::abs(tokensInFlight(Model, Engines) - Case.Tokens_) <= 1);
+  BOOST_TEST(std::abs(tokensInFlightBound(Model, Engines) - Case.Bound_) <= 1);
+  BOOST_TEST(spareEngines(Model, Engines) == Case.Spare_);
+}
+
+BOOST_DATA_TEST_CASE(NoLayoutExceedsTheBoundAndPlansBearNoFewerLossesThanOnePath, deployments(),
+                     Case) {
+  const LayeredModel Model = makeModel(Case.Layers_);
+  const auto Empty = makeEngines(Model, Case);
+  const double Bound = tokensInFlightBound(Model, Empty);
+  const auto Plan = planned(Model, Empty);
+  BOOST_TEST(tokensInFlight(Model, Plan) <= Bound);
+  for (const Baseline Kind : {Baseline::OnePath, Baseline::EqualSplit, Baseline::GreedyBySpeed}) {
+    const auto Laid = layBaseline(Kind, Model, Empty);
+    BOOST_TEST_CONTEXT(baselineName(Kind)) {
+      BOOST_TEST(tokensInFlight(Model, Laid) <= Bound);
+      for (const PlannedEngine &Engine : Laid)
+        BOOST_TEST((Engine.Layers_.End_ - Engine.Layers_.Begin_) * Model.LayerMb_ <=
+                   Engine.Kind_->SizeMb_);
+    }
+  }
+  if (!Case.Holds_)
+    return;
+  const auto Alone = layBaseline(Baseline::OnePath, Model, Empty);
+  BOOST_TEST(tokensInFlight(Model, Plan) > 0);
+  BOOST_TEST(tokensInFlight(Model, Plan) >= tokensInFlight(Model, Alone) * 0.95);
+}
--- /dev/null
+++ b/bench/LayoutBench.cpp
@@ -0,0 +1,50 @@
+// Compares the planner's layouts of known data centres with simple ones and with the bound, by
+// hand: build/bin/rattancart-bench-layouts
+#include "Core/Layers/LayoutMeasures.h"
+#include "Tests/Core/Layers/Deployments.h"
+
+#include <fmt/format.h>
+
+using namespace rattancart;
+
+namespace {
+
+std::vector<PlannedEngine> planned(const LayeredModel &Model, std::vector<PlannedEngine> Engines) {
+  for (std::size_t Round = 0; Round < Engines.size() + 3; ++Round)
+    for (const LayerPlacement &Each : planLayers(Model, Engines))
+      for (PlannedEngine &Engine : Engines)
+        if (Engine.Id_ == Each.Engine_)
+          Engine.Layers_ = Each.Layers_;
+  return Engines;
+}
+
+void print(const char *Place, const char *Name, const LayeredModel &Model,
+           const std::vector<PlannedEngine> &Engines) {
+  const double Tokens = tokensInFlight(Model, Engines);
+  const double Bound = tokensInFlightBound(Model, Engines);
+  const auto Time = tokenTime(Model, Engines);
+  fmt::print("| {} | {} | {:.0f} | {:.2f} | {} | {} of {} |\n", Place, Name, Tokens,
+             Bound > 0 ? Tokens / Bound : 0,
+             Time ? fmt::format("{:.1f}", std::chrono::duration<double, std::milli>(*Time).count())
+                  : "no path",
+             spareEngines(Model, Engines), Engines.size());
+}
+
+} // namespace
+
+int main() {
+  fmt::print(
+      "| data centre | layout | tokens in flight | of the bound | ms a token, idle | engines "
+      "that may each be lost |\n|---|---|---|---|---|---|\n");
+  for (const test::Deployment &Case : test::deployments()) {
+    if (!Case.Holds_)
+      continue;
+    const LayeredModel Model = test::makeModel(Case.Layers_);
+    const auto Empty = test::makeEngines(Model, Case);
+    print(Case.Name_, "planner", Model, planned(Model, Empty));
+    print(Case.Name_, "one path", Model, layBaseline(Baseline::OnePath, Model, Empty));
+    print(Case.Name_, "equal split", Model, layBaseline(Baseline::EqualSplit, Model, Empty));
+    print(Case.Name_, "greedy by speed", Model, layBaseline(Baseline::GreedyBySpeed, Model, Empty));
+  }
+  return 0;
+}
