--- a/Source/Gateway/EngineHealth.h
+++ b/Source/Gateway/EngineHealth.h
@@ -3,6 +3,7 @@
 #include "Core/Common/Logger.h"
 #include "Core/Serving/EndpointRoster.h"
 #include "Gateway/EndpointDialect.h"
+#include "Gateway/EngineWatch.h"
 #include "Net/HttpClient.h"
 #include "Net/Timer.h"
 #include "Process/MetricSet.h"
@@ -20,21 +21,15 @@
 ///
 /// Answers losses: when an engine falls silent, the first stream that misses events has the whole
 /// path asked; all others learn the result without asking again. Not thread-safe.
-class EngineHealth {
+class EngineHealth final : public EngineWatch {
 public:
-  /// Engines of the checked ones that do not answer.
-  using Callback = std::function<void(const std::vector<EndpointId> &Silent)>;
-
   /// Precondition: all arguments outlive the object.
   EngineHealth(boost::asio::io_context &Loop, const Clock &Time, Logger &Log, MetricSet &Metrics,
                HttpClient &Client, const EndpointDialect &Dialect, EndpointRoster &Roster);
 
-  /// Asks each engine unless there was a sign of it since then.
-  void check(const std::vector<EndpointId> &Engines, TimePoint Since, Callback Done);
-  /// An event of a stream came through the engine, so it need not be asked.
-  void noteWork(const EndpointId &Engine) { Roster_.noteSign(Engine, Time_.now()); }
-  /// Asks an engine at once, whatever it answered before: there is a sign that it is gone.
-  void suspect(const EndpointId &Engine);
+  void check(const std::vector<EndpointId> &Engines, TimePoint Since, Callback Done) override;
+  void noteWork(const EndpointId &Engine) override { Roster_.noteSign(Engine, Time_.now()); }
+  void suspect(const EndpointId &Engine) override;
   /// Calls Handler whenever an engine is found silent.
   void onSilent(std::function<void(const EndpointId &)> Handler) {
     SilentHandlers_.push_back(std::move(Handler));
--- a/Source/Gateway/GatewayFront.h
+++ b/Source/Gateway/GatewayFront.h
@@ -19,13 +19,14 @@
   void handle(HttpRequest Request, HttpResponderPtr Responder) override;
   /// Tells all exchanges that an engine was found silent.
   void onEngineSilent(const EndpointId &Engine);
+  /// Lets waiting and silent requests go on; called by its own timer every few tens of ms.
+  void tick();
   std::size_t inFlight() const { return Active_.size(); }
 
 private:
   void refuse(const RoutedRequest &Routed, std::uint32_t Status, ErrorCode Reason,
               std::optional<Duration> RetryAfter);
   void begin(RoutedRequest Routed);
-  void tick();
 
   GatewayParts &Parts_;
   const ConfigHolder &Config_;
--- a/Source/Gateway/GatewayParts.h
+++ b/Source/Gateway/GatewayParts.h
@@ -7,8 +7,8 @@
 #include "Core/Serving/EndpointRoster.h"
 #include "Core/Serving/ServingIndex.h"
 #include "Gateway/EndpointDialect.h"
-#include "Gateway/EngineHealth.h"
-#include "Net/HttpClient.h"
+#include "Gateway/EngineWatch.h"
+#include "Net/HttpSender.h"
 #include "Process/MetricSet.h"
 
 #include <boost/asio/io_context.hpp>
@@ -23,12 +23,12 @@
   const Clock &Time_;
   Logger &Log_;
   MetricSet &Metrics_;
-  HttpClient &Client_;
+  HttpSender &Client_;
   const EndpointDialect &Dialect_;
   EndpointRoster &Roster_;
   PathChooser &Paths_;
   RetryShare &Retries_;
-  EngineHealth &Health_;
+  EngineWatch &Health_;
   RoomQueue &Waiting_;
   std::mt19937 &Random_;
   DataCenterId Home_;
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include "Core/Common/Clock.h"
-#include "Core/Membership/Endpoint.h"
-#include "Net/Http.h"
+#include "Net/HttpSender.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -10,71 +8,9 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <string_view>
-#include <system_error>
 
 namespace rattancart {
 
-enum class ConnectionUse {
-  /// An idle connection if there is one, else a new one.
-  Pooled,
-  /// A connection opened for this request, so that a failed connect proves that no byte of the
-  /// request was handed over.
-  Fresh,
-};
-
-/// What to do with an answer whose head has arrived.
-enum class HeadVerdict {
-  /// Its body belongs to the request.
-  Accept,
-  /// It belongs to an earlier request on the connection: read past it and wait for the next one.
-  Skip,
-  /// The connection can't be trusted: end the request with MalformedResponse.
-  Abort,
-};
-
-/// Takes an answer piece by piece. Called on the event loop.
-class HttpAnswerSink {
-public:
-  virtual ~HttpAnswerSink() = default;
-  /// Decides about an answer from its status and headers; Body_ is empty.
-  virtual HeadVerdict onHead(const HttpResponse &Head) = 0;
-  /// The next bytes of the accepted answer's body.
-  virtual void onBody(std::string_view Data) = 0;
-};
-
-struct HttpSendOptions {
-  ConnectionUse Use_ = ConnectionUse::Pooled;
-  Duration ConnectTimeout_ = std::chrono::seconds(1);
-  /// From the first byte sent to the last byte received.
-  Duration ResponseTimeout_ = std::chrono::seconds(10);
-  std::size_t MaxBodyBytes_ = 16 * 1024 * 1024;
-  /// Called once the connection is open and before any byte is handed to it; false ends the
-  /// request with Cancelled and BytesHandedOver_ false.
-  std::function<bool()> BeforeSend_;
-  /// Gets the answer as it arrives; Response_ of the result then has no body. Must outlive the
-  /// request. ResponseTimeout_ still bounds the whole answer.
-  HttpAnswerSink *Sink_ = nullptr;
-  /// Keep the request's own Host header instead of naming the address.
-  bool KeepHost_ = false;
-};
-
-struct HttpResult {
-  /// No error means Response_ is complete. Otherwise ConnectFailed, ConnectionClosed,
-  /// ResponseTimeout, MalformedResponse, BodyTooLarge or Cancelled.
-  std::error_code Error_;
-  HttpResponse Response_;
-  /// Whether any byte of the request was handed to a connection.
-  bool BytesHandedOver_ = false;
-  /// Whether the request went over a connection that had been idle in the pool.
-  bool Reused_ = false;
-  /// The answer had no length and ended with its connection.
-  bool Unframed_ = false;
-};
-
-using HttpCallId = StrongNumber<struct HttpCallTag>;
-using HttpDone = std::function<void(HttpResult)>;
-
 struct HttpClientStats {
   std::uint64_t Sent_ = 0;
   std::uint64_t Failed_ = 0;
@@ -85,20 +21,18 @@
 
 /// An HTTP/1.1 client with a pool of idle connections for each address. It never repeats a
 /// request by itself. Not thread-safe: use it on its event loop.
-class HttpClient {
+class HttpClient final : public HttpSender {
 public:
   /// Precondition: Loop outlives the client. At most MaxIdle idle connections an address.
   explicit HttpClient(boost::asio::io_context &Loop, std::size_t MaxIdle = 64);
-  ~HttpClient();
+  ~HttpClient() override;
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
 
-  /// Sends Request; Done is called once, from the event loop, never from within send.
   /// Host and Content-Length are added.
   HttpCallId send(const NetAddress &Address, HttpRequest Request, HttpSendOptions Options,
-                  HttpDone Done);
-  /// Ends a request; its Done gets Cancelled. An unknown id is ignored.
-  void cancel(HttpCallId Id);
+                  HttpDone Done) override;
+  void cancel(HttpCallId Id) override;
   /// Calls Handler whenever the other side ends an idle connection: the first sign that a process
   /// there is gone.
   void onIdleClosed(std::function<void(const NetAddress &)> Handler);
--- /dev/null
+++ b/Tests/Gateway/SimulatedSite.cpp
@@ -0,0 +1,298 @@
+#include "Tests/Gateway/SimulatedSite.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace rattancart::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration TickInterval = milliseconds(10);
+/// Owners ask engines and pass the reports on; what a report says was true a while before.
+constexpr Duration ReportInterval = milliseconds(200);
+constexpr Duration ReportLag = milliseconds(200);
+constexpr Duration AnswerTime = milliseconds(1);
+constexpr Duration SilenceTime = milliseconds(50);
+constexpr Duration SilentHold = milliseconds(1500);
+constexpr Duration RecheckInterval = milliseconds(500);
+
+/// Counts lines of one event and drops them.
+class CountingLogger final : public Logger {
+public:
+  explicit CountingLogger(std::uint64_t &Resumes) : Resumes_(Resumes) {}
+  void log(LogEvent Event, std::initializer_list<LogField>) override {
+    Resumes_ += Event == LogEvent::StreamResumed ? 1 : 0;
+  }
+
+private:
+  std::uint64_t &Resumes_;
+};
+
+/// A caller's side of one answer.
+class CallerSide final : public HttpResponder {
+public:
+  CallerSide(const Clock &Time, std::shared_ptr<CallerView> View)
+      : Time_(Time), View_(std::move(View)) {}
+
+  void send(HttpResponse Response) override {
+    View_->Status_ = Response.Status_;
+    View_->Complete_ = true;
+    const std::string Retry(Response.Headers_.get("retry-ms"));
+    if (!Retry.empty())
+      View_->RetryAfter_ = milliseconds(std::stoll(Retry));
+  }
+  void startChunked(HttpResponse Head) override { View_->Status_ = Head.Status_; }
+  void sendChunk(std::string_view Data) override {
+    const TimePoint Now = Time_.now();
+    std::uint64_t Id = 0;
+    std::from_chars(Data.data() + 4, Data.data() + Data.size(), Id);
+    if (View_->Ids_.empty())
+      View_->FirstAfter_ = Now - View_->SentAt_;
+    else
+      View_->LongestPause_ = std::max(View_->LongestPause_, Now - View_->LastAt_);
+    View_->Ids_.push_back(Id);
+    View_->LastAt_ = Now;
+  }
+  void finishChunked() override { View_->Complete_ = true; }
+  void abort() override { View_->Cut_ = true; }
+  bool isOpen() const override { return !View_->ended(); }
+  std::size_t queuedBytes() const override { return 0; }
+  void onClosed(std::function<void()>) override {}
+
+private:
+  const Clock &Time_;
+  std::shared_ptr<CallerView> View_;
+};
+
+ServingConfig makeConfig(const LayeredModel &Model) {
+  ServingConfig Config;
+  Config.Revision_ = ConfigRevision(1);
+  ServingRoute Route;
+  Route.Id_ = RouteId("brief");
+  Route.Host_ = "site";
+  Route.PathPrefix_ = "/";
+  Route.Kind_ = RequestKind::Stream;
+  Route.Services_ = {{ServiceId("brief"), 1}};
+  Route.Timeout_ = std::chrono::seconds(20);
+  Route.MaxAttempts_ = 2;
+  Route.Public_ = true;
+  Route.Resumable_ = true;
+  Config.Routes_.push_back(Route);
+  Config.Services_.push_back({ServiceId("brief"), 1000, Model});
+  return Config;
+}
+
+} // namespace
+
+bool CallerView::inTime() const {
+  return Status_ == 200 && Complete_ && !Cut_ && FirstAfter_ <= milliseconds(500) &&
+         LongestPause_ <= milliseconds(200);
+}
+
+/// Learns who works as EngineHealth does: by answers that come after a moment, or don't.
+class SimulatedSite::Watch final : public EngineWatch {
+public:
+  Watch(SimulatedSite &Site, EndpointRoster &Roster) : Site_(Site), Roster_(Roster) {}
+
+  void check(const std::vector<EndpointId> &Engines, TimePoint Since, Callback Done) override {
+    std::vector<EndpointId> Silent;
+    bool Asked = false;
+    for (const EndpointId &Engine : Engines) {
+      const EndpointRecord *Record = Roster_.find(Engine);
+      if (!Record || Record->silent(Site_.Queue_.now())) {
+        Silent.push_back(Engine);
+        continue;
+      }
+      if (Record->SignAt_ >= Since)
+        continue;
+      Asked = true;
+      if (Site_.Engines_.life(Engine) != EngineLife::Running)
+        Silent.push_back(Engine);
+      else
+        Roster_.noteSign(Engine, Site_.Queue_.now());
+    }
+    const Duration Wait = Silent.empty() || !Asked ? AnswerTime : SilenceTime;
+    Site_.Queue_.after(Wait, [this, Silent, Done = std::move(Done)] {
+      for (const EndpointId &Engine : Silent)
+        markSilent(Engine);
+      Done(Silent);
+    });
+  }
+  void suspect(const EndpointId &Engine) override {
+    Site_.Queue_.after(SilenceTime, [this, Engine] {
+      if (Site_.Engines_.life(Engine) != EngineLife::Running)
+        markSilent(Engine);
+    });
+  }
+  void noteWork(const EndpointId &Engine) override { Roster_.noteSign(Engine, Site_.Queue_.now()); }
+  /// Engines that are silent are asked again.
+  void recheck() {
+    for (const auto &[Id, Record] : Roster_.all()) {
+      if (!Record.silent(Site_.Queue_.now()))
+        continue;
+      if (Site_.Engines_.life(Id) == EngineLife::Running)
+        Roster_.markHeard(Id, Site_.Queue_.now());
+      else
+        Roster_.markSilent(Id, Site_.Queue_.now() + SilentHold);
+    }
+  }
+
+private:
+  void markSilent(const EndpointId &Engine) {
+    const EndpointRecord *Record = Roster_.find(Engine);
+    const bool Known = !Record || Record->silent(Site_.Queue_.now());
+    Roster_.markSilent(Engine, Site_.Queue_.now() + SilentHold);
+    if (!Known)
+      Site_.found(Engine);
+  }
+
+  SimulatedSite &Site_;
+  EndpointRoster &Roster_;
+};
+
+struct SimulatedSite::Gateway {
+  Gateway(SimulatedSite &Site, const DataCenterId &Home, std::uint32_t Count, Duration RetryWindow)
+      : Health_(Site, Roster_), Paths_(Roster_, Home), Retries_({0.2, 202, RetryWindow}, Count),
+        Random_(Site.Random_()), Parts_{Site.Loop_,    Site.Queue_.clock(),
+                                        *Site.Log_,    Metrics_,
+                                        Site.Engines_, Site.Dialect_,
+                                        Roster_,       Paths_,
+                                        Retries_,      Health_,
+                                        Waiting_,      Random_,
+                                        Home},
+        Front_(Parts_, Site.Config_), Home_(Home) {}
+
+  EndpointRoster Roster_;
+  Watch Health_;
+  PathChooser Paths_;
+  RetryShare Retries_;
+  RoomQueue Waiting_;
+  MetricSet Metrics_;
+  std::mt19937 Random_;
+  GatewayParts Parts_;
+  GatewayFront Front_;
+  DataCenterId Home_;
+  PlacementController Placement_;
+};
+
+SimulatedSite::SimulatedSite(unsigned Seed, LayeredModel Model, const std::vector<Place> &Places)
+    : Model_(std::move(Model)), Engines_(Queue_, Model_),
+      Log_(std::make_unique<CountingLogger>(Resumes_)), Random_(Seed) {
+  Config_.offer(makeConfig(Model_), Queue_.now());
+  for (const Place &Each : Places) {
+    for (const auto &[Kind, Count] : Each.Kinds_)
+      for (int I = 0; I < Count; ++I)
+        Engines_.add(EndpointId(fmt::format("{}-{}-{}", Each.Name_, Kind, I)),
+                     DataCenterId(Each.Name_), Kind);
+    Gateways_.push_back(std::make_shared<Gateway>(*this, DataCenterId(Each.Name_),
+                                                  static_cast<std::uint32_t>(Places.size()),
+                                                  std::chrono::seconds(10)));
+    Gateways_.back()->Placement_.setOwner(FencingNumber(1));
+  }
+  Queue_.every(ReportInterval, [this] { learn(); });
+  Queue_.every(ReportInterval, [this] { place(); });
+  Queue_.every(TickInterval, [this] {
+    for (const auto &Each : Gateways_)
+      Each->Front_.tick();
+  });
+  Queue_.every(RecheckInterval, [this] {
+    for (const auto &Each : Gateways_)
+      Each->Health_.recheck();
+  });
+}
+
+std::vector<EndpointId> SimulatedSite::engineIds(const std::string &Where) const {
+  std::vector<EndpointId> Ids;
+  for (const EndpointListing &Each : Engines_.listings())
+    if (Where.empty() || Each.DataCenter_.str() == Where)
+      Ids.push_back(Each.Id_);
+  return Ids;
+}
+
+bool SimulatedSite::isWhole(const std::string &Where) const {
+  std::set<std::uint32_t> Held;
+  for (const EndpointId &Id : engineIds(Where))
+    if (Engines_.life(Id) == EngineLife::Running)
+      for (std::uint32_t Layer = Engines_.layers(Id).Begin_; Layer < Engines_.layers(Id).End_;
+           ++Layer)
+        Held.insert(Layer);
+  return Held.size() == Model_.Layers_;
+}
+
+void SimulatedSite::settle() {
+  const auto Whole = [this] {
+    return std::all_of(Gateways_.begin(), Gateways_.end(),
+                       [this](const auto &Each) { return isWhole(Each->Home_.str()); });
+  };
+  for (int Second = 0; Second < 120 && !Whole(); ++Second)
+    Queue_.run(std::chrono::seconds(1));
+  // Second copies are loaded after that.
+  Queue_.run(std::chrono::seconds(20));
+}
+
+void SimulatedSite::learn() {
+  const TimePoint TrueAt = Queue_.now();
+  std::vector<std::pair<EndpointListing, std::optional<EngineReport>>> Told;
+  for (const EndpointListing &Each : Engines_.listings()) {
+    const bool Answers = Engines_.life(Each.Id_) == EngineLife::Running;
+    Told.emplace_back(Each, Answers ? std::optional(Engines_.report(Each.Id_)) : std::nullopt);
+  }
+  Queue_.after(ReportLag, [this, TrueAt, Told = std::move(Told)] {
+    for (const auto &Each : Gateways_)
+      for (const auto &[Listing, Report] : Told) {
+        Each->Roster_.list(Listing, TrueAt);
+        if (Report)
+          Each->Roster_.report(Listing.Id_, *Report, TrueAt);
+      }
+  });
+}
+
+void SimulatedSite::place() {
+  for (const auto &Each : Gateways_) {
+    auto Whole = Each->Paths_.whole(Model_, ServiceId("brief"), Queue_.now());
+    std::erase(Whole, Each->Home_);
+    const PlacementScope Scope{Each->Home_, Gateways_.size(), Whole.size()};
+    for (const PlacementOrder &Order :
+         Each->Placement_.tick(Model_, ServiceId("brief"), Scope, Each->Roster_, Queue_.now()))
+      Each->Placement_.ended(Order, Engines_.order(Order), Queue_.now());
+  }
+}
+
+void SimulatedSite::found(const EndpointId &Engine) {
+  for (const auto &Each : Gateways_) {
+    Each->Health_.suspect(Engine);
+    if (Each->Roster_.find(Engine) && Each->Roster_.find(Engine)->silent(Queue_.now()))
+      Each->Front_.onEngineSilent(Engine);
+  }
+  place();
+}
+
+std::shared_ptr<CallerView> SimulatedSite::call(std::size_t At, double Prompt,
+                                                std::uint64_t Events) {
+  auto View = std::make_shared<CallerView>();
+  View->Id_ = "r" + std::to_string(NextId_++);
+  View->SentAt_ = Queue_.now();
+  View->Events_ = Events;
+  HttpRequest Request;
+  Request.Method_ = "POST";
+  Request.Headers_.add("Host", "site");
+  Request.Headers_.add("id", View->Id_);
+  Request.Headers_.add("prompt", std::to_string(Prompt));
+  Request.Headers_.add("events", std::to_string(Events));
+  Gateways_[At]->Front_.handle(std::move(Request),
+                               std::make_shared<CallerSide>(Queue_.clock(), View));
+  return View;
+}
+
+std::size_t SimulatedSite::inFlight() const {
+  std::size_t Count = 0;
+  for (const auto &Each : Gateways_)
+    Count += Each->Front_.inFlight();
+  return Count;
+}
+
+} // namespace rattancart::test
--- /dev/null
+++ b/Tests/Gateway/SimulatedSite.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "Gateway/GatewayFront.h"
+#include "Tests/Gateway/SimulatedEngines.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace rattancart::test {
+
+/// What a caller saw of one try.
+struct CallerView {
+  std::string Id_;
+  TimePoint SentAt_{};
+  std::uint64_t Events_ = 0;
+  /// 0 while there is no answer.
+  std::uint32_t Status_ = 0;
+  std::vector<std::uint64_t> Ids_;
+  Duration FirstAfter_{};
+  Duration LongestPause_{};
+  TimePoint LastAt_{};
+  bool Complete_ = false;
+  bool Cut_ = false;
+  std::optional<Duration> RetryAfter_;
+
+  bool ended() const { return Complete_ || Cut_; }
+  /// The first event within half a second and no pause over 200 ms, as the users' routes ask.
+  bool inTime() const;
+};
+
+/// Gateways, one in each data centre, over simulated engines: the real front, exchanges, path
+/// choice, placement, queue and budget, with the clock and the sockets replaced. Not thread-safe.
+class SimulatedSite {
+public:
+  struct Place {
+    std::string Name_;
+    std::vector<std::pair<std::string, int>> Kinds_;
+  };
+
+  SimulatedSite(unsigned Seed, LayeredModel Model, const std::vector<Place> &Places);
+
+  EventQueue &queue() { return Queue_; }
+  SimulatedEngines &engines() { return Engines_; }
+  const SimulatedEngines &engines() const { return Engines_; }
+  std::mt19937 &random() { return Random_; }
+  /// Ids of the engines of a data centre, or of all.
+  std::vector<EndpointId> engineIds(const std::string &Where = "") const;
+  /// Runs until every data centre holds the model.
+  void settle();
+  bool isWhole(const std::string &Where) const;
+  /// A caller's request through the gateway of a data centre; the view changes as time goes on.
+  std::shared_ptr<CallerView> call(std::size_t At, double Prompt, std::uint64_t Events);
+  /// Requests that gateways have under way.
+  std::size_t inFlight() const;
+  /// Streams that went on elsewhere so far.
+  std::uint64_t resumes() const { return Resumes_; }
+
+private:
+  class Watch;
+  struct Gateway;
+
+  void learn();
+  void place();
+  void found(const EndpointId &Engine);
+
+  EventQueue Queue_;
+  LayeredModel Model_;
+  SimulatedEngines Engines_;
+  SimulatedDialect Dialect_;
+  boost::asio::io_context Loop_;
+  std::unique_ptr<Logger> Log_;
+  std::mt19937 Random_;
+  ConfigHolder Config_;
+  std::vector<std::shared_ptr<Gateway>> Gateways_;
+  std::uint64_t NextId_ = 1;
+  std::uint64_t Resumes_ = 0;
+};
+
+} // namespace rattancart::test
