--- a/Tests/Gateway/SimulatedEngines.cpp
+++ b/Tests/Gateway/SimulatedEngines.cpp
@@ -208,6 +208,11 @@
   return Sent->Id_;
 }
 
+bool SimulatedEngines::worksOn(const std::string &Request) const {
+  return std::any_of(Calls_.begin(), Calls_.end(),
+                     [&](const auto &Entry) { return Entry.second->Request_ == Request; });
+}
+
 void SimulatedEngines::cancel(HttpCallId Id) {
   const auto Place = Calls_.find(Id.value());
   if (Place == Calls_.end())
--- a/Tests/Gateway/SimulatedEngines.h
+++ b/Tests/Gateway/SimulatedEngines.h
@@ -61,6 +61,8 @@
   const std::map<std::string, std::vector<EndpointId>> &runs() const { return Runs_; }
   std::size_t sends() const { return Sends_; }
   std::size_t running() const { return Calls_.size(); }
+  /// Whether a request is under way at some engine.
+  bool worksOn(const std::string &Request) const;
 
 private:
   struct Engine {
--- a/Tests/Gateway/SimulatedSite.cpp
+++ b/Tests/Gateway/SimulatedSite.cpp
@@ -61,7 +61,7 @@
   void abort() override { View_->Cut_ = true; }
   bool isOpen() const override { return !View_->ended(); }
   std::size_t queuedBytes() const override { return 0; }
-  void onClosed(std::function<void()>) override {}
+  void onClosed(std::function<void()> Handler) override { View_->OnLeave_ = std::move(Handler); }
 
 private:
   const Clock &Time_;
@@ -88,6 +88,14 @@
 
 } // namespace
 
+void CallerView::leave() {
+  if (ended())
+    return;
+  Left_ = true;
+  if (const auto Handler = std::exchange(OnLeave_, nullptr))
+    Handler();
+}
+
 bool CallerView::inTime() const {
   return Status_ == 200 && Complete_ && !Cut_ && FirstAfter_ <= milliseconds(500) &&
          LongestPause_ <= milliseconds(200);
--- a/Tests/Gateway/SimulatedSite.h
+++ b/Tests/Gateway/SimulatedSite.h
@@ -29,8 +29,13 @@
   bool Complete_ = false;
   bool Cut_ = false;
   std::optional<Duration> RetryAfter_;
+  bool Left_ = false;
+  /// Tells the gateway that the caller has gone.
+  std::function<void()> OnLeave_;
 
-  bool ended() const { return Complete_ || Cut_; }
+  bool ended() const { return Complete_ || Cut_ || Left_; }
+  /// Closes the caller's connection.
+  void leave();
   /// The first event within half a second and no pause over 200 ms, as the users' routes ask.
   bool inTime() const;
 };
--- a/Tests/Gateway/StreamExplorationTest.cpp
+++ b/Tests/Gateway/StreamExplorationTest.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <set>
 
@@ -16,6 +17,8 @@
 constexpr unsigned DefaultSchedules = 300;
 constexpr int Steps = 60;
 constexpr std::size_t MostAttempts = 2;
+/// Engines must have stopped this long after a caller has gone.
+constexpr Duration LeaveTime = 500ms;
 
 unsigned schedules() {
   const char *Wanted = std::getenv("RATTANCART_SCHEDULES");
@@ -67,12 +70,28 @@
       for (const EndpointId &Each : Ids)
         Site_.engines().setLeaving(Each, false);
       break;
+    case 6:
+      leave();
+      break;
     default:
       call();
     }
     Site_.queue().run(std::chrono::milliseconds(Random() % 400));
   }
 
+  /// A caller goes away; no engine goes on with its request.
+  void leave() {
+    const auto Active = std::find_if(Views_.rbegin(), Views_.rend(),
+                                     [](const auto &Each) { return !Each->ended(); });
+    if (Active == Views_.rend())
+      return;
+    const auto View = *Active;
+    View->leave();
+    Site_.queue().run(LeaveTime);
+    BOOST_TEST(!Site_.engines().worksOn(View->Id_));
+    ++Gone_;
+  }
+
   void call() {
     auto &Random = Site_.random();
     for (unsigned Count = Random() % 4; Count > 0; --Count)
@@ -80,6 +99,7 @@
   }
 
   std::size_t Places_;
+  std::size_t Gone_ = 0;
 };
 
 void checkView(const Schedule &Done, const CallerView &View) {
@@ -108,6 +128,7 @@
   std::size_t Served = 0;
   std::size_t All = 0;
   std::uint64_t Resumes = 0;
+  std::size_t Gone = 0;
   for (unsigned Seed = 1; Seed <= schedules(); ++Seed) {
     Schedule Case(Seed);
     for (int Step = 0; Step < Steps; ++Step)
@@ -123,11 +144,14 @@
     }
     All += Case.Views_.size();
     Resumes += Case.Site_.resumes();
+    Gone += Case.Gone_;
     for (const auto &View : Case.Views_)
       Served += View->Status_ == 200 && View->Complete_ ? 1 : 0;
   }
-  BOOST_TEST_MESSAGE(All << " streams, " << Served << " served, " << Resumes << " resumed");
+  BOOST_TEST_MESSAGE(All << " streams, " << Served << " served, " << Resumes << " resumed, " << Gone
+                         << " left by their callers");
   // The schedules reach what they are meant to.
   BOOST_TEST(Resumes > schedules());
+  BOOST_TEST(Gone > schedules());
   BOOST_TEST(Served > All / 4);
 }
--- a/Tests/System/GatewayTest.cpp
+++ b/Tests/System/GatewayTest.cpp
@@ -78,6 +78,22 @@
     {"another engine falls silent after the first event", 1, Life::Dark, false},
 };
 
+/// How the owner of a placement is lost. Frozen, it comes back later and must give way.
+struct OwnerCase {
+  const char *Name_;
+  bool Frozen_;
+  StoreFault Store_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const OwnerCase &Case) { return Out << Case.Name_; }
+
+const OwnerCase OwnerCases[] = {
+    {"frozen", true, StoreFault::None},
+    {"killed", false, StoreFault::None},
+    {"frozen while the store is away", true, StoreFault::Silent},
+    {"killed while the store is away", false, StoreFault::Silent},
+};
+
 /// What a desk does with a booking or lookup.
 struct DeskCase {
   const char *Name_;
@@ -312,31 +328,29 @@
   Deployment.site().setStoreFault(StoreFault::None);
 }
 
-BOOST_AUTO_TEST_CASE(AnotherGatewayTakesThePlacementOver) {
-  // Frozen, the owner comes back later and must give way; killed, it never does.
-  for (const bool Frozen : {true, false}) {
-    GatewayDeployment Deployment({"east", "east"}, {{{"east", {{"h100", 1}, {"l4", 8}}}}});
-    const std::size_t Owner = Deployment.owner("east");
-    if (Frozen)
-      Deployment.gateway(Owner).pause();
-    else
-      Deployment.gateway(Owner).kill();
-    Deployment.site().setLoseOrderAnswers(true);
-    Deployment.site().setEngineLife(Deployment.soleHolder("east", ""), Life::Gone);
-    GatewayDeployment::await([&] { return Deployment.site().isWhole("east"); },
-                             "the other gateway to close the gap");
-    Deployment.gateway(Owner).resume();
-    Deployment.site().setLoseOrderAnswers(false);
-    int Tries = 0;
-    GatewayDeployment::await(
-        [&] {
-          const std::string Id = "a" + std::to_string(++Tries);
-          return holdsEvents(
-              Deployment.call(1 - Owner, Id, "POST", site::BriefPath, 5).Response_.Body_, 1, 5);
-        },
-        "a request to be served");
-    noFaults(Deployment.site());
-  }
+BOOST_DATA_TEST_CASE(AnotherGatewayTakesThePlacementOver, OwnerCases, Case) {
+  GatewayDeployment Deployment({"east", "east"}, {{{"east", {{"h100", 1}, {"l4", 8}}}}});
+  const std::size_t Owner = Deployment.owner("east");
+  Deployment.site().setStoreFault(Case.Store_);
+  if (Case.Frozen_)
+    Deployment.gateway(Owner).pause();
+  else
+    Deployment.gateway(Owner).kill();
+  Deployment.site().setLoseOrderAnswers(true);
+  Deployment.site().setEngineLife(Deployment.soleHolder("east", ""), Life::Gone);
+  GatewayDeployment::await([&] { return Deployment.site().isWhole("east"); },
+                           "the other gateway to close the gap");
+  Deployment.gateway(Owner).resume();
+  Deployment.site().setLoseOrderAnswers(false);
+  int Tries = 0;
+  GatewayDeployment::await(
+      [&] {
+        const std::string Id = "a" + std::to_string(++Tries);
+        return holdsEvents(
+            Deployment.call(1 - Owner, Id, "POST", site::BriefPath, 5).Response_.Body_, 1, 5);
+      },
+      "a request to be served");
+  noFaults(Deployment.site());
 }
 
 BOOST_AUTO_TEST_CASE(TheStoresAbsenceStopsNothing) {
