Site model: simulated engines and load as a library, with a program that plays losses and draws them

Moved out of the tests, so that the load over lost engines can be played and drawn by hand (offered, in time, late, refused, failed by second, with marks).

--- a/Source/Core/Serving/EndpointRoster.cpp
+++ b/Source/Core/Serving/EndpointRoster.cpp
@@ -20,8 +20,8 @@
 constexpr Duration MostDecline = std::chrono::milliseconds(3200);
 /// Two refusals and the report between them come within this time if the engine is still needed.
 constexpr Duration DeclineMemory = std::chrono::milliseconds(1500);
-/// Free part of an engine's memory. Full engines were seen with a fifth of it free in their reports,
-/// which lag; engines that leave are soon empty.
+/// Free part of an engine's memory. Full engines were seen with a fifth of it free in their
+/// reports, which lag; engines that leave are soon empty.
 constexpr double AmpleShare = 0.4;
 
 } // namespace
--- a/Tests/Gateway/EventQueue.h
+++ b/Source/SiteModel/EventQueue.h
@@ -5,7 +5,7 @@
 #include <functional>
 #include <map>
 
-namespace rattancart::test {
+namespace rattancart {
 
 /// Runs what is due in the order of time, on a clock that moves only by that. Not thread-safe.
 class EventQueue {
@@ -38,4 +38,4 @@
   std::multimap<TimePoint, std::function<void()>> Due_;
 };
 
-} // namespace rattancart::test
+} // namespace rattancart
--- a/Tests/Gateway/SimulatedEngines.cpp
+++ b/Source/SiteModel/SimulatedEngines.cpp
@@ -1,4 +1,4 @@
-#include "Tests/Gateway/SimulatedEngines.h"
+#include "SiteModel/SimulatedEngines.h"
 
 #include "Core/Common/ErrorCode.h"
 
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <cstdlib>
 
-namespace rattancart::test {
+namespace rattancart {
 
 namespace {
 
@@ -339,4 +339,4 @@
   Sent->Done_(std::move(Result));
 }
 
-} // namespace rattancart::test
+} // namespace rattancart
--- a/Tests/Gateway/SimulatedEngines.h
+++ b/Source/SiteModel/SimulatedEngines.h
@@ -3,7 +3,7 @@
 #include "Core/Layers/PlacementController.h"
 #include "Gateway/EndpointDialect.h"
 #include "Net/HttpSender.h"
-#include "Tests/Gateway/EventQueue.h"
+#include "SiteModel/EventQueue.h"
 
 #include <map>
 #include <memory>
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-namespace rattancart::test {
+namespace rattancart {
 
 /// Request and answer heads in plain headers, as the simulated engines read them. Thread-safe.
 class SimulatedDialect final : public EndpointDialect {
@@ -124,4 +124,4 @@
   std::size_t Loads_ = 0;
 };
 
-} // namespace rattancart::test
+} // namespace rattancart
--- a/Tests/Gateway/SimulatedSite.cpp
+++ b/Source/SiteModel/SimulatedSite.cpp
@@ -1,11 +1,11 @@
-#include "Tests/Gateway/SimulatedSite.h"
+#include "SiteModel/SimulatedSite.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <charconv>
 
-namespace rattancart::test {
+namespace rattancart {
 
 namespace {
 
@@ -303,4 +303,4 @@
   return Count;
 }
 
-} // namespace rattancart::test
+} // namespace rattancart
--- a/Tests/Gateway/SimulatedSite.h
+++ b/Source/SiteModel/SimulatedSite.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Gateway/GatewayFront.h"
-#include "Tests/Gateway/SimulatedEngines.h"
+#include "SiteModel/SimulatedEngines.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -13,7 +13,7 @@
 #include <utility>
 #include <vector>
 
-namespace rattancart::test {
+namespace rattancart {
 
 /// What a caller saw of one try.
 struct CallerView {
@@ -88,4 +88,4 @@
   std::uint64_t Resumes_ = 0;
 };
 
-} // namespace rattancart::test
+} // namespace rattancart
--- a/Tests/Gateway/StreamExplorationTest.cpp
+++ b/Tests/Gateway/StreamExplorationTest.cpp
@@ -1,5 +1,5 @@
+#include "SiteModel/SimulatedSite.h"
 #include "Tests/Core/Layers/Deployments.h"
-#include "Tests/Gateway/SimulatedSite.h"
 
 #include <boost/test/unit_test.hpp>
 
--- /dev/null
+++ b/bench/LossBench.cpp
@@ -0,0 +1,104 @@
+// Plays a heavy day's load on simulated engines while one of them is lost for some seconds, by
+// hand: build/bin/rattancart-bench-losses [PREFIX]. With a prefix, draws each case as
+// PREFIX-ENGINE.svg.
+#include "Load/Report.h"
+#include "SiteModel/SiteLoad.h"
+#include "Tests/Core/Layers/Deployments.h"
+
+#include <fmt/format.h>
+
+using namespace rattancart;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration Calm = 8s;
+constexpr Duration Loss = 4s;
+constexpr Duration Recovery = 5s;
+constexpr Duration After = 8s;
+
+const std::vector<SimulatedSite::Place> Places = {
+    {"karratha", {{"h100", 1}, {"a100s", 1}, {"l4", 5}, {"t4", 7}}},
+    {"port-hedland", {{"a100s", 1}, {"l4", 8}, {"t4", 3}}},
+    {"newman", {{"a100s", 2}, {"l4", 4}, {"t4", 7}}}};
+const SiteLoad HeavyLoad{{22.7, 19.5, 22.7}};
+
+struct Case {
+  std::vector<std::string> Engines_;
+  EngineLife Life_;
+};
+
+double seconds(Duration Time) { return std::chrono::duration<double>(Time).count(); }
+
+PlotSeries series(const char *Name, const std::vector<LoadSecond> &Seconds,
+                  std::size_t LoadSecond::*Count) {
+  PlotSeries Drawn{Name, {}, {}};
+  for (std::size_t I = 0; I < Seconds.size(); ++I) {
+    Drawn.X_.push_back(static_cast<double>(I));
+    Drawn.Y_.push_back(static_cast<double>(Seconds[I].*Count));
+  }
+  return Drawn;
+}
+
+std::string draw(const std::string &Title, const std::vector<LoadSecond> &Seconds) {
+  Plot Drawn{Title, "s", "streams a second", PlotScale::Linear, {}, {}};
+  Drawn.Series_ = {series("offered", Seconds, &LoadSecond::Offered_),
+                   series("in time", Seconds, &LoadSecond::InTime_),
+                   series("late", Seconds, &LoadSecond::Late_),
+                   series("refused", Seconds, &LoadSecond::Refused_),
+                   series("failed", Seconds, &LoadSecond::Failed_)};
+  Drawn.Marks_ = {{seconds(Calm), "lost"}, {seconds(Calm + Loss), "back"}};
+  return formatPlot(Drawn);
+}
+
+void play(const Case &Each, const std::string &Prefix) {
+  LayeredModel Model = test::makeModel(80);
+  Model.StepPerSequence_ = std::chrono::nanoseconds(3820);
+  SimulatedSite Site(/*Seed=*/7, Model, Places);
+  Site.settle();
+  const TimePoint Start = Site.queue().now();
+  CallerViews All = press(Site, HeavyLoad, Calm);
+  for (const std::string &Engine : Each.Engines_)
+    Site.engines().setLife(EndpointId(Engine), Each.Life_);
+  const auto Add = [&](const CallerViews &More) {
+    All.insert(All.end(), More.begin(), More.end());
+  };
+  const CallerViews During = press(Site, HeavyLoad, Loss);
+  for (const std::string &Engine : Each.Engines_)
+    Site.engines().setLife(EndpointId(Engine), EngineLife::Running);
+  const CallerViews Recovering = press(Site, HeavyLoad, Recovery);
+  const CallerViews Later = press(Site, HeavyLoad, After);
+  Site.queue().run(20s);
+  const double Before = partInTime(All);
+  Add(During);
+  Add(Recovering);
+  Add(Later);
+  fmt::print("| {} | {} | {:.3f} | {:.3f} | {:.3f} | {:.3f} | {} |\n",
+             fmt::join(Each.Engines_, ", "), Each.Life_ == EngineLife::Dark ? "dark" : "ended",
+             Before, partInTime(During), partInTime(Recovering), partInTime(Later), Site.resumes());
+  if (Prefix.empty())
+    return;
+  const std::string File = Prefix + "-" + Each.Engines_.front() + ".svg";
+  if (writeFile(File,
+                draw(fmt::format("{} lost", fmt::join(Each.Engines_, ", ")), bySecond(All, Start))))
+    fmt::print(stderr, "{} can't be written\n", File);
+}
+
+} // namespace
+
+int main(int Count, char **Values) {
+  const std::string Prefix = Count > 1 ? Values[1] : "";
+  fmt::print("| lost for 4 s | how | in time before (with what the loss breaks off) | during | 5 s "
+             "after | later | resumed |\n|---|---|---|---|---|---|---|\n");
+  for (const Case &Each :
+       {Case{{"karratha-h100-0"}, EngineLife::Gone}, Case{{"karratha-l4-1"}, EngineLife::Dark},
+        Case{{"port-hedland-a100s-0"}, EngineLife::Dark},
+        Case{{"port-hedland-l4-3"}, EngineLife::Gone}, Case{{"newman-a100s-1"}, EngineLife::Gone},
+        Case{{"newman-t4-2"}, EngineLife::Dark},
+        Case{{"newman-a100s-0", "newman-a100s-1", "port-hedland-a100s-0"}, EngineLife::Gone},
+        Case{{"karratha-h100-0", "karratha-a100s-0", "newman-l4-0", "newman-l4-1",
+              "port-hedland-l4-0", "port-hedland-l4-1"},
+             EngineLife::Dark}})
+    play(Each, Prefix);
+  return 0;
+}
