Bulletins reach other data centres only now and then, or while requests need them

Each owner sent the states of all its engines to every gateway of all data centres twice a second, each of the datagrams with the addresses of all gateways: 65 MB/s and 65% of the processor at the busiest one, growing as machines squared. Ruled out: prompts and streams (1.8 GB stay at home).

Change: gateways elsewhere hear every 3 s, and each time from the moment that a request finds no path at home until 5 s after the last one; what the list says of layers is enough for the first of these. Names of stand-ins (8) only in the first datagram and at home. Datagrams are encoded once, not once a receiver.

--- a/Schemas/Gateway_generated.h
+++ b/Schemas/Gateway_generated.h
@@ -167,6 +167,7 @@
   typedef EngineSubscribe TableType;
   std::string data_center{};
   std::string home{};
+  bool in_use = false;
 };
 
 struct EngineSubscribe FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -174,7 +175,8 @@
   typedef EngineSubscribeBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_DATA_CENTER = 4,
-    VT_HOME = 6
+    VT_HOME = 6,
+    VT_IN_USE = 8
   };
   const flatbuffers::String *data_center() const {
     return GetPointer<const flatbuffers::String *>(VT_DATA_CENTER);
@@ -182,12 +184,16 @@
   const flatbuffers::String *home() const {
     return GetPointer<const flatbuffers::String *>(VT_HOME);
   }
+  bool in_use() const {
+    return GetField<uint8_t>(VT_IN_USE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_DATA_CENTER) &&
            verifier.VerifyString(data_center()) &&
            VerifyOffset(verifier, VT_HOME) &&
            verifier.VerifyString(home()) &&
+           VerifyField<uint8_t>(verifier, VT_IN_USE, 1) &&
            verifier.EndTable();
   }
   EngineSubscribeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -205,6 +211,9 @@
   void add_home(flatbuffers::Offset<flatbuffers::String> home) {
     fbb_.AddOffset(EngineSubscribe::VT_HOME, home);
   }
+  void add_in_use(bool in_use) {
+    fbb_.AddElement<uint8_t>(EngineSubscribe::VT_IN_USE, static_cast<uint8_t>(in_use), 0);
+  }
   explicit EngineSubscribeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -219,23 +228,27 @@
 inline flatbuffers::Offset<EngineSubscribe> CreateEngineSubscribe(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> data_center = 0,
-    flatbuffers::Offset<flatbuffers::String> home = 0) {
+    flatbuffers::Offset<flatbuffers::String> home = 0,
+    bool in_use = false) {
   EngineSubscribeBuilder builder_(_fbb);
   builder_.add_home(home);
   builder_.add_data_center(data_center);
+  builder_.add_in_use(in_use);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<EngineSubscribe> CreateEngineSubscribeDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *data_center = nullptr,
-    const char *home = nullptr) {
+    const char *home = nullptr,
+    bool in_use = false) {
   auto data_center__ = data_center ? _fbb.CreateString(data_center) : 0;
   auto home__ = home ? _fbb.CreateString(home) : 0;
   return rattancart::wire::CreateEngineSubscribe(
       _fbb,
       data_center__,
-      home__);
+      home__,
+      in_use);
 }
 
 flatbuffers::Offset<EngineSubscribe> CreateEngineSubscribe(flatbuffers::FlatBufferBuilder &_fbb, const EngineSubscribeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -768,6 +781,7 @@
   (void)_resolver;
   { auto _e = data_center(); if (_e) _o->data_center = _e->str(); }
   { auto _e = home(); if (_e) _o->home = _e->str(); }
+  { auto _e = in_use(); _o->in_use = _e; }
 }
 
 inline flatbuffers::Offset<EngineSubscribe> EngineSubscribe::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineSubscribeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -780,10 +794,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EngineSubscribeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _data_center = _o->data_center.empty() ? 0 : _fbb.CreateString(_o->data_center);
   auto _home = _o->home.empty() ? 0 : _fbb.CreateString(_o->home);
+  auto _in_use = _o->in_use;
   return rattancart::wire::CreateEngineSubscribe(
       _fbb,
       _data_center,
-      _home);
+      _home,
+      _in_use);
 }
 
 inline EngineStateT *EngineState::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Gateway/EngineBulletin.cpp
+++ b/Source/Gateway/EngineBulletin.cpp
@@ -17,8 +17,16 @@
 constexpr Duration SubscribeInterval = milliseconds(1000);
 /// A subscription that is not renewed ends; three lost datagrams are borne.
 constexpr Duration SubscriptionTime = milliseconds(3500);
-/// Without a bulletin for this long the owner is looked up again.
+/// Without a bulletin for this long the owner at home is looked up again.
 constexpr Duration BulletinLimit = milliseconds(2500);
+/// Other data centres' engines matter only while requests are sent there; what the list says of
+/// them is enough for the first of these. Bulletins to all would grow as engines times gateways.
+constexpr Duration OthersInterval = milliseconds(3000);
+constexpr Duration OthersLimit = milliseconds(8000);
+/// Requests that overflow once are likely to do so again within this time.
+constexpr Duration OthersUseTime = milliseconds(5000);
+/// Gateways that are named as stand-ins of the owner.
+constexpr std::size_t MostMembers = 8;
 /// Least time between two look-ups of one owner; each is a priced call to the store.
 constexpr Duration LookupInterval = milliseconds(2000);
 /// Engines in one datagram, so that it fits into one packet.
@@ -26,6 +34,27 @@
 /// A silent engine gets no work for this long after the owner said so.
 constexpr Duration SilentHold = milliseconds(1500);
 
+std::unique_ptr<wire::EngineStateT> stateOf(const EndpointId &Id, const EndpointRecord &Record,
+                                            TimePoint Now) {
+  auto State = std::make_unique<wire::EngineStateT>();
+  State->id = Id.str();
+  State->run = Record.Listing_.Run_.value();
+  State->first_layer = Record.Report_.Layers_.Begin_;
+  State->end_layer = Record.Report_.Layers_.End_;
+  State->busy = Record.Report_.Busy_;
+  State->orders = Record.Report_.Orders_;
+  State->waiting = Record.Report_.Waiting_;
+  State->running = Record.Report_.Running_;
+  State->used = Record.Report_.UsedTokenLayers_;
+  State->total = Record.Report_.TotalTokenLayers_;
+  State->slowdown = Record.Report_.Slowdown_;
+  State->silent = Record.silent(Now);
+  State->reported = Record.reported();
+  if (Record.reported())
+    State->age_ms = static_cast<std::uint32_t>((Now - Record.ReportedAt_) / milliseconds(1));
+  return State;
+}
+
 } // namespace
 
 EngineBulletin::EngineBulletin(boost::asio::io_context &Loop, const Clock &Time, Logger &Log,
@@ -81,8 +110,12 @@
   if (const auto *Told = Content.payload.AsEngineSilent())
     return onTold(*Told);
   if (const auto *Request = Content.payload.AsEngineSubscribe())
-    if (Request->data_center == Home_.str())
-      Subscribers_[Sender_] = {Time_.now() + SubscriptionTime, Request->home == Home_.str()};
+    if (Request->data_center == Home_.str()) {
+      Subscriber &Known = Subscribers_[Sender_];
+      Known.Until_ = Time_.now() + SubscriptionTime;
+      Known.AtHome_ = Request->home == Home_.str();
+      Known.InUse_ = Request->in_use;
+    }
 }
 
 void EngineBulletin::onStates(const wire::EngineStatesT &States) {
@@ -98,7 +131,8 @@
   const TimePoint Now = Time_.now();
   From->second.HeardAt_ = Now;
   From->second.Gateways_ = States.gateways;
-  From->second.Members_ = States.members;
+  if (!States.members.empty())
+    From->second.Members_ = States.members;
   for (const auto &State : States.engines) {
     if (!State)
       continue;
@@ -132,51 +166,52 @@
       Receivers.insert({Last->address(), Last->port()});
   if (Receivers.empty() || !Fence_)
     return;
+  const std::vector<Frame> ForHome = stateFrames(/*ForHome=*/true);
+  const std::vector<Frame> ForOthers = stateFrames(/*ForHome=*/false);
+  for (auto &[To, Each] : Subscribers_) {
+    if (!Each.AtHome_ && !Each.InUse_ && Now < Each.NextAt_)
+      continue;
+    Each.NextAt_ = Now + OthersInterval;
+    for (const Frame &Packed : Each.AtHome_ ? ForHome : ForOthers)
+      send(To, Packed);
+  }
+}
+
+std::vector<std::string> EngineBulletin::firstMembers() const {
   std::vector<std::string> Members{Member_};
   for (const auto &[To, Each] : Subscribers_)
     if (Each.AtHome_)
       Members.push_back(fmt::format("{}:{}", To.address().to_string(), To.port()));
   std::sort(Members.begin(), Members.end());
-  std::vector<wire::GatewayDatagramT> Datagrams;
+  Members.resize(std::min(Members.size(), MostMembers));
+  return Members;
+}
+
+std::vector<EngineBulletin::Frame> EngineBulletin::stateFrames(bool ForHome) const {
+  const TimePoint Now = Time_.now();
+  std::vector<Frame> Frames;
   wire::EngineStatesT States;
   const auto Flush = [&] {
     if (States.engines.empty())
       return;
     States.data_center = Home_.str();
     States.fence = Fence_->value();
-    States.members = Members;
+    if (ForHome && Frames.empty())
+      States.members = firstMembers();
     States.gateways = static_cast<std::uint32_t>(Subscribers_.size() + 1);
     wire::GatewayDatagramT Content;
     Content.payload.Set(std::exchange(States, {}));
-    Datagrams.push_back(std::move(Content));
+    Frames.push_back(pack(Content));
   };
   for (const auto &[Id, Record] : Roster_.all()) {
     if (Record.Listing_.DataCenter_ != Home_ || (!Record.reported() && !Record.silent(Now)))
       continue;
-    auto State = std::make_unique<wire::EngineStateT>();
-    State->id = Id.str();
-    State->run = Record.Listing_.Run_.value();
-    State->first_layer = Record.Report_.Layers_.Begin_;
-    State->end_layer = Record.Report_.Layers_.End_;
-    State->busy = Record.Report_.Busy_;
-    State->orders = Record.Report_.Orders_;
-    State->waiting = Record.Report_.Waiting_;
-    State->running = Record.Report_.Running_;
-    State->used = Record.Report_.UsedTokenLayers_;
-    State->total = Record.Report_.TotalTokenLayers_;
-    State->slowdown = Record.Report_.Slowdown_;
-    State->silent = Record.silent(Now);
-    State->reported = Record.reported();
-    if (Record.reported())
-      State->age_ms = static_cast<std::uint32_t>((Now - Record.ReportedAt_) / milliseconds(1));
-    States.engines.push_back(std::move(State));
+    States.engines.push_back(stateOf(Id, Record, Now));
     if (States.engines.size() == EnginesPerDatagram)
       Flush();
   }
   Flush();
-  for (const wire::GatewayDatagramT &Content : Datagrams)
-    for (const auto &[To, Until] : Subscribers_)
-      send(To, Content);
+  return Frames;
 }
 
 void EngineBulletin::onTold(const wire::EngineSilentT &Told) {
@@ -196,16 +231,28 @@
   Told.id = Engine.str();
   wire::GatewayDatagramT Content;
   Content.payload.Set(std::move(Told));
+  const Frame Packed = pack(Content);
   if (Fence_ && Place == Home_) {
     for (const auto &[To, Until] : Subscribers_)
-      send(To, Content);
+      send(To, Packed);
     return;
   }
   const auto From = Sources_.find(Place);
   if (From == Sources_.end())
     return;
   if (const auto To = parseAddress(NetAddress(From->second.Owner_)))
-    send({To->address(), To->port()}, Content);
+    send({To->address(), To->port()}, Packed);
+}
+
+void EngineBulletin::useOthers() {
+  const bool Known = Time_.now() < OthersUsedUntil_;
+  OthersUsedUntil_ = Time_.now() + OthersUseTime;
+  if (!Known)
+    subscribe();
+}
+
+Duration EngineBulletin::silenceLimit(const DataCenterId &Place) const {
+  return Place == Home_ ? BulletinLimit : OthersLimit;
 }
 
 std::optional<std::uint32_t> EngineBulletin::gateways() const {
@@ -213,7 +260,7 @@
   if (Fence_)
     Most = static_cast<std::uint32_t>(Subscribers_.size() + 1);
   for (const auto &[Place, From] : Sources_)
-    if (From.Gateways_ > 0 && Time_.now() - From.HeardAt_ < BulletinLimit)
+    if (From.Gateways_ > 0 && Time_.now() - From.HeardAt_ < silenceLimit(Place))
       Most = std::max(Most.value_or(0), From.Gateways_);
   return Most;
 }
@@ -242,7 +289,7 @@
 
 void EngineBulletin::subscribeAt(const DataCenterId &Place, Source &From) {
   const TimePoint Now = Time_.now();
-  const bool Stale = From.Owner_.empty() || Now - From.HeardAt_ > BulletinLimit;
+  const bool Stale = From.Owner_.empty() || Now - From.HeardAt_ > silenceLimit(Place);
   if (Stale && !From.Asking_ &&
       (From.AskedAt_ == TimePoint{} || Now - From.AskedAt_ > LookupInterval))
     findOwner(Place, From);
@@ -257,9 +304,10 @@
   wire::EngineSubscribeT Request;
   Request.data_center = Place.str();
   Request.home = Home_.str();
+  Request.in_use = Now < OthersUsedUntil_;
   wire::GatewayDatagramT Content;
   Content.payload.Set(std::move(Request));
-  send({To->address(), To->port()}, Content);
+  send({To->address(), To->port()}, pack(Content));
 }
 
 void EngineBulletin::findOwner(const DataCenterId &Place, Source &From) {
@@ -276,13 +324,16 @@
   });
 }
 
-void EngineBulletin::send(const Udp::endpoint &To, const wire::GatewayDatagramT &Content) {
+EngineBulletin::Frame EngineBulletin::pack(const wire::GatewayDatagramT &Content) {
   flatbuffers::FlatBufferBuilder Builder(512);
   Builder.Finish(wire::GatewayDatagram::Pack(Builder, &Content));
+  return {Builder.GetBufferPointer(), Builder.GetBufferPointer() + Builder.GetSize()};
+}
+
+void EngineBulletin::send(const Udp::endpoint &To, const Frame &Packed) {
   boost::system::error_code Ignored;
   // A datagram that does not fit into the socket is lost like any other; the next one follows.
-  Socket_.send_to(boost::asio::buffer(Builder.GetBufferPointer(), Builder.GetSize()), To, 0,
-                  Ignored);
+  Socket_.send_to(boost::asio::buffer(Packed), To, 0, Ignored);
 }
 
 } // namespace rattancart
--- a/Source/Gateway/EngineBulletin.h
+++ b/Source/Gateway/EngineBulletin.h
@@ -40,6 +40,9 @@
 
   /// Sends the states of the home data centre's engines to all subscribers.
   void publish();
+  /// Requests need engines of other data centres now. From then on and for some seconds, this
+  /// process hears of them as often as of those at home.
+  void useOthers();
   /// Tells the other gateways that an engine does not answer.
   void tellSilent(const EndpointId &Engine, const DataCenterId &Place);
   /// Calls Handler when another gateway found an engine silent.
@@ -70,16 +73,26 @@
   struct Subscriber {
     TimePoint Until_{};
     bool AtHome_ = false;
+    bool InUse_ = false;
+    /// Subscribers of other data centres that don't use this one hear of it now and then.
+    TimePoint NextAt_{};
   };
+  using Frame = std::vector<std::uint8_t>;
 
   void receive();
   void onDatagram(std::size_t Size);
   void onStates(const wire::EngineStatesT &States);
   void onTold(const wire::EngineSilentT &Told);
+  /// The states of the home data centre's engines, each frame small enough for one packet.
+  std::vector<Frame> stateFrames(bool ForHome) const;
+  std::vector<std::string> firstMembers() const;
+  /// Without a bulletin for this long the owner of a data centre is looked up again.
+  Duration silenceLimit(const DataCenterId &Place) const;
   void subscribe();
   void subscribeAt(const DataCenterId &Place, Source &From);
   void findOwner(const DataCenterId &Place, Source &From);
-  void send(const Udp::endpoint &To, const wire::GatewayDatagramT &Content);
+  static Frame pack(const wire::GatewayDatagramT &Content);
+  void send(const Udp::endpoint &To, const Frame &Packed);
 
   const Clock &Time_;
   Logger &Log_;
@@ -96,6 +109,7 @@
   std::function<void(const EndpointId &)> Silent_;
   std::function<void(FencingNumber)> Outranked_;
   std::optional<FencingNumber> Fence_;
+  TimePoint OthersUsedUntil_{};
 };
 
 } // namespace rattancart
--- a/Source/Gateway/GatewayParts.h
+++ b/Source/Gateway/GatewayParts.h
@@ -13,6 +13,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <random>
 
 namespace rattancart {
@@ -35,6 +36,9 @@
   /// Names the next request that waits.
   AdmissionTicket NextTicket_{1};
 
+  /// Called when a request finds no path at home, so that those elsewhere matter.
+  std::function<void()> OnNoPathAtHome_;
+
   /// A number drawn from [0, 1).
   double draw() { return std::uniform_real_distribution<double>(0, 1)(Random_); }
 };
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -116,6 +116,7 @@
 }
 
 void GatewayProcess::watchEngines() {
+  Parts_.OnNoPathAtHome_ = [this] { Bulletin_.useOthers(); };
   Client_.onIdleClosed([this](const NetAddress &Address) {
     const EndpointRecord *Record = Roster_.findByAddress(Address);
     if (Record && Record->reported())
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -82,6 +82,8 @@
   Shortage_ = Choice.Shortage_;
   Scarcest_ = Choice.Scarcest_;
   BudgetSpent_ = false;
+  if (Choice.DataCenter_ != Parts_.Home_ && Parts_.OnNoPathAtHome_)
+    Parts_.OnNoPathAtHome_();
   if (!Choice.Path_)
     return false;
   if (Again && !mayRepeat()) {
--- a/Tests/System/GatewayTest.cpp
+++ b/Tests/System/GatewayTest.cpp
@@ -174,6 +174,7 @@
   const int Prompt = 9000;
   GatewayDeployment Deployment({"east"}, {{{"east", {{"h100", 1}, {"l4", 8}}}}});
   std::vector<std::future<HttpResult>> Answers;
+  Answers.reserve(Callers);
   for (int I = 0; I < Callers; ++I)
     Answers.push_back(Deployment.begin(0, "brief-" + std::to_string(I), "POST", site::BriefPath,
                                        3 * Events, Prompt));
