--- a/Tests/Core/Layers/Deployments.h
+++ b/Tests/Core/Layers/Deployments.h
@@ -62,6 +62,17 @@
   return Engines;
 }
 
+/// The layout that plans lead to, with all orders carried out.
+inline std::vector<PlannedEngine> planned(const LayeredModel &Model,
+                                          std::vector<PlannedEngine> Engines) {
+  for (std::size_t Round = 0; Round < Engines.size() + 3; ++Round)
+    for (const LayerPlacement &Each : planLayers(Model, Engines))
+      for (PlannedEngine &Engine : Engines)
+        if (Engine.Id_ == Each.Engine_)
+          Engine.Layers_ = Each.Layers_;
+  return Engines;
+}
+
 /// Data centres of known sites and of shapes that no site has.
 inline const std::vector<Deployment> &deployments() {
   static const std::vector<Deployment> All = {
--- a/Tests/Core/Layers/LayoutMeasuresTest.cpp
+++ b/Tests/Core/Layers/LayoutMeasuresTest.cpp
@@ -48,15 +48,6 @@
   return "greedy by speed";
 }
 
-std::vector<PlannedEngine> planned(const LayeredModel &Model, std::vector<PlannedEngine> Engines) {
-  for (std::size_t Round = 0; Round < Engines.size() + 3; ++Round)
-    for (const LayerPlacement &Each : planLayers(Model, Engines))
-      for (PlannedEngine &Engine : Engines)
-        if (Engine.Id_ == Each.Engine_)
-          Engine.Layers_ = Each.Layers_;
-  return Engines;
-}
-
 } // namespace
 
 BOOST_DATA_TEST_CASE(TokensInFlightFollowTheScarcestLayers, LayoutCases, Case) {
--- /dev/null
+++ b/Tests/Gateway/HeavyDay.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "SiteModel/SiteLoad.h"
+#include "Tests/Core/Layers/Deployments.h"
+
+#include <vector>
+
+namespace rattancart::test {
+
+/// Three data centres of a known site.
+inline const std::vector<SimulatedSite::Place> &heavyPlaces() {
+  static const std::vector<SimulatedSite::Place> Places = {
+      {"karratha", {{"h100", 1}, {"a100s", 1}, {"l4", 5}, {"t4", 7}}},
+      {"port-hedland", {{"a100s", 1}, {"l4", 8}, {"t4", 3}}},
+      {"newman", {{"a100s", 2}, {"l4", 4}, {"t4", 7}}}};
+  return Places;
+}
+
+/// Streams a second there on a heavy day.
+inline SiteLoad heavyLoad() { return {{22.7, 19.5, 22.7}}; }
+
+inline LayeredModel heavyModel() {
+  LayeredModel Model = makeModel(80);
+  Model.StepPerSequence_ = std::chrono::nanoseconds(3820);
+  return Model;
+}
+
+} // namespace rattancart::test
--- a/Tests/Gateway/LossLoadTest.cpp
+++ b/Tests/Gateway/LossLoadTest.cpp
@@ -1,5 +1,4 @@
-#include "SiteModel/SiteLoad.h"
-#include "Tests/Core/Layers/Deployments.h"
+#include "Tests/Gateway/HeavyDay.h"
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -12,19 +11,12 @@
 
 namespace {
 
-/// The load of a heavy day.
-const SiteLoad HeavyLoad{{22.7, 19.5, 22.7}};
 constexpr Duration CalmTime = 8s;
 constexpr Duration LossTime = 4s;
 /// Figures are back to calm this long after the engine's return.
 constexpr Duration RecoveryLimit = 5s;
 constexpr Duration AfterTime = 8s;
 
-const std::vector<SimulatedSite::Place> Places = {
-    {"karratha", {{"h100", 1}, {"a100s", 1}, {"l4", 5}, {"t4", 7}}},
-    {"port-hedland", {{"a100s", 1}, {"l4", 8}, {"t4", 3}}},
-    {"newman", {{"a100s", 2}, {"l4", 4}, {"t4", 7}}}};
-
 struct LossCase {
   const char *Engine_;
   EngineLife Life_;
@@ -43,20 +35,18 @@
 } // namespace
 
 BOOST_DATA_TEST_CASE(FiguresAreCalmSoonAfterALostEngineIsBack, LossCases, Case) {
-  LayeredModel Model = makeModel(80);
-  Model.StepPerSequence_ = std::chrono::nanoseconds(3820);
-  SimulatedSite Site(/*Seed=*/7, Model, Places);
+  SimulatedSite Site(/*Seed=*/7, heavyModel(), heavyPlaces());
   Site.settle();
-  CallerViews Before = press(Site, HeavyLoad, CalmTime);
+  CallerViews Before = press(Site, heavyLoad(), CalmTime);
   // What the loss itself breaks off is not of the calm time.
   std::erase_if(Before, [](const auto &Each) { return !Each->ended(); });
   Site.engines().setLife(EndpointId(Case.Engine_), Case.Life_);
-  const CallerViews During = press(Site, HeavyLoad, LossTime);
+  const CallerViews During = press(Site, heavyLoad(), LossTime);
   Site.engines().setLife(EndpointId(Case.Engine_), EngineLife::Running);
-  const CallerViews Recovering = press(Site, HeavyLoad, RecoveryLimit);
+  const CallerViews Recovering = press(Site, heavyLoad(), RecoveryLimit);
   const std::uint64_t Resumes = Site.resumes();
   const std::size_t Sends = Site.engines().sends();
-  const CallerViews After = press(Site, HeavyLoad, AfterTime);
+  const CallerViews After = press(Site, heavyLoad(), AfterTime);
   Site.queue().run(20s);
   BOOST_TEST_MESSAGE(Case << ": in time " << partInTime(Before) << ", " << partInTime(During)
                           << ", " << partInTime(Recovering) << ", " << partInTime(After)
--- a/bench/LayoutBench.cpp
+++ b/bench/LayoutBench.cpp
@@ -9,15 +9,6 @@
 
 namespace {
 
-std::vector<PlannedEngine> planned(const LayeredModel &Model, std::vector<PlannedEngine> Engines) {
-  for (std::size_t Round = 0; Round < Engines.size() + 3; ++Round)
-    for (const LayerPlacement &Each : planLayers(Model, Engines))
-      for (PlannedEngine &Engine : Engines)
-        if (Engine.Id_ == Each.Engine_)
-          Engine.Layers_ = Each.Layers_;
-  return Engines;
-}
-
 void print(const char *Place, const char *Name, const LayeredModel &Model,
            const std::vector<PlannedEngine> &Engines) {
   const double Tokens = tokensInFlight(Model, Engines);
@@ -41,7 +32,7 @@
       continue;
     const LayeredModel Model = test::makeModel(Case.Layers_);
     const auto Empty = test::makeEngines(Model, Case);
-    print(Case.Name_, "planner", Model, planned(Model, Empty));
+    print(Case.Name_, "planner", Model, test::planned(Model, Empty));
     print(Case.Name_, "one path", Model, layBaseline(Baseline::OnePath, Model, Empty));
     print(Case.Name_, "equal split", Model, layBaseline(Baseline::EqualSplit, Model, Empty));
     print(Case.Name_, "greedy by speed", Model, layBaseline(Baseline::GreedyBySpeed, Model, Empty));
--- a/bench/LossBench.cpp
+++ b/bench/LossBench.cpp
@@ -2,8 +2,7 @@
 // hand: build/bin/rattancart-bench-losses [PREFIX]. With a prefix, draws each case as
 // PREFIX-ENGINE.svg.
 #include "Load/Report.h"
-#include "SiteModel/SiteLoad.h"
-#include "Tests/Core/Layers/Deployments.h"
+#include "Tests/Gateway/HeavyDay.h"
 
 #include <fmt/format.h>
 
@@ -17,12 +16,6 @@
 constexpr Duration Recovery = 5s;
 constexpr Duration After = 8s;
 
-const std::vector<SimulatedSite::Place> Places = {
-    {"karratha", {{"h100", 1}, {"a100s", 1}, {"l4", 5}, {"t4", 7}}},
-    {"port-hedland", {{"a100s", 1}, {"l4", 8}, {"t4", 3}}},
-    {"newman", {{"a100s", 2}, {"l4", 4}, {"t4", 7}}}};
-const SiteLoad HeavyLoad{{22.7, 19.5, 22.7}};
-
 struct Case {
   std::vector<std::string> Engines_;
   EngineLife Life_;
@@ -52,22 +45,20 @@
 }
 
 void play(const Case &Each, const std::string &Prefix) {
-  LayeredModel Model = test::makeModel(80);
-  Model.StepPerSequence_ = std::chrono::nanoseconds(3820);
-  SimulatedSite Site(/*Seed=*/7, Model, Places);
+  SimulatedSite Site(/*Seed=*/7, test::heavyModel(), test::heavyPlaces());
   Site.settle();
   const TimePoint Start = Site.queue().now();
-  CallerViews All = press(Site, HeavyLoad, Calm);
+  CallerViews All = press(Site, test::heavyLoad(), Calm);
   for (const std::string &Engine : Each.Engines_)
     Site.engines().setLife(EndpointId(Engine), Each.Life_);
   const auto Add = [&](const CallerViews &More) {
     All.insert(All.end(), More.begin(), More.end());
   };
-  const CallerViews During = press(Site, HeavyLoad, Loss);
+  const CallerViews During = press(Site, test::heavyLoad(), Loss);
   for (const std::string &Engine : Each.Engines_)
     Site.engines().setLife(EndpointId(Engine), EngineLife::Running);
-  const CallerViews Recovering = press(Site, HeavyLoad, Recovery);
-  const CallerViews Later = press(Site, HeavyLoad, After);
+  const CallerViews Recovering = press(Site, test::heavyLoad(), Recovery);
+  const CallerViews Later = press(Site, test::heavyLoad(), After);
   Site.queue().run(20s);
   const double Before = partInTime(All);
   Add(During);
