--- a/Source/StandIns/Site/StoreFront.cpp
+++ b/Source/StandIns/Site/StoreFront.cpp
@@ -21,6 +21,8 @@
 
 constexpr std::uint32_t Partitions = 24;
 constexpr Duration CheckInterval = std::chrono::milliseconds(50);
+/// Of this many calls one is turned away by a crowded store.
+constexpr std::uint64_t CrowdedEvery = 3;
 
 std::string bigEndian(std::uint64_t Value, int Bytes) {
   std::string Text;
@@ -59,9 +61,11 @@
     Lost_.push_back(std::move(Responder));
     return;
   }
+  if (Fault_ == StoreFault::Crowded && Calls_ % CrowdedEvery == 0)
+    return Responder->send(jsonAnswer(429, "{}"));
   if (Fault_ == StoreFault::Busy)
     return Responder->send(jsonAnswer(503, "{}"));
-  if (Fault_ != StoreFault::LosesAnswers)
+  if (Fault_ == StoreFault::None || Fault_ == StoreFault::Crowded)
     return serve(Request, Responder);
   // The call is carried out, and its connection ends without an answer.
   if (Request.path() == "/-/log-join")
@@ -125,7 +129,7 @@
 }
 
 void StoreFront::answerWaiting() {
-  if (Fault_ != StoreFault::None)
+  if (Fault_ != StoreFault::None && Fault_ != StoreFault::Crowded)
     return;
   for (auto Read = Waiting_.begin(); Read != Waiting_.end();) {
     if (Read->From_ >= Topics_[Read->Topic_].end() && Time_.now() < Read->Until_) {
--- a/Source/StandIns/Site/StoreFront.h
+++ b/Source/StandIns/Site/StoreFront.h
@@ -18,6 +18,8 @@
   None,
   /// Answers 503.
   Busy,
+  /// Turns each third call away with 429.
+  Crowded,
   /// Does not answer.
   Silent,
   /// Carries calls out and loses their answers.
--- /dev/null
+++ b/Tests/platform/TopicFollowerTest.cpp
@@ -0,0 +1,57 @@
+#include "Process/MetricSet.h"
+#include "StandIns/Site/StoreFront.h"
+#include "platform/PlatformStore.h"
+#include "platform/WireNames.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <set>
+
+using namespace rattancart;
+using namespace rattancart::platform;
+
+namespace {
+
+/// Several pages of the stand-in's.
+constexpr int Records = 40;
+constexpr Duration Limit = std::chrono::seconds(30);
+
+struct StoreCase {
+  const char *Name_;
+  StoreFault Fault_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const StoreCase &Case) { return Out << Case.Name_; }
+
+const StoreCase StoreCases[] = {{"calm", StoreFault::None}, {"crowded", StoreFault::Crowded}};
+
+} // namespace
+
+// A store whose calls are used up refuses some of all; a listing that began anew after each refusal
+// would never end where it has more pages than calls are granted in a row.
+BOOST_DATA_TEST_CASE(AListingEndsAlsoWhenTheStoreTurnsSomeCallsAway, StoreCases, Case) {
+  boost::asio::io_context Loop;
+  const SystemClock Time;
+  NullLogger Log;
+  MetricSet Metrics;
+  StoreFront Store(Loop, Time);
+  HttpServer Server(Loop, {}, Store, Log);
+  BOOST_REQUIRE(!Server.listen(NetAddress("127.0.0.1:0")));
+  for (int I = 0; I < Records; ++I)
+    Store.append(std::string(topic::Endpoints), {"key-" + std::to_string(I), "value"});
+  Store.setFault(Case.Fault_);
+  HttpClient Client(Loop);
+  StoreCalls Calls(Client, Metrics, Server.address());
+  std::set<std::string> Seen;
+  TopicFollower Follower(Loop, Time, Calls, topic::Endpoints,
+                         {std::chrono::milliseconds(100), std::chrono::milliseconds(100)},
+                         {[&](const KeyedRecord &Record) { Seen.insert(Record.Key_); },
+                          [&] { Loop.stop(); }, [](std::error_code) {}});
+  Follower.start();
+  Loop.run_for(Limit);
+  BOOST_TEST(Seen.size() == static_cast<std::size_t>(Records));
+  BOOST_TEST(Loop.stopped());
+  Server.stop();
+}
