--- a/Source/SiteModel/EventQueue.h
+++ b/Source/SiteModel/EventQueue.h
@@ -2,6 +2,7 @@
 
 #include "Core/Common/Clock.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 
@@ -12,6 +13,7 @@
 public:
   const Clock &clock() const { return Clock_; }
   TimePoint now() const { return Clock_.now(); }
+  /// Calls Work once, Delay from now.
   void after(Duration Delay, std::function<void()> Work) {
     Due_.emplace(now() + Delay, std::move(Work));
   }
--- a/Source/SiteModel/SimulatedSite.cpp
+++ b/Source/SiteModel/SimulatedSite.cpp
@@ -41,9 +41,6 @@
   void send(HttpResponse Response) override {
     View_->Status_ = Response.Status_;
     View_->Complete_ = true;
-    const std::string Retry(Response.Headers_.get("retry-ms"));
-    if (!Retry.empty())
-      View_->RetryAfter_ = milliseconds(std::stoll(Retry));
   }
   void startChunked(HttpResponse Head) override { View_->Status_ = Head.Status_; }
   void sendChunk(std::string_view Data) override {
--- a/Source/SiteModel/SimulatedSite.h
+++ b/Source/SiteModel/SimulatedSite.h
@@ -28,7 +28,6 @@
   TimePoint LastAt_{};
   bool Complete_ = false;
   bool Cut_ = false;
-  std::optional<Duration> RetryAfter_;
   bool Left_ = false;
   /// Tells the gateway that the caller has gone.
   std::function<void()> OnLeave_;
@@ -49,6 +48,7 @@
     std::vector<std::pair<std::string, int>> Kinds_;
   };
 
+  /// Precondition: the kinds of all engines are kinds of the model.
   SimulatedSite(unsigned Seed, LayeredModel Model, const std::vector<Place> &Places);
 
   EventQueue &queue() { return Queue_; }
@@ -59,8 +59,10 @@
   std::vector<EndpointId> engineIds(const std::string &Where = "") const;
   /// Runs until every data centre holds the model.
   void settle();
+  /// Whether the running engines of a data centre hold every layer.
   bool isWhole(const std::string &Where) const;
-  /// A caller's request through the gateway of a data centre; the view changes as time goes on.
+  /// A caller's request through the gateway of the data centre at that place in the list; the view
+  /// changes as time goes on.
   std::shared_ptr<CallerView> call(std::size_t At, double Prompt, std::uint64_t Events);
   /// Requests that gateways have under way.
   std::size_t inFlight() const;
