Gateway: logs and metrics that tell how the retry budget is divided

The incident's logs could not tell by how many gateways one divides the common budget, from whom it heard that number, what it has spent, or why bulletins do not arrive: failed sends of datagrams were ignored. New: RepeatAllowed, GatewaysCounted, OwnerSilent, DatagramsDropped; gauges retry_budget_gateways and retry_budget_spent, counter datagrams_total. No decision changes.

--- a/Source/Core/Recovery/RetryShare.cpp
+++ b/Source/Core/Recovery/RetryShare.cpp
@@ -35,10 +35,20 @@
   ++slot(Service, Now).First_;
 }
 
+std::uint32_t RetryShare::spent(const ServiceId &Service, TimePoint Now) const {
+  const auto Place = Rings_.find(Service);
+  if (Place == Rings_.end())
+    return 0;
+  std::uint32_t Repeats = 0;
+  for (const Slot &Each : Place->second)
+    if (Each.Index_ >= 0 && indexOf(Now) - Each.Index_ <= static_cast<std::int64_t>(Slots))
+      Repeats += Each.Repeats_;
+  return Repeats;
+}
+
 double RetryShare::left(const ServiceId &Service, TimePoint Now) const {
   const std::int64_t Index = indexOf(Now);
   double First = 0;
-  double Repeats = 0;
   // Windows slide: repeats are counted over one slot more than a window holds, first sends over no
   // more than one, so that no window sees more repeats than its first sends allow.
   const auto Place = Rings_.find(Service);
@@ -47,10 +57,9 @@
     const std::int64_t Age = Index - Each.Index_;
     if (Each.Index_ < 0 || Age > static_cast<std::int64_t>(Slots))
       continue;
-    Repeats += Each.Repeats_;
     First += Age < static_cast<std::int64_t>(Slots) ? Each.First_ : 0;
   }
-  return SpentPart * (Options_.Ratio_ * First + Options_.Extra_ / Processes_) - Repeats;
+  return SpentPart * (Options_.Ratio_ * First + Options_.Extra_ / Processes_) - spent(Service, Now);
 }
 
 bool RetryShare::tryRepeat(const ServiceId &Service, TimePoint Now) {
--- a/Source/Core/Recovery/RetryShare.h
+++ b/Source/Core/Recovery/RetryShare.h
@@ -28,10 +28,13 @@
   RetryShare(RetryShareOptions Options, std::uint32_t Processes);
 
   void setProcesses(std::uint32_t Processes);
+  std::uint32_t processes() const { return Processes_; }
   /// Counts the first send of a request to a service.
   void onFirstSend(const ServiceId &Service, TimePoint Now);
   /// Takes one repeat, if one is left in the window.
   bool tryRepeat(const ServiceId &Service, TimePoint Now);
+  /// Repeats taken in the window.
+  std::uint32_t spent(const ServiceId &Service, TimePoint Now) const;
   /// Repeats left in the window.
   double left(const ServiceId &Service, TimePoint Now) const;
 
--- a/Source/Gateway/EngineBulletin.cpp
+++ b/Source/Gateway/EngineBulletin.cpp
@@ -58,10 +58,10 @@
 } // namespace
 
 EngineBulletin::EngineBulletin(boost::asio::io_context &Loop, const Clock &Time, Logger &Log,
-                               MetadataStore &Store, EndpointRoster &Roster, DataCenterId Home,
-                               std::vector<DataCenterId> DataCenters)
-    : Time_(Time), Log_(Log), Store_(Store), Roster_(Roster), Home_(std::move(Home)), Socket_(Loop),
-      Timer_(Loop) {
+                               MetricSet &Metrics, MetadataStore &Store, EndpointRoster &Roster,
+                               DataCenterId Home, std::vector<DataCenterId> DataCenters)
+    : Time_(Time), Log_(Log), Metrics_(Metrics), Store_(Store), Roster_(Roster),
+      Home_(std::move(Home)), Socket_(Loop), Timer_(Loop) {
   for (DataCenterId &Place : DataCenters)
     Sources_.emplace(std::move(Place), Source{});
 }
@@ -130,6 +130,7 @@
   }
   const TimePoint Now = Time_.now();
   From->second.HeardAt_ = Now;
+  From->second.SaidSilent_ = false;
   From->second.Gateways_ = States.gateways;
   if (!States.members.empty())
     From->second.Members_ = States.members;
@@ -282,6 +283,7 @@
 }
 
 void EngineBulletin::subscribe() {
+  logDropped();
   for (auto &[Place, From] : Sources_)
     if (!Fence_ || Place != Home_)
       subscribeAt(Place, From);
@@ -290,6 +292,8 @@
 void EngineBulletin::subscribeAt(const DataCenterId &Place, Source &From) {
   const TimePoint Now = Time_.now();
   const bool Stale = From.Owner_.empty() || Now - From.HeardAt_ > silenceLimit(Place);
+  if (Stale)
+    noteSilence(Place, From, Now);
   if (Stale && !From.Asking_ &&
       (From.AskedAt_ == TimePoint{} || Now - From.AskedAt_ > LookupInterval))
     findOwner(Place, From);
@@ -331,9 +335,28 @@
 }
 
 void EngineBulletin::send(const Udp::endpoint &To, const Frame &Packed) {
-  boost::system::error_code Ignored;
-  // A datagram that does not fit into the socket is lost like any other; the next one follows.
-  Socket_.send_to(boost::asio::buffer(Packed), To, 0, Ignored);
+  boost::system::error_code E;
+  Socket_.send_to(boost::asio::buffer(Packed), To, 0, E);
+  Metrics_.count("datagrams_total", E ? "dropped" : "sent");
+  if (!E)
+    return;
+  ++Dropped_;
+  DropReason_ = E;
+}
+
+void EngineBulletin::logDropped() {
+  if (Dropped_ > 0)
+    Log_.log(LogEvent::DatagramsDropped, {{"datagrams", std::exchange(Dropped_, 0)},
+                                          {"receivers", Subscribers_.size()},
+                                          {"reason", DropReason_.message()}});
+}
+
+void EngineBulletin::noteSilence(const DataCenterId &Place, Source &From, TimePoint Now) {
+  if (From.HeardAt_ == TimePoint{} || std::exchange(From.SaidSilent_, true))
+    return;
+  Log_.log(LogEvent::OwnerSilent, {{"data_center", Place.str()},
+                                   {"owner", From.Owner_},
+                                   {"heard_ms", (Now - From.HeardAt_) / milliseconds(1)}});
 }
 
 } // namespace rattancart
--- a/Source/Gateway/EngineBulletin.h
+++ b/Source/Gateway/EngineBulletin.h
@@ -4,6 +4,7 @@
 #include "Core/Serving/EndpointRoster.h"
 #include "Gateway/MetadataStore.h"
 #include "Net/Timer.h"
+#include "Process/MetricSet.h"
 
 #include "Gateway_generated.h"
 
@@ -27,7 +28,7 @@
 class EngineBulletin {
 public:
   /// Precondition: all arguments outlive the object.
-  EngineBulletin(boost::asio::io_context &Loop, const Clock &Time, Logger &Log,
+  EngineBulletin(boost::asio::io_context &Loop, const Clock &Time, Logger &Log, MetricSet &Metrics,
                  MetadataStore &Store, EndpointRoster &Roster, DataCenterId Home,
                  std::vector<DataCenterId> DataCenters);
 
@@ -66,6 +67,8 @@
     TimePoint HeardAt_{};
     TimePoint AskedAt_{};
     bool Asking_ = false;
+    /// The log says that this owner is not heard.
+    bool SaidSilent_ = false;
     std::uint32_t Gateways_ = 0;
     std::vector<std::string> Members_;
     std::size_t NextMember_ = 0;
@@ -93,9 +96,14 @@
   void findOwner(const DataCenterId &Place, Source &From);
   static Frame pack(const wire::GatewayDatagramT &Content);
   void send(const Udp::endpoint &To, const Frame &Packed);
+  /// Says which owner is no longer heard, once.
+  void noteSilence(const DataCenterId &Place, Source &From, TimePoint Now);
+  /// Says how many datagrams could not be sent since the last time.
+  void logDropped();
 
   const Clock &Time_;
   Logger &Log_;
+  MetricSet &Metrics_;
   MetadataStore &Store_;
   EndpointRoster &Roster_;
   DataCenterId Home_;
@@ -110,6 +118,9 @@
   std::function<void(FencingNumber)> Outranked_;
   std::optional<FencingNumber> Fence_;
   TimePoint OthersUsedUntil_{};
+  /// Datagrams that could not be sent, and why the last of them could not.
+  std::uint32_t Dropped_ = 0;
+  std::error_code DropReason_;
 };
 
 } // namespace rattancart
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -151,17 +151,24 @@
 bool Exchange::mayRepeat() {
   const TimePoint Now = Parts_.Time_.now();
   if (Parts_.Retries_.tryRepeat(Routed_.Service_->Id_, Now)) {
+    logRepeat(LogEvent::RepeatAllowed, Now);
     Parts_.Metrics_.count("repeats_total", "allowed");
     return true;
   }
+  logRepeat(LogEvent::RepeatDenied, Now);
   Parts_.Metrics_.count("repeats_total", "denied");
-  Parts_.Log_.log(LogEvent::RepeatDenied,
-                  {{"id", Routed_.Caller_.Id_.str()},
-                   {"budget_left", Parts_.Retries_.left(Routed_.Service_->Id_, Now)},
-                   {"sends", Sends_}});
   return false;
 }
 
+void Exchange::logRepeat(LogEvent Outcome, TimePoint Now) {
+  const ServiceId &Service = Routed_.Service_->Id_;
+  Parts_.Log_.log(Outcome, {{"id", Routed_.Caller_.Id_.str()},
+                            {"budget_left", Parts_.Retries_.left(Service, Now)},
+                            {"spent", Parts_.Retries_.spent(Service, Now)},
+                            {"gateways", Parts_.Retries_.processes()},
+                            {"sends", Sends_}});
+}
+
 void Exchange::logSend(const EndpointId &Endpoint, std::string_view Detail) {
   Parts_.Log_.log(LogEvent::RequestSent, {{"id", Routed_.Caller_.Id_.str()},
                                           {"endpoint", Endpoint.str()},
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -94,6 +94,7 @@
   /// Takes one repeat from the budget, and says so if there is none.
   bool mayRepeat();
   ForwardOptions forwardOptions() const;
+  void logRepeat(LogEvent Outcome, TimePoint Now);
   void logSend(const EndpointId &Endpoint, std::string_view Detail);
   void logFailure(const Attempt &Sent, const HttpResult &Result);
   /// Between Least and Most, so that callers refused together don't come back together.
--- a/Source/Gateway/GatewayGauges.cpp
+++ b/Source/Gateway/GatewayGauges.cpp
@@ -67,6 +67,10 @@
   for (const ServingService &Service : Current->config().Services_)
     Gauges.add("retry_budget_left", Retries.left(Service.Id_, Now),
                {{"service", Service.Id_.str()}});
+  for (const ServingService &Service : Current->config().Services_)
+    Gauges.add("retry_budget_spent", Retries.spent(Service.Id_, Now),
+               {{"service", Service.Id_.str()}});
+  Gauges.add("retry_budget_gateways", Retries.processes());
   for (const ServingService &Service : Current->config().Services_) {
     if (!Service.Model_)
       continue;
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -65,7 +65,7 @@
       Health_(Loop_, Time, Log, Metrics_, Client_, Platform.Dialect_, Roster_),
       Paths_(Roster_, Settings_.Process_.DataCenter_),
       Retries_(Settings_.Retries_, Settings_.Gateways_),
-      Bulletin_(Loop_, Time, Log, *Store_, Roster_, Settings_.Process_.DataCenter_,
+      Bulletin_(Loop_, Time, Log, Metrics_, *Store_, Roster_, Settings_.Process_.DataCenter_,
                 Settings_.DataCenters_),
       Placement_({Loop_, Time, Log, Metrics_, Client_, Platform.Dialect_, *Store_, Roster_, Config_,
                   Paths_, Health_, Bulletin_},
@@ -194,7 +194,12 @@
     Log_.log(LogEvent::EndpointGone, {{"endpoint", Id.str()}, {"reason", "did not come back"}});
   // Gateways that have just started or can't be reached are not counted yet.
   const auto Gateways = Bulletin_.gateways();
-  Retries_.setProcesses(Gateways ? *Gateways + UncountedGateways : Settings_.Gateways_);
+  const std::uint32_t Counted = Gateways ? *Gateways + UncountedGateways : Settings_.Gateways_;
+  if (Counted != Retries_.processes())
+    Log_.log(LogEvent::GatewaysCounted, {{"gateways", Counted},
+                                         {"before", Retries_.processes()},
+                                         {"from", Gateways ? "bulletins" : "settings"}});
+  Retries_.setProcesses(Counted);
   const std::string Reason = notReadyReason();
   if (Reason.empty() == WasReady_)
     return;
--- a/Tests/Gateway/GatewayGaugesTest.cpp
+++ b/Tests/Gateway/GatewayGaugesTest.cpp
@@ -65,6 +65,7 @@
      {"# TYPE p_endpoints gauge\np_endpoints{data_center=\"east\",state=\"live\"} 2\n",
       "p_endpoints{data_center=\"west\",state=\"live\"} 1\n", "p_config_revision 7\n",
       "p_config_age_seconds 2\n", "p_retry_budget_left{service=\"brief\"} 23.75\n",
+      "p_retry_budget_spent{service=\"brief\"} 0\n", "p_retry_budget_gateways 4\n",
       "p_holds_whole_model{service=\"brief\",data_center=\"east\"} 1\n",
       "p_holds_whole_model{service=\"brief\",data_center=\"west\"} 0\n"}},
     {"one silent",
@@ -79,7 +80,8 @@
      {"p_report_age_seconds{data_center=\"east\"} 0.5\n"}},
     {"repeats spent",
      [](Place &P) { P.Retries_.tryRepeat(Brief, Start + 1s); },
-     {"p_retry_budget_left{service=\"brief\"} 22.75\n"}},
+     {"p_retry_budget_left{service=\"brief\"} 22.75\n",
+      "p_retry_budget_spent{service=\"brief\"} 1\n"}},
 };
 
 } // namespace
