--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -271,6 +271,7 @@
 void GatewayProcess::reload() {
   SettingsFaults Faults;
   const GatewaySettings Loaded = loadGatewaySettings(SettingsFile_, Faults);
+  Metrics_.count("reloads_total", Faults.empty() ? "taken" : "invalid");
   if (!Faults.empty()) {
     Log_.log(LogEvent::SettingsFileInvalid, {{"faults", Faults.size()}});
     return;
--- a/Source/StandIns/Site/Site.cpp
+++ b/Source/StandIns/Site/Site.cpp
@@ -125,6 +125,9 @@
                      "data-centers: [{}]\n"
                      "shutdown: {{grace: 300ms, limit: 8s}}\n",
                      Instance, DataCenter, PeerPort, StoreAddress_.str(), Places);
+  if (const auto &Retries = Options_.Retries_)
+    Out << fmt::format("retries: {{ratio: {}, extra: {}, window: {}ms}}\n", Retries->Ratio_,
+                       Retries->Extra_, Retries->Window_ / std::chrono::milliseconds(1));
 }
 
 void Site::heartbeat() {
--- a/Source/StandIns/Site/Site.h
+++ b/Source/StandIns/Site/Site.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Common/Logger.h"
+#include "Core/Recovery/RetryShare.h"
 #include "StandIns/Site/DeskFront.h"
 #include "StandIns/Site/LayerEngineFront.h"
 #include "StandIns/Site/StoreFront.h"
@@ -34,6 +35,8 @@
   Duration EventInterval_ = std::chrono::milliseconds(10);
   /// How long an engine reads a prompt.
   Duration ReadTime_{};
+  /// The common retry budget of the gateways; what their settings leave out if there is none.
+  std::optional<RetryShareOptions> Retries_;
 };
 
 /// The users' platform in one process: its store, layered engines and desks on loopback ports, on a
--- a/Tests/Support/ChildProcess.cpp
+++ b/Tests/Support/ChildProcess.cpp
@@ -130,6 +130,8 @@
 
 void ChildProcess::pause() { signal(SIGSTOP); }
 void ChildProcess::resume() { signal(SIGCONT); }
+void ChildProcess::hangUp() { signal(SIGHUP); }
+
 void ChildProcess::terminate() { signal(SIGTERM); }
 void ChildProcess::kill() { signal(SIGKILL); }
 
--- a/Tests/Support/ChildProcess.h
+++ b/Tests/Support/ChildProcess.h
@@ -37,9 +37,10 @@
   /// Standard output up to its end. Throws as address().
   std::string readOutput(Duration Limit = std::chrono::seconds(60));
 
-  /// Signals: SIGSTOP, SIGCONT, SIGTERM, SIGKILL. Without effect once the program ended.
+  /// Signals: SIGSTOP, SIGCONT, SIGHUP, SIGTERM, SIGKILL. Without effect once the program ended.
   void pause();
   void resume();
+  void hangUp();
   void terminate();
   void kill();
   /// Waits for the end; returns the exit code, or minus the signal's number. Throws
--- /dev/null
+++ b/Tests/System/GatewayBudgetTest.cpp
@@ -0,0 +1,68 @@
+#include "Tests/System/GatewayDeployment.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+
+using namespace rattancart;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Longer than any run of these tests, so that all repeats fall into one window.
+constexpr RetryShareOptions Budget{.Ratio_ = 0.2, .Extra_ = 60, .Window_ = 10min};
+
+/// What happens to each gateway between two rounds of lookups that fail at every desk.
+struct BudgetCase {
+  const char *Name_;
+  std::size_t Gateways_;
+  int Rounds_;
+  int Lookups_;
+  void (*Between_)(GatewayDeployment &, std::size_t Index);
+};
+
+std::ostream &operator<<(std::ostream &Out, const BudgetCase &Case) { return Out << Case.Name_; }
+
+const BudgetCase BudgetCases[] = {
+    {"more gateways than any of them has heard of", 32, 1, 10,
+     [](GatewayDeployment &, std::size_t) {}},
+    {"settings are reloaded", 1, 24, 4,
+     [](GatewayDeployment &D, std::size_t Index) {
+       D.gateway(Index).hangUp();
+       D.awaitReload(Index);
+     }},
+    {"gateway is killed and restarted", 1, 24, 4,
+     [](GatewayDeployment &D, std::size_t Index) {
+       D.gateway(Index).kill();
+       D.restart(Index);
+     }},
+};
+
+std::size_t repeats(const SiteLedger &Ledger) {
+  std::size_t Count = 0;
+  for (const auto &[Id, Runs] : Ledger.Runs_)
+    Count += Runs.empty() ? 0 : Runs.size() - 1;
+  return Count;
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(RepeatsOfAllGatewaysExceedTheCommonBudget, BudgetCases, Case) {
+  SiteOptions Options{{{"east", {}}, {"west", {}}}};
+  Options.Retries_ = Budget;
+  GatewayDeployment Deployment(std::vector<std::string>(Case.Gateways_, "east"), Options);
+  Deployment.site().setDeskFault(DeskFault::Fails);
+  std::size_t Calls = 0;
+  for (int Round = 0; Round < Case.Rounds_; ++Round)
+    for (std::size_t Gateway = 0; Gateway < Case.Gateways_; ++Gateway) {
+      if (Round > 0)
+        Case.Between_(Deployment, Gateway);
+      for (int I = 0; I < Case.Lookups_; ++I)
+        Deployment.call(Gateway, "lookup-" + std::to_string(++Calls), "GET", site::LookupPath);
+    }
+  const std::size_t Repeats = repeats(Deployment.site().ledger());
+  BOOST_TEST(Repeats > 0U);
+  BOOST_TEST(static_cast<double>(Repeats) <=
+             Budget.Ratio_ * static_cast<double>(Calls) + Budget.Extra_);
+}
--- a/Tests/System/GatewayDeployment.cpp
+++ b/Tests/System/GatewayDeployment.cpp
@@ -174,6 +174,20 @@
   return !Result.Error_ && Result.Response_.Status_ == 200;
 }
 
+void GatewayDeployment::awaitReload(std::size_t Index) {
+  static constexpr std::string_view Name = "rattancart_gateway_reloads_total";
+  const auto Count = [&] {
+    const std::string Text = metrics(Index);
+    std::size_t Reloads = 0;
+    for (std::size_t At = Text.find("\n" + std::string(Name)); At != std::string::npos;
+         At = Text.find("\n" + std::string(Name), At + 1))
+      Reloads += std::stoul(Text.substr(Text.find(' ', At + Name.size()) + 1));
+    return Reloads;
+  };
+  await([&] { return Count() > Reloads_[Index]; }, "the settings to be read again");
+  Reloads_[Index] = Count();
+}
+
 bool GatewayDeployment::knowsLeaving(std::size_t Index, const std::string &Endpoint) {
   const auto State = BlockingHttp().getJson(StateAddresses_[Index], "/v1/state");
   if (!State.is_object())
--- a/Tests/System/GatewayDeployment.h
+++ b/Tests/System/GatewayDeployment.h
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <functional>
 #include <future>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -47,6 +48,8 @@
   /// The index of the gateway that owns the placement of a data centre.
   std::size_t owner(const std::string &DataCenter);
   bool isReady(std::size_t Index);
+  /// Waits until a gateway has read its settings again.
+  void awaitReload(std::size_t Index);
   /// Whether a gateway knows that an endpoint leaves.
   bool knowsLeaving(std::size_t Index, const std::string &Endpoint);
 
@@ -59,6 +62,8 @@
   std::vector<std::unique_ptr<ChildProcess>> Gateways_;
   std::vector<NetAddress> Addresses_;
   std::vector<NetAddress> StateAddresses_;
+  /// Reloads that awaitReload has seen, by gateway.
+  std::map<std::size_t, std::size_t> Reloads_;
   int FirstPort_ = 0;
 };
 
