The extra of the retry budget is spent only by gateways that know how many they are

Callers saw: streams late or cut while gateways repeated more requests than the common budget allows, which takes engines' room from first sends.

Cause: the part of a gateway rested on a number that errs on the wrong side. Who had heard no bulletin lately took 16 from its settings, at 89 gateways. A new owner, a stand-in and each side of a cut told only who had subscribed there by then. A reload and a restart forgot what was spent.

Now each data centre's owner tells how many gateways that data centre has, and GatewayCensus sums them up: what was heard counts for long, each side of a cut goes on counting the other, and a gateway that others may have forgotten spends only the ratio until it is surely counted again. So does each in its first window, at half the ratio, since the process before it is not known. 0.9 of the budget is spent in place of 0.95: processes' first sends peak at different moments. The setting "gateways" is gone.

Two figures of RetryShareTest are lower: the budget allows less. Stand-in sites give gateways a larger ratio, as their first requests must be repeated for other reasons than the budget's.

--- /dev/null
+++ b/Source/Core/Membership/GatewayCensus.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "Core/Common/Clock.h"
+#include "Core/Common/Ids.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace rattancart {
+
+struct GatewayCensusOptions {
+  /// A gateway that has reached neither the store nor the owner at home for this long is not sure
+  /// to be counted by others any more.
+  Duration Hold_ = std::chrono::seconds(10);
+  /// From the first time on that all data centres are known until the count is relied on: owners
+  /// that have just started themselves hear of the others only by and by.
+  Duration Settle_ = std::chrono::seconds(10);
+  /// The same after a doubt: others may have forgotten this gateway, and need this long to hear of
+  /// it again and to spend no more than before in a whole window.
+  Duration Return_ = std::chrono::seconds(20);
+  /// A data centre whose duty nobody owns for this long has no gateways that rely on being counted.
+  /// Longer than Hold_, the time until a lost store is noticed, a machine's pause and a budget's
+  /// window together.
+  Duration Ownerless_ = std::chrono::seconds(45);
+  /// Gateways are counted for this long after their owner heard of them last. An owner that hears
+  /// nobody can't tell whether the others are gone or its own link is bad, so this is longer than
+  /// such faults last.
+  Duration Memory_ = std::chrono::minutes(10);
+};
+
+/// How many gateways may be at work at the same time, or why that is not known.
+struct GatewayCount {
+  std::optional<std::uint32_t> Gateways_;
+  /// Why there is no count; empty if there is one.
+  std::string_view Doubt_;
+};
+
+/// Counts the gateways that share a limit, from what the owner of each data centre says of its own.
+///
+/// Never counts too few: what was heard holds on after a loss, each side of a cut goes on counting
+/// the other, and a process that may have been forgotten by others has no count at all.
+/// Not thread-safe.
+class GatewayCensus {
+public:
+  /// Places are all data centres that may have gateways, Home the own one. Precondition: Home is
+  /// one of Places.
+  GatewayCensus(const std::vector<DataCenterId> &Places, DataCenterId Home,
+                GatewayCensusOptions Options = {});
+
+  /// The owner of a data centre knows of this many gateways there, itself included. Other data
+  /// centres than those of the construction are ignored.
+  void counted(const DataCenterId &Place, std::uint32_t Gateways, TimePoint Now);
+  /// The store was asked which gateway owns that data centre's duty, and names one or none.
+  void ownerAsked(const DataCenterId &Place, bool Named, TimePoint Now);
+  /// The store was lost or regained.
+  void storeReachable(bool Reachable, TimePoint Now);
+
+  GatewayCount count(TimePoint Now) const;
+
+private:
+  struct Said {
+    TimePoint At_{};
+    std::uint32_t Gateways_ = 0;
+  };
+  struct Place {
+    /// What was heard within the memory: counts fall from front to back, so the first is the
+    /// largest.
+    std::deque<Said> Said_;
+    TimePoint HeardAt_{};
+    /// Since when the store names no owner; nothing if it named one last, or was not asked.
+    std::optional<TimePoint> OwnerlessSince_;
+  };
+
+  /// Gateways of all data centres; nothing if some are not known.
+  std::optional<std::uint32_t> sum(TimePoint Now) const;
+  /// Nothing if the data centre's gateways are not known.
+  std::optional<std::uint32_t> gatewaysAt(const Place &Each, TimePoint Now) const;
+
+  GatewayCensusOptions Options_;
+  DataCenterId Home_;
+  std::map<DataCenterId, Place> Places_;
+  std::optional<TimePoint> StoreLostAt_;
+  /// From when on the count may be relied on; nothing until all data centres were known.
+  std::optional<TimePoint> ReliableAt_;
+};
+
+} // namespace rattancart
--- a/Source/Core/Recovery/RetryShare.cpp
+++ b/Source/Core/Recovery/RetryShare.cpp
@@ -1,26 +1,44 @@
 #include "Core/Recovery/RetryShare.h"
 
-#include <algorithm>
-
 namespace rattancart {
 
 namespace {
 
 /// Part of the budget that is spent. The processes' first sends peak at different moments, so the
 /// sum of what each may repeat is a little over what all may repeat at once.
-constexpr double SpentPart = 0.95;
+constexpr double SpentPart = 0.9;
+/// Part of the ratio that is spent in a process's first window: repeats of the process before it
+/// are in the same window, and the first sends that allowed them may no longer be.
+constexpr double FirstWindowPart = 0.5;
 
 } // namespace
 
-RetryShare::RetryShare(RetryShareOptions Options, std::uint32_t Processes)
-    : Options_(Options), Processes_(std::max<std::uint32_t>(1, Processes)) {}
+RetryShare::RetryShare(RetryShareOptions Options, TimePoint StartedAt)
+    : Options_(Options), KnownSince_(StartedAt) {}
+
+void RetryShare::setOptions(RetryShareOptions Options, TimePoint Now) {
+  if (Options.Window_ != Options_.Window_) {
+    Rings_.clear();
+    KnownSince_ = Now;
+  }
+  Options_ = Options;
+}
+
+void RetryShare::setProcesses(std::optional<std::uint32_t> Processes) { Processes_ = Processes; }
+
+bool RetryShare::inFirstWindow(TimePoint Now) const {
+  return Now - KnownSince_ <= Options_.Window_ + slotTime();
+}
 
-void RetryShare::setProcesses(std::uint32_t Processes) {
-  Processes_ = std::max<std::uint32_t>(1, Processes);
+double RetryShare::allowed(double First, TimePoint Now) const {
+  if (inFirstWindow(Now))
+    return SpentPart * FirstWindowPart * Options_.Ratio_ * First;
+  const double Extra = Processes_ ? Options_.Extra_ / *Processes_ : 0;
+  return SpentPart * (Options_.Ratio_ * First + Extra);
 }
 
 std::int64_t RetryShare::indexOf(TimePoint Now) const {
-  return Now.time_since_epoch() / (Options_.Window_ / static_cast<std::int64_t>(Slots));
+  return Now.time_since_epoch() / slotTime();
 }
 
 RetryShare::Slot &RetryShare::slot(const ServiceId &Service, TimePoint Now) {
@@ -59,7 +77,7 @@
       continue;
     First += Age < static_cast<std::int64_t>(Slots) ? Each.First_ : 0;
   }
-  return SpentPart * (Options_.Ratio_ * First + Options_.Extra_ / Processes_) - spent(Service, Now);
+  return allowed(First, Now) - spent(Service, Now);
 }
 
 bool RetryShare::tryRepeat(const ServiceId &Service, TimePoint Now) {
--- a/Source/Gateway/EngineBulletin.cpp
+++ b/Source/Gateway/EngineBulletin.cpp
@@ -59,8 +59,9 @@
 
 EngineBulletin::EngineBulletin(boost::asio::io_context &Loop, const Clock &Time, Logger &Log,
                                MetricSet &Metrics, MetadataStore &Store, EndpointRoster &Roster,
-                               DataCenterId Home, std::vector<DataCenterId> DataCenters)
-    : Time_(Time), Log_(Log), Metrics_(Metrics), Store_(Store), Roster_(Roster),
+                               GatewayCensus &Census, DataCenterId Home,
+                               std::vector<DataCenterId> DataCenters)
+    : Time_(Time), Log_(Log), Metrics_(Metrics), Store_(Store), Roster_(Roster), Census_(Census),
       Home_(std::move(Home)), Socket_(Loop), Timer_(Loop) {
   for (DataCenterId &Place : DataCenters)
     Sources_.emplace(std::move(Place), Source{});
@@ -131,7 +132,7 @@
   const TimePoint Now = Time_.now();
   From->second.HeardAt_ = Now;
   From->second.SaidSilent_ = false;
-  From->second.Gateways_ = States.gateways;
+  Census_.counted(From->first, States.gateways, Now);
   if (!States.members.empty())
     From->second.Members_ = States.members;
   for (const auto &State : States.engines) {
@@ -159,6 +160,8 @@
 void EngineBulletin::publish() {
   const TimePoint Now = Time_.now();
   std::erase_if(Subscribers_, [&](const auto &Entry) { return Entry.second.Until_ < Now; });
+  if (Fence_)
+    Census_.counted(Home_, homeGateways(), Now);
   std::set<Udp::endpoint> Receivers;
   for (const auto &[To, Each] : Subscribers_)
     Receivers.insert(To);
@@ -178,6 +181,13 @@
   }
 }
 
+std::uint32_t EngineBulletin::homeGateways() const {
+  return static_cast<std::uint32_t>(1 + std::count_if(Subscribers_.begin(), Subscribers_.end(),
+                                                      [](const auto &Entry) {
+                                                        return Entry.second.AtHome_;
+                                                      }));
+}
+
 std::vector<std::string> EngineBulletin::firstMembers() const {
   std::vector<std::string> Members{Member_};
   for (const auto &[To, Each] : Subscribers_)
@@ -193,13 +203,11 @@
   std::vector<Frame> Frames;
   wire::EngineStatesT States;
   const auto Flush = [&] {
-    if (States.engines.empty())
-      return;
     States.data_center = Home_.str();
     States.fence = Fence_->value();
     if (ForHome && Frames.empty())
       States.members = firstMembers();
-    States.gateways = static_cast<std::uint32_t>(Subscribers_.size() + 1);
+    States.gateways = homeGateways();
     wire::GatewayDatagramT Content;
     Content.payload.Set(std::exchange(States, {}));
     Frames.push_back(pack(Content));
@@ -211,7 +219,9 @@
     if (States.engines.size() == EnginesPerDatagram)
       Flush();
   }
-  Flush();
+  // Without engines, the number of gateways still goes out.
+  if (!States.engines.empty() || Frames.empty())
+    Flush();
   return Frames;
 }
 
@@ -256,16 +266,6 @@
   return Place == Home_ ? BulletinLimit : OthersLimit;
 }
 
-std::optional<std::uint32_t> EngineBulletin::gateways() const {
-  std::optional<std::uint32_t> Most;
-  if (Fence_)
-    Most = static_cast<std::uint32_t>(Subscribers_.size() + 1);
-  for (const auto &[Place, From] : Sources_)
-    if (From.Gateways_ > 0 && Time_.now() - From.HeardAt_ < silenceLimit(Place))
-      Most = std::max(Most.value_or(0), From.Gateways_);
-  return Most;
-}
-
 std::optional<Duration> EngineBulletin::ownerSilence() const {
   const auto From = Sources_.find(Home_);
   if (From == Sources_.end() || From->second.HeardAt_ == TimePoint{})
@@ -317,13 +317,16 @@
 void EngineBulletin::findOwner(const DataCenterId &Place, Source &From) {
   From.Asking_ = true;
   From.AskedAt_ = Time_.now();
-  Store_.findOwner(group(Place), [this, Place](std::string Owner) {
+  Store_.findOwner(group(Place), [this, Place](std::optional<std::string> Owner) {
     Source &Known = Sources_[Place];
     Known.Asking_ = false;
-    if (Owner.empty() || Owner == Known.Owner_)
+    if (!Owner)
+      return;
+    Census_.ownerAsked(Place, !Owner->empty(), Time_.now());
+    if (Owner->empty() || *Owner == Known.Owner_)
       return;
-    Log_.log(LogEvent::OwnerFound, {{"data_center", Place.str()}, {"owner", Owner}});
-    Known.Owner_ = std::move(Owner);
+    Log_.log(LogEvent::OwnerFound, {{"data_center", Place.str()}, {"owner", *Owner}});
+    Known.Owner_ = std::move(*Owner);
     subscribeAt(Place, Known);
   });
 }
--- a/Source/Gateway/EngineBulletin.h
+++ b/Source/Gateway/EngineBulletin.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Common/Logger.h"
+#include "Core/Membership/GatewayCensus.h"
 #include "Core/Serving/EndpointRoster.h"
 #include "Gateway/MetadataStore.h"
 #include "Net/Timer.h"
@@ -29,8 +30,8 @@
 public:
   /// Precondition: all arguments outlive the object.
   EngineBulletin(boost::asio::io_context &Loop, const Clock &Time, Logger &Log, MetricSet &Metrics,
-                 MetadataStore &Store, EndpointRoster &Roster, DataCenterId Home,
-                 std::vector<DataCenterId> DataCenters);
+                 MetadataStore &Store, EndpointRoster &Roster, GatewayCensus &Census,
+                 DataCenterId Home, std::vector<DataCenterId> DataCenters);
 
   /// Errors: BadAddress, BindFailed.
   std::error_code listen(const NetAddress &Address);
@@ -48,8 +49,6 @@
   void tellSilent(const EndpointId &Engine, const DataCenterId &Place);
   /// Calls Handler when another gateway found an engine silent.
   void onSilent(std::function<void(const EndpointId &)> Handler) { Silent_ = std::move(Handler); }
-  /// Gateways that run, as far as owners know; nothing until one has said so lately.
-  std::optional<std::uint32_t> gateways() const;
   /// Whether this gateway owns the placement at home, and under which number. The last owner heard
   /// is told, which may not know that it no longer is.
   void setOwner(std::optional<FencingNumber> Fence) { Fence_ = Fence; }
@@ -69,7 +68,6 @@
     bool Asking_ = false;
     /// The log says that this owner is not heard.
     bool SaidSilent_ = false;
-    std::uint32_t Gateways_ = 0;
     std::vector<std::string> Members_;
     std::size_t NextMember_ = 0;
   };
@@ -89,6 +87,8 @@
   /// The states of the home data centre's engines, each frame small enough for one packet.
   std::vector<Frame> stateFrames(bool ForHome) const;
   std::vector<std::string> firstMembers() const;
+  /// Gateways of the home data centre that subscribe here, and this one.
+  std::uint32_t homeGateways() const;
   /// Without a bulletin for this long the owner of a data centre is looked up again.
   Duration silenceLimit(const DataCenterId &Place) const;
   void subscribe();
@@ -106,6 +106,7 @@
   MetricSet &Metrics_;
   MetadataStore &Store_;
   EndpointRoster &Roster_;
+  GatewayCensus &Census_;
   DataCenterId Home_;
   Udp::socket Socket_;
   Udp::endpoint Sender_;
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -165,7 +165,7 @@
   Parts_.Log_.log(Outcome, {{"id", Routed_.Caller_.Id_.str()},
                             {"budget_left", Parts_.Retries_.left(Service, Now)},
                             {"spent", Parts_.Retries_.spent(Service, Now)},
-                            {"gateways", Parts_.Retries_.processes()},
+                            {"gateways", Parts_.Retries_.processes().value_or(0)},
                             {"sends", Sends_}});
 }
 
--- a/Source/Gateway/GatewayGauges.cpp
+++ b/Source/Gateway/GatewayGauges.cpp
@@ -70,7 +70,7 @@
   for (const ServingService &Service : Current->config().Services_)
     Gauges.add("retry_budget_spent", Retries.spent(Service.Id_, Now),
                {{"service", Service.Id_.str()}});
-  Gauges.add("retry_budget_gateways", Retries.processes());
+  Gauges.add("retry_budget_gateways", Retries.processes().value_or(0));
   for (const ServingService &Service : Current->config().Services_) {
     if (!Service.Model_)
       continue;
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -22,8 +22,6 @@
 constexpr Duration LoopProbeInterval = milliseconds(250);
 /// Idle connections kept to one endpoint; a stream occupies one for its whole time.
 constexpr std::size_t IdleConnections = 16;
-/// Added to the gateways that are known, as a margin of the common retry budget.
-constexpr std::uint32_t UncountedGateways = 1;
 
 const char *changeName(EndpointRoster::Change Change) {
   switch (Change) {
@@ -64,9 +62,10 @@
       Store_(Platform.MakeStore_(Loop_, Time, Log, Metrics_, StoreClient_, Settings_.Store_)),
       Health_(Loop_, Time, Log, Metrics_, Client_, Platform.Dialect_, Roster_),
       Paths_(Roster_, Settings_.Process_.DataCenter_),
-      Retries_(Settings_.Retries_, Settings_.Gateways_),
-      Bulletin_(Loop_, Time, Log, Metrics_, *Store_, Roster_, Settings_.Process_.DataCenter_,
-                Settings_.DataCenters_),
+      Retries_(Settings_.Retries_, Time.now()),
+      Census_(Settings_.DataCenters_, Settings_.Process_.DataCenter_),
+      Bulletin_(Loop_, Time, Log, Metrics_, *Store_, Roster_, Census_,
+                Settings_.Process_.DataCenter_, Settings_.DataCenters_),
       Placement_({Loop_, Time, Log, Metrics_, Client_, Platform.Dialect_, *Store_, Roster_, Config_,
                   Paths_, Health_, Bulletin_},
                  Settings_.Process_.DataCenter_, Settings_.DataCenters_.size()),
@@ -185,6 +184,7 @@
 
 void GatewayProcess::onStoreReachable(bool Reachable) {
   StoreReachable_ = Reachable;
+  Census_.storeReachable(Reachable, Time_.now());
   Log_.log(Reachable ? LogEvent::PlatformBack : LogEvent::PlatformLost,
            {{"store", Settings_.Store_.str()}});
 }
@@ -192,14 +192,7 @@
 void GatewayProcess::checkReady() {
   for (const EndpointId &Id : Roster_.prune(Time_.now()))
     Log_.log(LogEvent::EndpointGone, {{"endpoint", Id.str()}, {"reason", "did not come back"}});
-  // Gateways that have just started or can't be reached are not counted yet.
-  const auto Gateways = Bulletin_.gateways();
-  const std::uint32_t Counted = Gateways ? *Gateways + UncountedGateways : Settings_.Gateways_;
-  if (Counted != Retries_.processes())
-    Log_.log(LogEvent::GatewaysCounted, {{"gateways", Counted},
-                                         {"before", Retries_.processes()},
-                                         {"from", Gateways ? "bulletins" : "settings"}});
-  Retries_.setProcesses(Counted);
+  countGateways();
   const std::string Reason = notReadyReason();
   if (Reason.empty() == WasReady_)
     return;
@@ -211,6 +204,16 @@
     Log_.log(LogEvent::ProcessNotReady, {{"reason", Reason}});
 }
 
+void GatewayProcess::countGateways() {
+  const GatewayCount Count = Census_.count(Time_.now());
+  if (Count.Gateways_ == Retries_.processes())
+    return;
+  Log_.log(LogEvent::GatewaysCounted, {{"gateways", Count.Gateways_.value_or(0)},
+                                       {"before", Retries_.processes().value_or(0)},
+                                       {"doubt", Count.Doubt_.empty() ? "-" : Count.Doubt_}});
+  Retries_.setProcesses(Count.Gateways_);
+}
+
 void GatewayProcess::measureLoopDelay() {
   const TimePoint Due = Time_.now() + LoopProbeInterval;
   LoopProbe_.after(LoopProbeInterval, [this, Due] {
@@ -278,8 +281,7 @@
   }
   // Addresses can't change while the process runs.
   Settings_.Retries_ = Loaded.Retries_;
-  Settings_.Gateways_ = Loaded.Gateways_;
-  Retries_ = RetryShare(Loaded.Retries_, Loaded.Gateways_);
+  Retries_.setOptions(Loaded.Retries_, Time_.now());
   Log_.log(LogEvent::SettingsReloaded, {{"file", SettingsFile_}});
 }
 
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -56,6 +56,7 @@
 
   void watchEngines();
   void checkReady();
+  void countGateways();
   void measureLoopDelay();
   void onShutdownSignal();
   void drainTick();
@@ -79,6 +80,7 @@
   EngineHealth Health_;
   PathChooser Paths_;
   RetryShare Retries_;
+  GatewayCensus Census_;
   RoomQueue Waiting_;
   EngineBulletin Bulletin_;
   PlacementOwner Placement_;
--- a/Source/Gateway/GatewaySettings.cpp
+++ b/Source/Gateway/GatewaySettings.cpp
@@ -22,8 +22,6 @@
   Settings.Store_ = Root.address("store", Presence::Required);
   for (const std::string &Name : Root.texts("data-centers", Presence::Required))
     Settings.DataCenters_.emplace_back(Name);
-  Settings.Gateways_ =
-      static_cast<std::uint32_t>(Root.number("gateways", Settings.Gateways_, {1, 10'000}));
 
   YamlSection Retries = Root.section("retries");
   Settings.Retries_.Ratio_ = Retries.real("ratio", Settings.Retries_.Ratio_, 0, 10);
--- a/Source/Gateway/GatewaySettings.h
+++ b/Source/Gateway/GatewaySettings.h
@@ -22,8 +22,6 @@
   NetAddress Store_;
   std::vector<DataCenterId> DataCenters_;
   RetryShareOptions Retries_;
-  /// Gateways that may run at the same time; each spends its part of the common retry budget.
-  std::uint32_t Gateways_ = 16;
   /// A shutdown goes on accepting for this long, until the balancer knows.
   Duration ShutdownGrace_ = std::chrono::seconds(2);
   /// A shutdown cuts off what is still in flight after this time.
--- a/Source/Gateway/MetadataStore.h
+++ b/Source/Gateway/MetadataStore.h
@@ -38,8 +38,9 @@
 class MetadataStore {
 public:
   using JoinDone = std::function<void(std::optional<Membership>, std::error_code)>;
-  /// The member that owns the duty, or an empty name.
-  using OwnerDone = std::function<void(std::string)>;
+  /// The member that owns the duty, an empty name if none does, or nothing if the store gave no
+  /// answer.
+  using OwnerDone = std::function<void(std::optional<std::string>)>;
 
   virtual ~MetadataStore() = default;
   /// Starts to follow configuration and list. Precondition: Observer outlives the store.
--- a/Source/SiteModel/SimulatedSite.cpp
+++ b/Source/SiteModel/SimulatedSite.cpp
@@ -161,7 +161,7 @@
 
 struct SimulatedSite::Gateway {
   Gateway(SimulatedSite &Site, const DataCenterId &Home, std::uint32_t Count, Duration RetryWindow)
-      : Health_(Site, Roster_), Paths_(Roster_, Home), Retries_({0.2, 202, RetryWindow}, Count),
+      : Health_(Site, Roster_), Paths_(Roster_, Home), Retries_({0.2, 202, RetryWindow}, Site.Queue_.now() - 2 * RetryWindow),
         Random_(Site.Random_()), Parts_{Site.Loop_,    Site.Queue_.clock(),
                                         *Site.Log_,    Metrics_,
                                         Site.Engines_, Site.Dialect_,
@@ -169,7 +169,9 @@
                                         Retries_,      Health_,
                                         Waiting_,      Random_,
                                         Home},
-        Front_(Parts_, Site.Config_), Home_(Home) {}
+        Front_(Parts_, Site.Config_), Home_(Home) {
+    Retries_.setProcesses(Count);
+  }
 
   EndpointRoster Roster_;
   Watch Health_;
--- a/Source/StandIns/Site/Site.cpp
+++ b/Source/StandIns/Site/Site.cpp
@@ -123,11 +123,11 @@
                      "peer-listen: 127.0.0.1:{}\n"
                      "store: {}\n"
                      "data-centers: [{}]\n"
-                     "shutdown: {{grace: 300ms, limit: 8s}}\n",
-                     Instance, DataCenter, PeerPort, StoreAddress_.str(), Places);
-  if (const auto &Retries = Options_.Retries_)
-    Out << fmt::format("retries: {{ratio: {}, extra: {}, window: {}ms}}\n", Retries->Ratio_,
-                       Retries->Extra_, Retries->Window_ / std::chrono::milliseconds(1));
+                     "shutdown: {{grace: 300ms, limit: 8s}}\n"
+                     "retries: {{ratio: {}, extra: {}, window: {}ms}}\n",
+                     Instance, DataCenter, PeerPort, StoreAddress_.str(), Places,
+                     Options_.Retries_.Ratio_, Options_.Retries_.Extra_,
+                     Options_.Retries_.Window_ / std::chrono::milliseconds(1));
 }
 
 void Site::heartbeat() {
--- a/Source/StandIns/Site/Site.h
+++ b/Source/StandIns/Site/Site.h
@@ -35,8 +35,9 @@
   Duration EventInterval_ = std::chrono::milliseconds(10);
   /// How long an engine reads a prompt.
   Duration ReadTime_{};
-  /// The common retry budget of the gateways; what their settings leave out if there is none.
-  std::optional<RetryShareOptions> Retries_;
+  /// The common retry budget of the gateways. The ratio lets one that has just started repeat each
+  /// of its requests.
+  RetryShareOptions Retries_{.Ratio_ = 10};
 };
 
 /// The users' platform in one process: its store, layered engines and desks on loopback ports, on a
--- a/Tests/Core/Recovery/RetryShareTest.cpp
+++ b/Tests/Core/Recovery/RetryShareTest.cpp
@@ -1,9 +1,12 @@
 #include "Core/Recovery/RetryShare.h"
 
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
 #include <deque>
+#include <optional>
+#include <ostream>
 #include <random>
 #include <vector>
 
@@ -14,20 +17,66 @@
 
 const ServiceId Service("s");
 const TimePoint Start{1h};
+const TimePoint LongAgo = Start - 1min;
+
+/// What a process with 50 first sends and a tenth of 90 extra repeats may send again.
+struct ShareCase {
+  const char *Name_;
+  TimePoint StartedAt_;
+  std::optional<std::uint32_t> Processes_;
+  int Repeats_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const ShareCase &Case) { return Out << Case.Name_; }
+
+const ShareCase ShareCases[] = {
+    {"spends the ratio and its part", LongAgo, 9, 18},
+    {"does not know how many others there are", LongAgo, std::nullopt, 9},
+    {"does not know what was spent before it started", Start - 10s, 9, 4},
+    {"is alone", LongAgo, 1, 90},
+};
+
+int repeatAll(RetryShare &Share, TimePoint Now) {
+  int Allowed = 0;
+  while (Share.tryRepeat(Service, Now))
+    ++Allowed;
+  return Allowed;
+}
 
 } // namespace
 
+BOOST_DATA_TEST_CASE(ProcessSpendsTheRatioAndNoMoreThanItsPartOfTheExtra, ShareCases, Case) {
+  RetryShare Share({0.2, 90, 10s}, Case.StartedAt_);
+  Share.setProcesses(Case.Processes_);
+  for (int I = 0; I < 50; ++I)
+    Share.onFirstSend(Service, Start);
+  BOOST_TEST(repeatAll(Share, Start) == Case.Repeats_);
+}
+
+BOOST_AUTO_TEST_CASE(NewLimitsDoNotForgetWhatWasSpent) {
+  RetryShare Share({0.2, 90, 10s}, LongAgo);
+  Share.setProcesses(9);
+  BOOST_TEST(repeatAll(Share, Start) == 9);
+  Share.setOptions({0.2, 180, 10s}, Start);
+  BOOST_TEST(repeatAll(Share, Start) == 9);
+  // A window of another length begins like a process that has just started.
+  Share.setOptions({0.2, 180, 20s}, Start);
+  BOOST_TEST(repeatAll(Share, Start) == 0);
+  BOOST_TEST(repeatAll(Share, Start + 23s) == 18);
+}
+
 BOOST_AUTO_TEST_CASE(SpendsItsPartOfTheExtraAndTheRatioOfItsOwnSends) {
-  RetryShare Share({0.2, 90, 10s}, 9);
+  RetryShare Share({0.2, 90, 10s}, LongAgo);
+  Share.setProcesses(9);
   for (int I = 0; I < 50; ++I)
     Share.onFirstSend(Service, Start);
   int Allowed = 0;
   while (Share.tryRepeat(Service, Start))
     ++Allowed;
-  BOOST_TEST(Allowed == 19);
+  BOOST_TEST(Allowed == 18);
   BOOST_TEST(!Share.tryRepeat(Service, Start + 5s));
   BOOST_TEST(Share.tryRepeat(ServiceId("other"), Start));
-  BOOST_TEST(Share.left(Service, Start + 30s) == 9.5);
+  BOOST_TEST(Share.left(Service, Start + 30s) == 9);
 }
 
 BOOST_AUTO_TEST_CASE(AllProcessesTogetherKeepTheBudgetInEveryWindow) {
@@ -36,7 +85,9 @@
   constexpr double Extra = 100;
   for (unsigned Seed = 1; Seed <= 50; ++Seed) {
     std::mt19937 Random(Seed);
-    std::vector<RetryShare> Shares(Processes, RetryShare({Ratio, Extra, 10s}, Processes));
+    std::vector<RetryShare> Shares(Processes, RetryShare({Ratio, Extra, 10s}, LongAgo));
+    for (RetryShare &Share : Shares)
+      Share.setProcesses(Processes);
     std::deque<TimePoint> First;
     std::deque<TimePoint> Repeats;
     // First sends of the windows that ended within the last window; the budget counts the most.
--- a/Tests/Gateway/GatewayGaugesTest.cpp
+++ b/Tests/Gateway/GatewayGaugesTest.cpp
@@ -18,10 +18,11 @@
 struct Place {
   EndpointRoster Roster_;
   ConfigHolder Config_;
-  RetryShare Retries_{{0.2, 100, 10s}, 4};
+  RetryShare Retries_{{0.2, 100, 10s}, Start - 1min};
   PathChooser Paths_{Roster_, DataCenterId("east")};
 
   Place() {
+    Retries_.setProcesses(4);
     add("east-a", "east", {0, 40});
     add("east-b", "east", {40, 80});
     add("west-a", "west", {0, 40});
@@ -64,7 +65,7 @@
      [](Place &) {},
      {"# TYPE p_endpoints gauge\np_endpoints{data_center=\"east\",state=\"live\"} 2\n",
       "p_endpoints{data_center=\"west\",state=\"live\"} 1\n", "p_config_revision 7\n",
-      "p_config_age_seconds 2\n", "p_retry_budget_left{service=\"brief\"} 23.75\n",
+      "p_config_age_seconds 2\n", "p_retry_budget_left{service=\"brief\"} 22.5\n",
       "p_retry_budget_spent{service=\"brief\"} 0\n", "p_retry_budget_gateways 4\n",
       "p_holds_whole_model{service=\"brief\",data_center=\"east\"} 1\n",
       "p_holds_whole_model{service=\"brief\",data_center=\"west\"} 0\n"}},
@@ -80,7 +81,7 @@
      {"p_report_age_seconds{data_center=\"east\"} 0.5\n"}},
     {"repeats spent",
      [](Place &P) { P.Retries_.tryRepeat(Brief, Start + 1s); },
-     {"p_retry_budget_left{service=\"brief\"} 22.75\n",
+     {"p_retry_budget_left{service=\"brief\"} 21.5\n",
       "p_retry_budget_spent{service=\"brief\"} 1\n"}},
 };
 
--- a/Tests/System/GatewayBudgetTest.cpp
+++ b/Tests/System/GatewayBudgetTest.cpp
@@ -25,14 +25,14 @@
 std::ostream &operator<<(std::ostream &Out, const BudgetCase &Case) { return Out << Case.Name_; }
 
 const BudgetCase BudgetCases[] = {
-    {"more gateways than any of them has heard of", 32, 1, 10,
+    {"more gateways than any of them has heard of", 32, 1, 40,
      [](GatewayDeployment &, std::size_t) {}},
-    {"settings are reloaded", 1, 24, 4,
+    {"settings are reloaded", 1, 24, 24,
      [](GatewayDeployment &D, std::size_t Index) {
        D.gateway(Index).hangUp();
        D.awaitReload(Index);
      }},
-    {"gateway is killed and restarted", 1, 24, 4,
+    {"gateway is killed and restarted", 1, 24, 24,
      [](GatewayDeployment &D, std::size_t Index) {
        D.gateway(Index).kill();
        D.restart(Index);
