A late answer of an engine does not open a third engine to a stream

Cause: an engine that did not answer a probe within 50 ms was struck from the engines that a stream was sent to, for good, also when it answered again 50 ms later. At scale many sound engines look silent for a moment: 356 in one second.

Now an engine does not count only while it is lost: silent for 1.5 s, asked again in between, and heard by nobody else since. The set itself forgets nothing.

StreamsGoToAThirdEngineWhileBothOfTheirRouteStillRun, false alarms on the simulated sites, failed before with up to four engines and passes now.

--- a/Source/Core/Serving/EndpointRoster.cpp
+++ b/Source/Core/Serving/EndpointRoster.cpp
@@ -10,6 +10,8 @@
 /// Entries that lapsed during an outage are back this long after it, if the endpoint lives; a
 /// property of the platform.
 constexpr Duration RelistTime = std::chrono::seconds(2);
+/// Silent endpoints are asked again each half second, so at least two more answers have failed.
+constexpr Duration LostTime = std::chrono::milliseconds(1500);
 /// What a report says was true up to this long before.
 constexpr Duration ReportLag = std::chrono::milliseconds(300);
 /// Refusals further apart have nothing to do with each other: a surge passes sooner.
@@ -26,6 +28,10 @@
 
 } // namespace
 
+bool EndpointRecord::lost(TimePoint Now) const {
+  return silent(Now) && Now - SilentSince_ >= LostTime && ReportedAt_ <= SilentSince_;
+}
+
 bool EndpointRecord::declinesForLong(TimePoint Now) const {
   return DeclineHold_ > LeastDecline && Now - DeclinesUntil_ < DeclineMemory;
 }
@@ -118,11 +124,14 @@
   return true;
 }
 
-void EndpointRoster::markSilent(const EndpointId &Id, TimePoint Until) {
+void EndpointRoster::markSilent(const EndpointId &Id, TimePoint Now, TimePoint Until) {
   const auto Place = Records_.find(Id);
   if (Place == Records_.end())
     return;
-  Place->second.SilentUntil_ = std::max(Place->second.SilentUntil_, Until);
+  EndpointRecord &Record = Place->second;
+  if (!Record.silent(Now))
+    Record.SilentSince_ = Now;
+  Record.SilentUntil_ = std::max(Record.SilentUntil_, Until);
 }
 
 void EndpointRoster::markHeard(const EndpointId &Id, TimePoint Now) {
--- a/Source/Core/Serving/EndpointRoster.h
+++ b/Source/Core/Serving/EndpointRoster.h
@@ -60,6 +60,8 @@
   TimePoint SignAt_{};
   /// The endpoint failed to answer; no new work until then.
   TimePoint SilentUntil_{};
+  /// Since when it has failed to answer without a pause.
+  TimePoint SilentSince_{};
   /// The first of the refusals that no report has explained yet; the epoch if there is none.
   TimePoint RefusedAt_{};
   /// The endpoint turned work away that it has room for; no new work until then.
@@ -76,6 +78,9 @@
     return reported() && ReportedAt_ >= ListedAt_ ? Report_.Layers_ : Listing_.Layers_;
   }
   bool silent(TimePoint Now) const { return Now < SilentUntil_; }
+  /// Whether the endpoint has ended or is cut off, as far as can be told: it has not answered for a
+  /// while, and nobody else has heard it either. A late answer alone makes it silent, not lost.
+  bool lost(TimePoint Now) const;
   bool declines(TimePoint Now) const { return Now < DeclinesUntil_; }
   /// Whether it turned work away again when it was tried again, so that it is not to be relied on.
   bool declinesForLong(TimePoint Now) const;
@@ -105,7 +110,7 @@
   bool report(const EndpointId &Id, const EngineReport &Report, TimePoint TrueAt);
   /// Keeps new work from an endpoint until Until, or until this process hears it again. Reports
   /// that others pass on don't end that: the endpoint may be cut off from this process alone.
-  void markSilent(const EndpointId &Id, TimePoint Until);
+  void markSilent(const EndpointId &Id, TimePoint Now, TimePoint Until);
   void markHeard(const EndpointId &Id, TimePoint Now);
   /// The endpoint works, as something that passed through it shows.
   void noteSign(const EndpointId &Id, TimePoint Now);
--- a/Source/Gateway/EngineBulletin.cpp
+++ b/Source/Gateway/EngineBulletin.cpp
@@ -140,7 +140,7 @@
       continue;
     const EndpointId Id(State->id);
     if (State->silent)
-      Roster_.markSilent(Id, Now + SilentHold);
+      Roster_.markSilent(Id, Now, Now + SilentHold);
     if (!State->reported)
       continue;
     EngineReport Report;
@@ -182,10 +182,9 @@
 }
 
 std::uint32_t EngineBulletin::homeGateways() const {
-  return static_cast<std::uint32_t>(1 + std::count_if(Subscribers_.begin(), Subscribers_.end(),
-                                                      [](const auto &Entry) {
-                                                        return Entry.second.AtHome_;
-                                                      }));
+  return static_cast<std::uint32_t>(
+      1 + std::count_if(Subscribers_.begin(), Subscribers_.end(),
+                        [](const auto &Entry) { return Entry.second.AtHome_; }));
 }
 
 std::vector<std::string> EngineBulletin::firstMembers() const {
--- a/Source/Gateway/EngineHealth.cpp
+++ b/Source/Gateway/EngineHealth.cpp
@@ -165,7 +165,7 @@
     Roster_.markHeard(Engine, Now);
   } else {
     FoundSilent = Silent_.emplace(Engine, Now).second;
-    Roster_.markSilent(Engine, Now + SilentHold);
+    Roster_.markSilent(Engine, Now, Now + SilentHold);
   }
   auto Finished = Probes_.extract(Engine);
   if (FoundSilent) {
@@ -205,7 +205,7 @@
   std::erase_if(Silent_, [&](const auto &Entry) { return !Roster_.find(Entry.first); });
   for (const auto &[Engine, Since] : Silent_) {
     // Work stays away while the probe is on its way.
-    Roster_.markSilent(Engine, Now + SilentHold);
+    Roster_.markSilent(Engine, Now, Now + SilentHold);
     probe(Engine, [](bool) {});
   }
 }
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -64,12 +64,13 @@
 
 void StreamExchange::limitFirst() {
   const TimePoint Now = Parts_.Time_.now();
-  // An engine that was lost no longer counts; one that has left as planned does.
-  std::erase_if(RanAt_, [&](const EndpointId &Engine) {
+  // An engine that was lost does not count; one that has left as planned does.
+  const auto Counted = std::count_if(RanAt_.begin(), RanAt_.end(), [&](const EndpointId &Engine) {
     const EndpointRecord *Record = Parts_.Roster_.find(Engine);
-    return Record && Record->Listing_.State_ == EndpointState::Live && Record->silent(Now);
+    return !Record || Record->Listing_.State_ != EndpointState::Live || !Record->lost(Now);
   });
-  Limits_.First_ = RanAt_.size() >= Routed_.Route_->MaxAttempts_ ? RanAt_ : std::set<EndpointId>();
+  const bool Limited = Counted >= static_cast<std::ptrdiff_t>(Routed_.Route_->MaxAttempts_);
+  Limits_.First_ = Limited ? RanAt_ : std::set<EndpointId>();
 }
 
 bool StreamExchange::sendOnPath(bool Again) {
--- a/Source/Gateway/StreamExchange.h
+++ b/Source/Gateway/StreamExchange.h
@@ -65,8 +65,7 @@
   double HeldTokens_ = 0;
   /// Engines to leave out, and how far the request may still be sent.
   PathLimits Limits_;
-  /// Engines that it was sent to and that may have run it, but for those that were lost while they
-  /// had not said that they leave.
+  /// Engines that it was sent to and that may have run it.
   std::set<EndpointId> RanAt_;
   /// The last send was the first one to its engine.
   bool NewEngine_ = false;
--- a/Source/SiteModel/SimulatedSite.cpp
+++ b/Source/SiteModel/SimulatedSite.cpp
@@ -142,7 +142,7 @@
       if (Site_.Engines_.life(Id) == EngineLife::Running)
         Roster_.markHeard(Id, Site_.Queue_.now());
       else
-        Roster_.markSilent(Id, Site_.Queue_.now() + SilentHold);
+        Roster_.markSilent(Id, Site_.Queue_.now(), Site_.Queue_.now() + SilentHold);
     }
   }
 
@@ -150,7 +150,7 @@
   void markSilent(const EndpointId &Engine) {
     const EndpointRecord *Record = Roster_.find(Engine);
     const bool Known = !Record || Record->silent(Site_.Queue_.now());
-    Roster_.markSilent(Engine, Site_.Queue_.now() + SilentHold);
+    Roster_.markSilent(Engine, Site_.Queue_.now(), Site_.Queue_.now() + SilentHold);
     if (!Known)
       Site_.found(Engine);
   }
@@ -161,7 +161,8 @@
 
 struct SimulatedSite::Gateway {
   Gateway(SimulatedSite &Site, const DataCenterId &Home, std::uint32_t Count, Duration RetryWindow)
-      : Health_(Site, Roster_), Paths_(Roster_, Home), Retries_({0.2, 202, RetryWindow}, Site.Queue_.now() - 2 * RetryWindow),
+      : Health_(Site, Roster_), Paths_(Roster_, Home),
+        Retries_({0.2, 202, RetryWindow}, Site.Queue_.now() - 2 * RetryWindow),
         Random_(Site.Random_()), Parts_{Site.Loop_,    Site.Queue_.clock(),
                                         *Site.Log_,    Metrics_,
                                         Site.Engines_, Site.Dialect_,
@@ -278,6 +279,13 @@
   place();
 }
 
+void SimulatedSite::misjudge(const EndpointId &Engine) {
+  for (const auto &Each : Gateways_) {
+    Each->Roster_.markSilent(Engine, Queue_.now(), Queue_.now() + SilentHold);
+    Each->Front_.onEngineSilent(Engine);
+  }
+}
+
 std::shared_ptr<CallerView> SimulatedSite::call(std::size_t At, double Prompt,
                                                 std::uint64_t Events) {
   auto View = std::make_shared<CallerView>();
--- a/Source/SiteModel/SimulatedSite.h
+++ b/Source/SiteModel/SimulatedSite.h
@@ -61,6 +61,9 @@
   void settle();
   /// Whether the running engines of a data centre hold every layer.
   bool isWhole(const std::string &Where) const;
+  /// All gateways take a running engine for silent, as when its answers come too late; they ask it
+  /// again half a second later at most.
+  void misjudge(const EndpointId &Engine);
   /// A caller's request through the gateway of the data centre at that place in the list; the view
   /// changes as time goes on.
   std::shared_ptr<CallerView> call(std::size_t At, double Prompt, std::uint64_t Events);
--- a/Tests/Core/Layers/PathFinderTest.cpp
+++ b/Tests/Core/Layers/PathFinderTest.cpp
@@ -163,9 +163,9 @@
   BOOST_TEST(Used["x"] > 50);
   BOOST_TEST(Used["y"] > 50);
   BOOST_TEST(Place({{}, {EndpointId("y1")}}) == "y");
-  Roster.markSilent(EndpointId("h1"), Start + std::chrono::seconds(1));
+  Roster.markSilent(EndpointId("h1"), Start, Start + std::chrono::seconds(1));
   BOOST_TEST(Place({}) != "home");
-  Roster.markSilent(EndpointId("x1"), Start + std::chrono::seconds(1));
-  Roster.markSilent(EndpointId("y1"), Start + std::chrono::seconds(1));
+  Roster.markSilent(EndpointId("x1"), Start, Start + std::chrono::seconds(1));
+  Roster.markSilent(EndpointId("y1"), Start, Start + std::chrono::seconds(1));
   BOOST_TEST(Place({}) == "none");
 }
--- a/Tests/Core/Serving/EndpointRosterTest.cpp
+++ b/Tests/Core/Serving/EndpointRosterTest.cpp
@@ -102,15 +102,62 @@
   BOOST_TEST(!Roster.report(EndpointId("unknown"), report(1, {}), Start));
 }
 
+namespace {
+
+/// What happens to an endpoint that did not answer at the start, and whether it then counts as
+/// lost two seconds later.
+struct LostCase {
+  const char *Name_;
+  void (*Then_)(EndpointRoster &);
+  bool Lost_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const LostCase &Case) { return Out << Case.Name_; }
+
+const LostCase LostCases[] = {
+    {"answered late", [](EndpointRoster &Roster) { Roster.markHeard(Id, Start + 50ms); }, false},
+    {"answered late twice",
+     [](EndpointRoster &Roster) {
+       Roster.markHeard(Id, Start + 50ms);
+       Roster.markSilent(Id, Start + 1s, Start + 9s);
+     },
+     false},
+    {"has not answered since",
+     [](EndpointRoster &Roster) { Roster.markSilent(Id, Start + 500ms, Start + 9s); }, true},
+    {"was heard by another process",
+     [](EndpointRoster &Roster) {
+       Roster.markSilent(Id, Start + 500ms, Start + 9s);
+       Roster.report(Id, report(1, {}), Start + 1s);
+     },
+     false},
+    {"started again",
+     [](EndpointRoster &Roster) {
+       Roster.markSilent(Id, Start + 500ms, Start + 9s);
+       Roster.list(listing(2), Start + 1s);
+     },
+     false},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(LateAnswersAreNotALoss, LostCases, Case) {
+  EndpointRoster Roster;
+  Roster.list(listing(1), Start);
+  Roster.markSilent(Id, Start, Start + 1500ms);
+  BOOST_TEST(!Roster.find(Id)->lost(Start + 1s));
+  Case.Then_(Roster);
+  BOOST_TEST(Roster.find(Id)->lost(Start + 2s) == Case.Lost_);
+}
+
 BOOST_AUTO_TEST_CASE(SilenceEndsWithTimeOrAnAnswer) {
   EndpointRoster Roster;
   Roster.list(listing(1), Start);
-  Roster.markSilent(Id, Start + 1s);
+  Roster.markSilent(Id, Start, Start + 1s);
   BOOST_TEST(!takesWork(Roster, Start));
   Roster.report(Id, report(1, {}), Start + 100ms);
   BOOST_TEST(!takesWork(Roster, Start + 200ms));
   BOOST_TEST(takesWork(Roster, Start + 1s));
-  Roster.markSilent(Id, Start + 9s);
+  Roster.markSilent(Id, Start, Start + 9s);
   Roster.noteSign(Id, Start + 1900ms);
   BOOST_TEST(!takesWork(Roster, Start + 2s));
   Roster.markHeard(Id, Start + 2s);
--- a/Tests/Gateway/GatewayGaugesTest.cpp
+++ b/Tests/Gateway/GatewayGaugesTest.cpp
@@ -70,7 +70,7 @@
       "p_holds_whole_model{service=\"brief\",data_center=\"east\"} 1\n",
       "p_holds_whole_model{service=\"brief\",data_center=\"west\"} 0\n"}},
     {"one silent",
-     [](Place &P) { P.Roster_.markSilent(EndpointId("east-a"), Start + 3s); },
+     [](Place &P) { P.Roster_.markSilent(EndpointId("east-a"), Start, Start + 3s); },
      {"p_endpoints{data_center=\"east\",state=\"silent\"} 1\n",
       "p_holds_whole_model{service=\"brief\",data_center=\"east\"} 0\n"}},
     {"one missing",
--- a/Tests/Gateway/StreamExplorationTest.cpp
+++ b/Tests/Gateway/StreamExplorationTest.cpp
@@ -155,3 +155,23 @@
   BOOST_TEST(Gone > schedules());
   BOOST_TEST(Served > All / 4);
 }
+
+BOOST_AUTO_TEST_CASE(StreamsGoToAThirdEngineWhileBothOfTheirRouteStillRun) {
+  std::uint64_t Resumes = 0;
+  for (unsigned Seed = 1; Seed <= schedules() / 3; ++Seed) {
+    Schedule Case(Seed);
+    for (int Step = 0; Step < Steps; ++Step) {
+      Case.call();
+      Case.Site_.queue().run(std::chrono::milliseconds(Case.Site_.random()() % 200));
+      const auto Ids = Case.Site_.engineIds();
+      Case.Site_.misjudge(Ids[Case.Site_.random()() % Ids.size()]);
+    }
+    Case.Site_.queue().run(40s);
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      for (const auto &View : Case.Views_)
+        checkView(Case, *View);
+    }
+    Resumes += Case.Site_.resumes();
+  }
+  BOOST_TEST(Resumes > schedules());
+}
