Answers without end are cut off instead of read until their time is over

What callers would have seen: a gateway that holds such bytes in memory until the route's timeout is killed for it, with all that it serves; one that skips them spends its processor.

Heads had a limit, and so had bodies that are read whole.

Now what is read ahead, skipped, buffered as an answer or as an event has a limit, with an error of its own (711, ResponseTooLarge), and the connection is closed at once; a lookup and a resumable stream then go on elsewhere, a booking's outcome is unknown. Events that wait for a slow caller have one as well, which a flood of proper events would meet. Limits of answers are settings of the gateway.

--- a/Source/Gateway/CallExchange.cpp
+++ b/Source/Gateway/CallExchange.cpp
@@ -61,7 +61,10 @@
       send(*Endpoint, forwardOptions(), repeatable() ? ConnectionUse::Pooled : ConnectionUse::Fresh,
            ConnectTime,
            [this, Item](const AttemptPtr &, const HttpResult &Result) { onDone(Item, Result); });
-  Item->Attempt_->BodyHandler_ = [Raw = Item.get()](std::string_view Data) { Raw->Body_ += Data; };
+  Item->Attempt_->BodyHandler_ = [this, Raw = Item.get()](std::string_view Data) {
+    Raw->Body_ += Data;
+    return Raw->Body_.size() <= Parts_.Answers_.MaxBodyBytes_;
+  };
   logSend(Id, "call");
   return true;
 }
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -28,10 +28,7 @@
   return Live_ ? HeadVerdict::Accept : HeadVerdict::Abort;
 }
 
-void Attempt::onBody(std::string_view Data) {
-  if (Live_)
-    BodyHandler_(Data);
-}
+bool Attempt::onBody(std::string_view Data) { return !Live_ || BodyHandler_(Data); }
 
 Exchange::Exchange(GatewayParts &Parts, RoutedRequest Request, Ended OnEnded)
     : Parts_(Parts), Routed_(std::move(Request)), DeadlineTimer_(Parts.Loop_),
@@ -90,7 +87,7 @@
   Sent->SentAt_ = Parts_.Time_.now();
   Sent->Expected_ = Routed_.Caller_.Id_;
   Sent->Dialect_ = &Parts_.Dialect_;
-  Sent->BodyHandler_ = [](std::string_view) {};
+  Sent->BodyHandler_ = [](std::string_view) { return true; };
   ++Sends_;
   Options.Expected_ = Sent->Endpoint_;
   HttpSendOptions Http;
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -30,7 +30,7 @@
 class Attempt : public HttpAnswerSink {
 public:
   HeadVerdict onHead(const HttpResponse &Head) override;
-  void onBody(std::string_view Data) override;
+  bool onBody(std::string_view Data) override;
 
   EndpointId Endpoint_;
   HttpCallId Call_;
@@ -43,7 +43,8 @@
   RequestId Expected_;
   const EndpointDialect *Dialect_ = nullptr;
   std::function<void()> HeadHandler_;
-  std::function<void(std::string_view)> BodyHandler_;
+  /// False if no answer can be that long.
+  std::function<bool(std::string_view)> BodyHandler_;
 };
 
 using AttemptPtr = std::shared_ptr<Attempt>;
--- a/Source/Gateway/GatewayParts.h
+++ b/Source/Gateway/GatewayParts.h
@@ -6,6 +6,7 @@
 #include "Core/Recovery/RetryShare.h"
 #include "Core/Serving/EndpointRoster.h"
 #include "Core/Serving/ServingIndex.h"
+#include "Gateway/AnswerLimits.h"
 #include "Gateway/EndpointDialect.h"
 #include "Gateway/EngineWatch.h"
 #include "Net/HttpSender.h"
@@ -33,6 +34,7 @@
   RoomQueue &Waiting_;
   std::mt19937 &Random_;
   DataCenterId Home_;
+  AnswerLimits Answers_;
   /// Names the next request that waits.
   AdmissionTicket NextTicket_{1};
 
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -80,7 +80,8 @@
              Health_,
              Waiting_,
              Random_,
-             Settings_.Process_.DataCenter_},
+             Settings_.Process_.DataCenter_,
+             Settings_.Answers_},
       Front_(Parts_, Config_), Callers_(Loop_, callerOptions({}), Front_, Log),
       StateHandler_(*this), StateHttp_(Loop_, {}, StateHandler_, Log),
       MetricsHttp_(Loop_, {}, StateHandler_, Log), Signals_(Loop_, [this] { onShutdownSignal(); }),
@@ -280,6 +281,8 @@
   }
   // Addresses can't change while the process runs.
   Settings_.Retries_ = Loaded.Retries_;
+  Settings_.Answers_ = Loaded.Answers_;
+  Parts_.Answers_ = Loaded.Answers_;
   Retries_.setOptions(Loaded.Retries_, Time_.now());
   Log_.log(LogEvent::SettingsReloaded, {{"file", SettingsFile_}});
 }
--- a/Source/Gateway/GatewaySettings.cpp
+++ b/Source/Gateway/GatewaySettings.cpp
@@ -30,6 +30,16 @@
       Retries.duration("window", Settings.Retries_.Window_, {milliseconds(100), hours(1)});
   Retries.finish();
 
+  YamlSection Answers = Root.section("answers");
+  const auto ReadBytes = [&](const char *Name, std::size_t &Value) {
+    Value = static_cast<std::size_t>(
+        Answers.number(Name, static_cast<std::int64_t>(Value), {1024, 1024 * 1024 * 1024}));
+  };
+  ReadBytes("max-body-bytes", Settings.Answers_.MaxBodyBytes_);
+  ReadBytes("max-event-bytes", Settings.Answers_.MaxEventBytes_);
+  ReadBytes("max-queued-bytes", Settings.Answers_.MaxQueuedBytes_);
+  Answers.finish();
+
   YamlSection Shutdown = Root.section("shutdown");
   Settings.ShutdownGrace_ =
       Shutdown.duration("grace", Settings.ShutdownGrace_, {milliseconds(0), seconds(600)});
--- a/Source/Gateway/GatewaySettings.h
+++ b/Source/Gateway/GatewaySettings.h
@@ -2,6 +2,7 @@
 
 #include "Config/ProcessSettings.h"
 #include "Core/Recovery/RetryShare.h"
+#include "Gateway/AnswerLimits.h"
 
 #include <vector>
 
@@ -22,6 +23,7 @@
   NetAddress Store_;
   std::vector<DataCenterId> DataCenters_;
   RetryShareOptions Retries_;
+  AnswerLimits Answers_;
   /// A shutdown goes on accepting for this long, until the balancer knows.
   Duration ShutdownGrace_ = std::chrono::seconds(2);
   /// A shutdown cuts off what is still in flight after this time.
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -103,6 +103,7 @@
                           HeldTokens_ * (Stage.Layers_.End_ - Stage.Layers_.Begin_));
   }
   Events_.reset();
+  BytesSinceEvent_ = 0;
   FailureBody_.clear();
   Pulse_.sent(Now);
   NewEngine_ = RanAt_.insert(Path_.Stages_.front().Engine_).second;
@@ -111,7 +112,7 @@
       send(*First, std::move(Options), Sends_ == 0 ? ConnectionUse::Pooled : ConnectionUse::Fresh,
            ConnectTime, [this](const AttemptPtr &, const HttpResult &Result) { onDone(Result); });
   Attempt_->HeadHandler_ = [this] { onHead(); };
-  Attempt_->BodyHandler_ = [this](std::string_view Data) { onBody(Data); };
+  Attempt_->BodyHandler_ = [this](std::string_view Data) { return onBody(Data); };
   logSend(Attempt_->Endpoint_,
           fmt::format("path {} in {}, reports up to {} ms old", pathText(Path_),
                       Choice.DataCenter_.str(), Choice.OldestReport_ / milliseconds(1)));
@@ -180,22 +181,26 @@
 
 void StreamExchange::onHead() { Pulse_.head(Parts_.Time_.now()); }
 
-void StreamExchange::onBody(std::string_view Data) {
+bool StreamExchange::onBody(std::string_view Data) {
   if (Attempt_->Head_.Status_ != 200) {
     FailureBody_ += Data;
-    return;
+    return FailureBody_.size() <= Parts_.Answers_.MaxBodyBytes_;
   }
+  BytesSinceEvent_ += Data.size();
   Events_.feed(Data);
   while (const auto Event = Events_.next()) {
-    pass(*Event);
+    const bool Numbered = pass(*Event);
     if (ended())
-      return;
+      return true;
+    if (Numbered)
+      BytesSinceEvent_ = Events_.pendingBytes();
   }
+  return BytesSinceEvent_ <= Parts_.Answers_.MaxEventBytes_;
 }
 
-void StreamExchange::pass(const StreamEvent &Event) {
+bool StreamExchange::pass(const StreamEvent &Event) {
   if (Event.Id_ && LastEvent_ && *Event.Id_ <= *LastEvent_)
-    return;
+    return false;
   if (Event.Id_)
     LastEvent_ = Event.Id_;
   const TimePoint Now = Parts_.Time_.now();
@@ -210,6 +215,16 @@
     Routed_.Responder_->startChunked(Parts_.Dialect_.answerHead(Attempt_->Head_));
   }
   Routed_.Responder_->sendChunk(Event.Text_);
+  if (Routed_.Responder_->queuedBytes() > Parts_.Answers_.MaxQueuedBytes_)
+    onCallerSlow();
+  return Event.Id_.has_value();
+}
+
+void StreamExchange::onCallerSlow() {
+  Parts_.Log_.log(LogEvent::CallerSlow, {{"id", Routed_.Caller_.Id_.str()},
+                                         {"queued_bytes", Routed_.Responder_->queuedBytes()},
+                                         {"events", Pulse_.events()}});
+  giveUp();
 }
 
 void StreamExchange::onDone(const HttpResult &Result) {
--- a/Source/Gateway/StreamExchange.h
+++ b/Source/Gateway/StreamExchange.h
@@ -41,8 +41,12 @@
   void stopWaiting();
   void refuseForPath();
   void onHead();
-  void onBody(std::string_view Data);
-  void pass(const StreamEvent &Event);
+  /// False if the engine sends more than an event can be without one.
+  bool onBody(std::string_view Data);
+  /// False if the event has no number, or one that the caller has seen.
+  bool pass(const StreamEvent &Event);
+  /// The caller takes the answer more slowly than the engine makes it, and too much waits.
+  void onCallerSlow();
   void onDone(const HttpResult &Result);
   void onFailure(const HttpResult &Result);
   void learnFrom(const HttpResult &Result);
@@ -70,6 +74,8 @@
   /// The last send was the first one to its engine.
   bool NewEngine_ = false;
   EventSplitter Events_;
+  /// Bytes of the answer since the last new event.
+  std::size_t BytesSinceEvent_ = 0;
   std::optional<std::uint64_t> LastEvent_;
   StreamPulse Pulse_;
   std::uint32_t Resumes_ = 0;
--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -21,9 +21,19 @@
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
+/// Bytes that are read ahead on a connection. Only what has no other bound fills it: the size,
+/// extension and trailers of a chunk, of which proper answers have a few bytes.
+constexpr std::size_t MaxBufferedBytes = 128 * 1024;
+/// Answers to other requests, and interim ones, that may stand before the one that is waited for.
+/// A server that repeats its answers leaves one or two.
+constexpr std::size_t MaxSkippedAnswers = 16;
+/// Bytes in the bodies of these.
+constexpr std::size_t MaxSkippedBytes = 4 * 1024 * 1024;
+
 /// A connection with the bytes read ahead on it.
 struct ClientConnection {
-  explicit ClientConnection(boost::asio::io_context &Loop) : Socket_(Loop) {}
+  explicit ClientConnection(boost::asio::io_context &Loop)
+      : Socket_(Loop), Buffer_(MaxBufferedBytes) {}
   tcp::socket Socket_;
   boost::beast::flat_buffer Buffer_;
   /// When an idle connection is no longer safe to use; the other side closes it soon after.
@@ -144,6 +154,8 @@
   bool Finished_ = false;
   bool HeadSeen_ = false;
   bool Skipping_ = false;
+  std::size_t SkippedAnswers_ = 0;
+  std::size_t SkippedBytes_ = 0;
 };
 
 HttpCallId HttpClient::Impl::send(const NetAddress &Address, HttpRequest Request,
@@ -245,8 +257,8 @@
 }
 
 void HttpClient::Impl::onReadError(const CallPtr &Item, boost::system::error_code E) {
-  if (E == http::error::body_limit)
-    return finish(Item, ErrorCode::BodyTooLarge);
+  if (E == http::error::body_limit || E == http::error::buffer_overflow)
+    return finish(Item, ErrorCode::ResponseTooLarge);
   const bool Closed = E == http::error::end_of_stream || E == http::error::partial_message ||
                       E.category() == boost::system::system_category();
   finish(Item, Closed ? ErrorCode::ConnectionClosed : ErrorCode::MalformedResponse);
@@ -271,13 +283,17 @@
     if (Verdict == HeadVerdict::Abort)
       return finish(Item, ErrorCode::MalformedResponse);
     Item->Skipping_ = Verdict == HeadVerdict::Skip;
+    if (Item->Skipping_ && ++Item->SkippedAnswers_ > MaxSkippedAnswers)
+      return finish(Item, ErrorCode::ResponseTooLarge);
   }
   std::string &Body = Item->Parser_->get().body();
   if (!Body.empty()) {
-    if (!Item->Skipping_)
-      Sink.onBody(Body);
+    const bool GoOn = Item->Skipping_ ? (Item->SkippedBytes_ += Body.size()) <= MaxSkippedBytes
+                                      : Sink.onBody(Body);
     if (Item->Finished_)
       return;
+    if (!GoOn)
+      return finish(Item, ErrorCode::ResponseTooLarge);
     Body.clear();
   }
   if (E)
--- a/Source/Net/HttpSender.h
+++ b/Source/Net/HttpSender.h
@@ -35,8 +35,9 @@
   virtual ~HttpAnswerSink() = default;
   /// Decides about an answer from its status and headers; Body_ is empty.
   virtual HeadVerdict onHead(const HttpResponse &Head) = 0;
-  /// The next bytes of the accepted answer's body.
-  virtual void onBody(std::string_view Data) = 0;
+  /// The next bytes of the accepted answer's body. False if no answer can be that long: the request
+  /// ends with ResponseTooLarge.
+  virtual bool onBody(std::string_view Data) = 0;
 };
 
 struct HttpSendOptions {
@@ -57,7 +58,7 @@
 
 struct HttpResult {
   /// No error means Response_ is complete. Otherwise ConnectFailed, ConnectionClosed,
-  /// ResponseTimeout, MalformedResponse, BodyTooLarge or Cancelled.
+  /// ResponseTimeout, MalformedResponse, ResponseTooLarge or Cancelled.
   std::error_code Error_;
   HttpResponse Response_;
   /// Whether any byte of the request was handed to a connection.
--- a/Source/StandIns/Site/DeskFront.cpp
+++ b/Source/StandIns/Site/DeskFront.cpp
@@ -2,6 +2,8 @@
 
 #include "StandIns/StandInFront.h"
 
+#include <boost/asio/post.hpp>
+
 #include <fmt/format.h>
 
 #include <utility>
@@ -10,7 +12,7 @@
 
 DeskFront::DeskFront(boost::asio::io_context &Loop, Logger &Log, std::string Id,
                      std::string DataCenter, SiteLedger &Ledger)
-    : Id_(std::move(Id)), DataCenter_(std::move(DataCenter)), Ledger_(Ledger),
+    : Loop_(Loop), Id_(std::move(Id)), DataCenter_(std::move(DataCenter)), Ledger_(Ledger),
       Server_(std::make_unique<HttpServer>(Loop, HttpServerOptions{}, *this, Log)) {}
 
 void DeskFront::handle(HttpRequest Request, HttpResponderPtr Responder) {
@@ -36,8 +38,22 @@
   if (Fault_ != DeskFault::Unsigned)
     Answer.Headers_.add("X-Response-Stamp", Id_);
   Answer.Status_ = Fault_ == DeskFault::Fails ? 500 : 200;
+  if (Fault_ == DeskFault::Endless) {
+    Responder->startChunked(std::move(Answer));
+    return goOn(Responder);
+  }
   Answer.Body_ = fmt::format("{{\"desk\":\"{}\",\"bookings\":{}}}", Id_, Ledger_.Bookings_.size());
   Responder->send(std::move(Answer));
 }
 
+void DeskFront::goOn(const HttpResponderPtr &Responder) {
+  if (!Responder->isOpen() || Ledger_.EndlessBytes_ > MostEndlessBytes)
+    return Responder->abort();
+  if (Responder->queuedBytes() == 0) {
+    Responder->sendChunk(std::string(EndlessPiece, 'x'));
+    Ledger_.EndlessBytes_ += EndlessPiece;
+  }
+  boost::asio::post(Loop_, [this, Responder] { goOn(Responder); });
+}
+
 } // namespace rattancart
--- a/Source/StandIns/Site/DeskFront.h
+++ b/Source/StandIns/Site/DeskFront.h
@@ -24,6 +24,8 @@
   Hangs,
   /// Answers without a signature.
   Unsigned,
+  /// Answers with a signed body that goes on until the caller closes.
+  Endless,
 };
 
 /// A plain service that books and looks up; all desks of a site share one ledger.
@@ -43,6 +45,10 @@
   void handle(HttpRequest Request, HttpResponderPtr Responder) override;
 
 private:
+  /// Sends more of an endless body.
+  void goOn(const HttpResponderPtr &Responder);
+
+  boost::asio::io_context &Loop_;
   std::string Id_;
   std::string DataCenter_;
   SiteLedger &Ledger_;
--- a/Source/StandIns/Site/LayerEngineFront.cpp
+++ b/Source/StandIns/Site/LayerEngineFront.cpp
@@ -259,6 +259,13 @@
     return true;
   if (!Each.HeadSent_)
     sendHead(Each);
+  if (Babbles_ && Ledger_.EndlessBytes_ <= MostEndlessBytes) {
+    if (Each.Responder_->queuedBytes() == 0) {
+      Each.Responder_->sendChunk("data: " + std::string(EndlessPiece, 'x') + "\n");
+      Ledger_.EndlessBytes_ += EndlessPiece;
+    }
+    return true;
+  }
   Each.Responder_->sendChunk(fmt::format("id: {0}\ndata: token {0}\n\n", Each.NextEvent_));
   if (++Each.NextEvent_ <= Each.LastEvent_)
     return true;
--- a/Source/StandIns/Site/LayerEngineFront.h
+++ b/Source/StandIns/Site/LayerEngineFront.h
@@ -63,6 +63,8 @@
   void setLeaving() { Leaving_ = true; }
   /// Orders are carried out without an answer.
   void setLoseOrderAnswers(bool Lose) { LoseOrderAnswers_ = Lose; }
+  /// Streams go on with one event that never ends.
+  void setBabbles(bool Babbles) { Babbles_ = Babbles; }
   /// Layers held now; empty while they load.
   LayerRange layers() const;
   std::uint64_t run() const { return Run_; }
@@ -124,6 +126,7 @@
   Life Life_ = Life::Running;
   bool Leaving_ = false;
   bool LoseOrderAnswers_ = false;
+  bool Babbles_ = false;
 };
 
 } // namespace rattancart
--- a/Source/StandIns/Site/Site.cpp
+++ b/Source/StandIns/Site/Site.cpp
@@ -225,6 +225,13 @@
   });
 }
 
+void Site::setEngineBabbles(const std::string &Id) {
+  onLoop([&] {
+    for (const auto &Engine : Engines_)
+      Engine->setBabbles(Engine->options().Id_ == Id);
+  });
+}
+
 void Site::setDeskFault(DeskFault Fault) {
   onLoop([&] {
     for (const auto &Desk : Desks_)
--- a/Source/StandIns/Site/Site.h
+++ b/Source/StandIns/Site/Site.h
@@ -62,6 +62,8 @@
   /// The engine says that it leaves, and takes nothing new.
   void drainEngine(const std::string &Id);
   void setLoseOrderAnswers(bool Lose);
+  /// The streams of an engine go on with one event that never ends.
+  void setEngineBabbles(const std::string &Id);
   void setDeskFault(DeskFault Fault);
   /// Writes the next version of the configuration with these keys of customer "crew".
   void writeConfig(const std::vector<std::string> &Keys);
--- a/Tests/Net/HttpStreamTest.cpp
+++ b/Tests/Net/HttpStreamTest.cpp
@@ -67,6 +67,76 @@
   tcp::acceptor Acceptor_;
 };
 
+/// Answers each request with a text and then the same piece again and again, until the client
+/// closes or Most bytes are sent.
+class EndlessServer {
+public:
+  static constexpr std::size_t Most = 32 << 20;
+
+  EndlessServer(boost::asio::io_context &Loop, std::string First, const std::string &Again)
+      : Acceptor_(Loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)), Socket_(Loop),
+        First_(std::move(First)) {
+    while (Piece_.size() < 4096)
+      Piece_ += Again;
+    Acceptor_.async_accept(Socket_, [this](boost::system::error_code E) {
+      if (!E)
+        boost::asio::async_read_until(
+            Socket_, Request_, "\r\n\r\n", [this](boost::system::error_code, std::size_t) {
+              boost::system::error_code Ignored;
+              boost::asio::write(Socket_, boost::asio::buffer(First_), Ignored);
+              goOn();
+            });
+    });
+  }
+
+  NetAddress address() const { return formatAddress(Acceptor_.local_endpoint()); }
+  std::size_t sent() const { return Sent_; }
+
+private:
+  void goOn() {
+    boost::asio::async_write(Socket_, boost::asio::buffer(Piece_),
+                             [this](boost::system::error_code E, std::size_t Size) {
+                               Sent_ += Size;
+                               boost::system::error_code Ignored;
+                               if (E || Sent_ >= Most)
+                                 return Socket_.close(Ignored), void();
+                               goOn();
+                             });
+  }
+
+  tcp::acceptor Acceptor_;
+  tcp::socket Socket_;
+  boost::asio::streambuf Request_;
+  std::string First_;
+  std::string Piece_;
+  std::size_t Sent_ = 0;
+};
+
+struct EndlessCase {
+  const char *Name_;
+  const char *First_;
+  const char *Again_;
+  /// The answer is taken piece by piece.
+  bool Sink_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const EndlessCase &Case) { return Out << Case.Name_; }
+
+const EndlessCase EndlessCases[] = {
+    {"status line", "HTTP/1.1 200 ", "K", true},
+    {"header", "HTTP/1.1 200 OK\r\nX: ", "x", true},
+    {"headers", "HTTP/1.1 200 OK\r\n", "X: y\r\n", true},
+    {"size of a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0", true},
+    {"extension of a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x", true},
+    {"trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n", true},
+    {"interim answers", "", "HTTP/1.1 100 Continue\r\nId: old\r\n\r\n", true},
+    {"answers to other requests", "", "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 2\r\n\r\nxx",
+     true},
+    {"body of an answer to another request", "HTTP/1.1 200 OK\r\nId: old\r\n\r\n", "x", true},
+    {"body that its taker has had enough of", "HTTP/1.1 200 OK\r\n\r\n", "x", true},
+    {"body of a whole answer", "HTTP/1.1 200 OK\r\n\r\n", "x", false},
+};
+
 /// Takes answers whose "Id" header is the expected one.
 class CollectingSink final : public HttpAnswerSink {
 public:
@@ -75,10 +145,15 @@
     const std::string Id(Head.Headers_.get("Id"));
     return Id == "old" ? HeadVerdict::Skip : Id == "bad" ? HeadVerdict::Abort : HeadVerdict::Accept;
   }
-  void onBody(std::string_view Data) override {
+  bool onBody(std::string_view Data) override {
+    if (Body_.size() + Data.size() > Most)
+      return false;
     Body_ += Data;
     ++Pieces_;
+    return true;
   }
+  /// More than any answer of these tests that is to be taken.
+  static constexpr std::size_t Most = 1 << 20;
   std::vector<std::uint32_t> Statuses_;
   std::string Body_;
   int Pieces_ = 0;
@@ -157,6 +232,20 @@
   BOOST_TEST(Result.Response_.Body_.empty());
 }
 
+BOOST_DATA_TEST_CASE_F(Fixture, AnswersWithoutEndAreReadUntilTheirTimeIsOver, EndlessCases, Case) {
+  EndlessServer Server(Loop_, Case.First_, Case.Again_);
+  CollectingSink Sink;
+  HttpSendOptions Options;
+  Options.Sink_ = Case.Sink_ ? &Sink : nullptr;
+  std::optional<HttpResult> Got;
+  Client_.send(Server.address(), {}, Options, [&](HttpResult R) { Got = std::move(R); });
+  while (!Got && Loop_.run_one())
+    ;
+  BOOST_TEST(!!Got->Error_);
+  BOOST_TEST(Server.sent() < EndlessServer::Most);
+  BOOST_TEST(Sink.Body_.size() <= CollectingSink::Most);
+}
+
 BOOST_FIXTURE_TEST_CASE(BytesBehindAnAnswerEndItsConnection, Fixture) {
   Server_.Answers_ = {{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabHTTP/1.1 200 OK\r\n"},
                       {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\ncd"}};
--- a/Tests/System/GatewayTest.cpp
+++ b/Tests/System/GatewayTest.cpp
@@ -125,6 +125,8 @@
     {"lookup is shed", DeskFault::Sheds, "GET", site::LookupPath, {503}, 0, 0},
     {"lookup fails at each desk", DeskFault::Fails, "GET", site::LookupPath, {500}, 2, 2},
     {"lookup's answers are lost", DeskFault::LosesAnswer, "GET", site::LookupPath, {502}, 2, 2},
+    {"booking's answer has no end", DeskFault::Endless, "POST", site::BookPath, {502}, 1, 1},
+    {"lookup's answers have no end", DeskFault::Endless, "GET", site::LookupPath, {502}, 2, 2},
 };
 
 } // namespace
@@ -169,6 +171,16 @@
   noFaults(Deployment.site());
 }
 
+BOOST_AUTO_TEST_CASE(AnEventWithoutEndIsReadUntilItsTimeIsOver) {
+  GatewayDeployment Deployment({"east", "west"});
+  auto Answer = Deployment.begin(0, "brief-1", "POST", site::BriefPath, Events);
+  Deployment.site().setEngineBabbles(Deployment.awaitStream());
+  const HttpResult Result = Answer.get();
+  BOOST_TEST(holdsEvents(Result.Response_.Body_, 1, Events));
+  BOOST_TEST(Deployment.site().ledger().EndlessBytes_ < MostEndlessBytes / 4);
+  noFaults(Deployment.site());
+}
+
 BOOST_AUTO_TEST_CASE(RequestsBeyondTheEnginesMemoryAreRefusedAndDontRun) {
   const int Callers = 24;
   const int Prompt = 9000;
@@ -262,6 +274,7 @@
   const std::size_t Count = Runs == Ledger.Runs_.end() ? 0 : Runs->second.size();
   BOOST_TEST(Count >= Case.LeastRuns_);
   BOOST_TEST(Count <= Case.MostRuns_);
+  BOOST_TEST(Ledger.EndlessBytes_ < MostEndlessBytes);
   // A refusal is a promise: nothing ran, and nothing will.
   if (statusOf(Result) == 503)
     BOOST_TEST(Ledger.Bookings_.empty());
