--- a/Source/SiteModel/SimulatedSite.cpp
+++ b/Source/SiteModel/SimulatedSite.cpp
@@ -286,6 +286,12 @@
   }
 }
 
+void SimulatedSite::spendRetries() {
+  for (const auto &Each : Gateways_)
+    while (Each->Retries_.tryRepeat(ServiceId("brief"), Queue_.now()))
+      ;
+}
+
 std::shared_ptr<CallerView> SimulatedSite::call(std::size_t At, double Prompt,
                                                 std::uint64_t Events) {
   auto View = std::make_shared<CallerView>();
--- a/Source/SiteModel/SimulatedSite.h
+++ b/Source/SiteModel/SimulatedSite.h
@@ -64,6 +64,8 @@
   /// All gateways take a running engine for silent, as when its answers come too late; they ask it
   /// again half a second later at most.
   void misjudge(const EndpointId &Engine);
+  /// All gateways spend what they may repeat in this window.
+  void spendRetries();
   /// A caller's request through the gateway of the data centre at that place in the list; the view
   /// changes as time goes on.
   std::shared_ptr<CallerView> call(std::size_t At, double Prompt, std::uint64_t Events);
--- a/Tests/Gateway/StreamExplorationTest.cpp
+++ b/Tests/Gateway/StreamExplorationTest.cpp
@@ -175,3 +175,24 @@
   }
   BOOST_TEST(Resumes > schedules());
 }
+
+BOOST_AUTO_TEST_CASE(StreamsOfRunningEnginesAreCutWhenTheyCannotGoOnElsewhere) {
+  for (unsigned Seed = 1; Seed <= schedules() / 10; ++Seed) {
+    Schedule Case(Seed);
+    for (int Step = 0; Step < Steps; ++Step) {
+      Case.call();
+      Case.Site_.queue().run(std::chrono::milliseconds(Case.Site_.random()() % 200));
+      Case.Site_.spendRetries();
+      const auto Ids = Case.Site_.engineIds();
+      Case.Site_.misjudge(Ids[Case.Site_.random()() % Ids.size()]);
+    }
+    Case.Site_.queue().run(40s);
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      for (const auto &View : Case.Views_) {
+        checkView(Case, *View);
+        BOOST_TEST(!View->Cut_);
+        BOOST_TEST(View->Status_ != 502U);
+      }
+    }
+  }
+}
