A stream keeps its path until it has another one

Callers saw: streams cut in the middle though their engines ran on.

Cause: a gateway that found an engine of a path silent dropped the send at once and looked for another path after that. Without budget, room or another path it had nothing left and cut the stream 1.6 s later.

Now the send goes on until another one takes its place. If an event comes first, the stream stays (StreamKept). It is given up only once an engine of its path is lost or the send has ended. A failure of an engine is passed on only if it arrived whole; one that was left half-way could be sent as if it were.

--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -91,6 +91,7 @@
     BudgetSpent_ = true;
     return false;
   }
+  leaveAttempt();
   Path_ = std::move(*Choice.Path_);
   HeldTokens_ = Demand.PromptTokens_ + Demand.AnswerTokens_;
 
@@ -105,6 +106,7 @@
   Events_.reset();
   BytesSinceEvent_ = 0;
   FailureBody_.clear();
+  FailureWhole_ = false;
   Pulse_.sent(Now);
   NewEngine_ = RanAt_.insert(Path_.Stages_.front().Engine_).second;
   const EndpointRecord *First = Parts_.Roster_.find(Path_.Stages_.front().Engine_);
@@ -204,6 +206,11 @@
   if (Event.Id_)
     LastEvent_ = Event.Id_;
   const TimePoint Now = Parts_.Time_.now();
+  if (std::exchange(ResumeUntil_, std::nullopt))
+    Parts_.Log_.log(LogEvent::StreamKept, {{"id", Routed_.Caller_.Id_.str()},
+                                           {"cause", ResumeCause_},
+                                           {"quiet_ms", Pulse_.quiet(Now) / milliseconds(1)},
+                                           {"events", Pulse_.events()}});
   if (const auto LostAt = std::exchange(PathLostAt_, std::nullopt))
     Parts_.Metrics_.observe("resume_seconds", Routed_.Service_->Id_.str(), Now - *LostAt);
   Pulse_.event(Now);
@@ -231,6 +238,7 @@
   release();
   if (ended())
     return;
+  FailureWhole_ = !Result.Error_;
   const bool Success = Attempt_->HeadSeen_ && Attempt_->Head_.Status_ == 200;
   if (!Result.Error_ && Success && Attempt_->Answer_.Signed_ && Events_.pendingBytes() == 0 &&
       Started_)
@@ -294,17 +302,28 @@
   MayHaveRun_ = MayHaveRun_ || MayHaveRun;
   if (Started_ && MayHaveRun && !PathLostAt_)
     PathLostAt_ = Parts_.Time_.now();
-  const bool Allowed = !MayHaveRun_ || Routed_.Route_->repeatable();
-  if (!Allowed || Sends_ >= MaxSends || left() <= Duration{})
-    return giveUp();
   ResumeCause_ = MayHaveRun ? Cause : std::string_view();
-  if (sendAgain())
+  if (maySendAgain() && sendAgain())
     return;
+  if (!maySendAgain() && !attemptLives())
+    return giveUp();
   // A lost layer is loaded again, and room and budget come back, within about a second.
   ResumeUntil_ = Pulse_.progressAt() + (Started_ ? ResumePatience : FirstPatience);
   ResumeAt_ = Parts_.Time_.now() + ResumeInterval;
 }
 
+bool StreamExchange::maySendAgain() const {
+  return (!MayHaveRun_ || Routed_.Route_->repeatable()) && Sends_ < MaxSends && left() > Duration{};
+}
+
+bool StreamExchange::pathMayWork(TimePoint Now) const {
+  return attemptLives() &&
+         std::none_of(Path_.Stages_.begin(), Path_.Stages_.end(), [&](const PathStage &Stage) {
+           const auto *Engine = Parts_.Roster_.find(Stage.Engine_);
+           return !Engine || Engine->lost(Now);
+         });
+}
+
 bool StreamExchange::sendAgain() {
   const bool Sent = sendOnPath(/*Again=*/true);
   if (!Sent || ResumeCause_.empty())
@@ -322,9 +341,9 @@
   if (Now < ResumeAt_)
     return;
   ResumeAt_ = Now + ResumeInterval;
-  if (sendAgain())
+  if (maySendAgain() && sendAgain())
     ResumeUntil_.reset();
-  else if (Now > *ResumeUntil_)
+  else if (Now > *ResumeUntil_ && !pathMayWork(Now))
     giveUp();
 }
 
@@ -336,8 +355,8 @@
     return finish("cut");
   }
   // An engine's whole failure is passed on, unless its status would promise that nothing ran.
-  if (MayHaveRun_ && Attempt_ && Attempt_->HeadSeen_ && Attempt_->Answer_.Signed_ &&
-      !Attempt_->Answer_.NotRun_ && Attempt_->Head_.Status_ >= 400 &&
+  if (MayHaveRun_ && FailureWhole_ && Attempt_ && Attempt_->HeadSeen_ &&
+      Attempt_->Answer_.Signed_ && !Attempt_->Answer_.NotRun_ && Attempt_->Head_.Status_ >= 400 &&
       Attempt_->Head_.Status_ != 503 && Attempt_->Head_.Status_ != 429) {
     HttpResponse Answer = Parts_.Dialect_.answerHead(Attempt_->Head_);
     Answer.Body_ = std::move(FailureBody_);
@@ -422,9 +441,16 @@
 
 void StreamExchange::leavePath(const std::vector<EndpointId> &Lost, std::string_view Cause) {
   Limits_.Avoid_.insert(Lost.begin(), Lost.end());
+  // Silence may pass, so the path is kept until there is another one.
+  if (!ResumeUntil_)
+    goOn(true, Cause);
+}
+
+void StreamExchange::leaveAttempt() {
+  if (!attemptLives())
+    return;
   drop(Attempt_);
   release();
-  goOn(true, Cause);
 }
 
 void StreamExchange::release() {
@@ -439,10 +465,7 @@
 
 void StreamExchange::abandon() {
   stopWaiting();
-  if (!Attempt_ || !Attempt_->Live_)
-    return;
-  drop(Attempt_);
-  release();
+  leaveAttempt();
 }
 
 std::string StreamExchange::endDetail() const {
--- a/Source/Gateway/StreamExchange.h
+++ b/Source/Gateway/StreamExchange.h
@@ -55,9 +55,16 @@
   /// Sends the rest of the request to another path, or ends the answer.
   void goOn(bool MayHaveRun, std::string_view Cause);
   void giveUp();
+  /// Whether the request may be sent once more, budget and path aside.
+  bool maySendAgain() const;
+  bool attemptLives() const { return Attempt_ && Attempt_->Live_; }
+  /// Whether the engines of the path may still go on with the request.
+  bool pathMayWork(TimePoint Now) const;
+  /// Ends the send that is under way.
+  void leaveAttempt();
   void checkPath();
   void onChecked(const std::vector<EndpointId> &Silent);
-  /// Leaves the path for another one.
+  /// Leaves the path as soon as there is another one.
   void leavePath(const std::vector<EndpointId> &Lost, std::string_view Cause);
   /// Engines of the path that its first engine reports others to wait for.
   std::vector<EndpointId> stalledEngines() const;
@@ -83,7 +90,7 @@
   std::string_view ResumeCause_;
   /// When a stream that had begun lost its path; set until its next event.
   std::optional<TimePoint> PathLostAt_;
-  /// Set while the stream has no path.
+  /// Set while the stream looks for another path. If its own has not ended, that is kept meanwhile.
   std::optional<TimePoint> ResumeUntil_;
   TimePoint ResumeAt_{};
   std::uint32_t Unexplained_ = 0;
@@ -92,6 +99,8 @@
   std::optional<AdmissionTicket> Ticket_;
   TimePoint WaitUntil_{};
   std::string FailureBody_;
+  /// The last send ended with a whole answer.
+  bool FailureWhole_ = false;
   /// The last try to send again failed for want of budget, not of a path.
   bool BudgetSpent_ = false;
   bool Started_ = false;
