Bulletins go through relays, so that an owner's link does not starve the same gateways

Callers saw: on the large sites, requests of two data centres were placed by reports of engines that were up to 37 s old, and sent again when engines turned them away.

Cause: an owner sent each bulletin to each gateway itself, 457 KB in one burst at 89 gateways, and always in order of their addresses. A link of 20 Mbit/s drops what does not fit, which was always the same end of the list: all gateways of newman and most of port-hedland heard no bulletin from the start of traffic on. No send failed at the socket (0 DatagramsDropped), so the link lost them. This is why the gateways of newman did not know how many they were.

Now an owner draws relays in each data centre anew each time and sends to them alone, about the square root of all; they pass the bulletin on.

--- a/Schemas/Gateway_generated.h
+++ b/Schemas/Gateway_generated.h
@@ -491,6 +491,7 @@
   uint32_t gateways = 0;
   std::vector<std::string> members{};
   std::vector<std::unique_ptr<rattancart::wire::EngineStateT>> engines{};
+  std::vector<std::string> pass_to{};
   EngineStatesT() = default;
   EngineStatesT(const EngineStatesT &o);
   EngineStatesT(EngineStatesT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -505,7 +506,8 @@
     VT_FENCE = 6,
     VT_GATEWAYS = 8,
     VT_MEMBERS = 10,
-    VT_ENGINES = 12
+    VT_ENGINES = 12,
+    VT_PASS_TO = 14
   };
   const flatbuffers::String *data_center() const {
     return GetPointer<const flatbuffers::String *>(VT_DATA_CENTER);
@@ -522,6 +524,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EngineState>> *engines() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EngineState>> *>(VT_ENGINES);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *pass_to() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_PASS_TO);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_DATA_CENTER) &&
@@ -534,6 +539,9 @@
            VerifyOffset(verifier, VT_ENGINES) &&
            verifier.VerifyVector(engines()) &&
            verifier.VerifyVectorOfTables(engines()) &&
+           VerifyOffset(verifier, VT_PASS_TO) &&
+           verifier.VerifyVector(pass_to()) &&
+           verifier.VerifyVectorOfStrings(pass_to()) &&
            verifier.EndTable();
   }
   EngineStatesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -560,6 +568,9 @@
   void add_engines(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EngineState>>> engines) {
     fbb_.AddOffset(EngineStates::VT_ENGINES, engines);
   }
+  void add_pass_to(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> pass_to) {
+    fbb_.AddOffset(EngineStates::VT_PASS_TO, pass_to);
+  }
   explicit EngineStatesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -577,9 +588,11 @@
     int64_t fence = 0,
     uint32_t gateways = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> members = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EngineState>>> engines = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EngineState>>> engines = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> pass_to = 0) {
   EngineStatesBuilder builder_(_fbb);
   builder_.add_fence(fence);
+  builder_.add_pass_to(pass_to);
   builder_.add_engines(engines);
   builder_.add_members(members);
   builder_.add_gateways(gateways);
@@ -593,17 +606,20 @@
     int64_t fence = 0,
     uint32_t gateways = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *members = nullptr,
-    const std::vector<flatbuffers::Offset<rattancart::wire::EngineState>> *engines = nullptr) {
+    const std::vector<flatbuffers::Offset<rattancart::wire::EngineState>> *engines = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *pass_to = nullptr) {
   auto data_center__ = data_center ? _fbb.CreateString(data_center) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*members) : 0;
   auto engines__ = engines ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::EngineState>>(*engines) : 0;
+  auto pass_to__ = pass_to ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*pass_to) : 0;
   return rattancart::wire::CreateEngineStates(
       _fbb,
       data_center__,
       fence,
       gateways,
       members__,
-      engines__);
+      engines__,
+      pass_to__);
 }
 
 flatbuffers::Offset<EngineStates> CreateEngineStates(flatbuffers::FlatBufferBuilder &_fbb, const EngineStatesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -871,7 +887,8 @@
       : data_center(o.data_center),
         fence(o.fence),
         gateways(o.gateways),
-        members(o.members) {
+        members(o.members),
+        pass_to(o.pass_to) {
   engines.reserve(o.engines.size());
   for (const auto &engines_ : o.engines) { engines.emplace_back((engines_) ? new rattancart::wire::EngineStateT(*engines_) : nullptr); }
 }
@@ -882,6 +899,7 @@
   std::swap(gateways, o.gateways);
   std::swap(members, o.members);
   std::swap(engines, o.engines);
+  std::swap(pass_to, o.pass_to);
   return *this;
 }
 
@@ -899,6 +917,7 @@
   { auto _e = gateways(); _o->gateways = _e; }
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = _e->Get(_i)->str(); } } }
   { auto _e = engines(); if (_e) { _o->engines.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->engines[_i] = std::unique_ptr<rattancart::wire::EngineStateT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = pass_to(); if (_e) { _o->pass_to.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pass_to[_i] = _e->Get(_i)->str(); } } }
 }
 
 inline flatbuffers::Offset<EngineStates> EngineStates::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineStatesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -914,13 +933,15 @@
   auto _gateways = _o->gateways;
   auto _members = _o->members.size() ? _fbb.CreateVectorOfStrings(_o->members) : 0;
   auto _engines = _o->engines.size() ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::EngineState>> (_o->engines.size(), [](size_t i, _VectorArgs *__va) { return CreateEngineState(*__va->__fbb, __va->__o->engines[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _pass_to = _o->pass_to.size() ? _fbb.CreateVectorOfStrings(_o->pass_to) : 0;
   return rattancart::wire::CreateEngineStates(
       _fbb,
       _data_center,
       _fence,
       _gateways,
       _members,
-      _engines);
+      _engines,
+      _pass_to);
 }
 
 inline EngineSilentT *EngineSilent::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Gateway/EngineBulletin.cpp
+++ b/Source/Gateway/EngineBulletin.cpp
@@ -34,6 +34,10 @@
 /// A silent engine gets no work for this long after the owner said so.
 constexpr Duration SilentHold = milliseconds(1500);
 
+std::string text(const boost::asio::ip::udp::endpoint &Place) {
+  return fmt::format("{}:{}", Place.address().to_string(), Place.port());
+}
+
 std::unique_ptr<wire::EngineStateT> stateOf(const EndpointId &Id, const EndpointRecord &Record,
                                             TimePoint Now) {
   auto State = std::make_unique<wire::EngineStateT>();
@@ -106,15 +110,17 @@
   }
   wire::GatewayDatagramT Content;
   wire::GetGatewayDatagram(Buffer_.data())->UnPackTo(&Content);
-  if (const auto *States = Content.payload.AsEngineStates())
+  if (auto *States = Content.payload.AsEngineStates()) {
+    passOn(*States);
     return onStates(*States);
+  }
   if (const auto *Told = Content.payload.AsEngineSilent())
     return onTold(*Told);
   if (const auto *Request = Content.payload.AsEngineSubscribe())
     if (Request->data_center == Home_.str()) {
       Subscriber &Known = Subscribers_[Sender_];
       Known.Until_ = Time_.now() + SubscriptionTime;
-      Known.AtHome_ = Request->home == Home_.str();
+      Known.Home_ = DataCenterId(Request->home);
       Known.InUse_ = Request->in_use;
     }
 }
@@ -160,68 +166,77 @@
 void EngineBulletin::publish() {
   const TimePoint Now = Time_.now();
   std::erase_if(Subscribers_, [&](const auto &Entry) { return Entry.second.Until_ < Now; });
-  if (Fence_)
-    Census_.counted(Home_, homeGateways(), Now);
-  std::set<Udp::endpoint> Receivers;
-  for (const auto &[To, Each] : Subscribers_)
-    Receivers.insert(To);
-  if (const auto From = Sources_.find(Home_); From != Sources_.end())
-    if (const auto Last = parseAddress(NetAddress(From->second.Owner_)))
-      Receivers.insert({Last->address(), Last->port()});
-  if (Receivers.empty() || !Fence_)
+  if (!Fence_)
     return;
-  const std::vector<Frame> ForHome = stateFrames(/*ForHome=*/true);
-  const std::vector<Frame> ForOthers = stateFrames(/*ForHome=*/false);
+  Census_.counted(Home_, homeGateways(), Now);
+  std::map<DataCenterId, std::vector<std::string>> Receivers;
   for (auto &[To, Each] : Subscribers_) {
-    if (!Each.AtHome_ && !Each.InUse_ && Now < Each.NextAt_)
+    if (Each.Home_ != Home_ && !Each.InUse_ && Now < Each.NextAt_)
       continue;
     Each.NextAt_ = Now + OthersInterval;
-    for (const Frame &Packed : Each.AtHome_ ? ForHome : ForOthers)
-      send(To, Packed);
+    Receivers[Each.Home_].push_back(text(To));
+  }
+  if (Receivers.empty())
+    return;
+  std::vector<wire::EngineStatesT> Parts = stateParts();
+  for (const RelayGroup &Group : planRelays(Receivers, Random_))
+    sendParts(Parts, Group);
+}
+
+void EngineBulletin::sendParts(std::vector<wire::EngineStatesT> &Parts, const RelayGroup &Group) {
+  const auto To = parseAddress(NetAddress(Group.Relay_));
+  if (!To)
+    return;
+  for (wire::EngineStatesT &Part : Parts) {
+    Part.pass_to = Group.Others_;
+    send({To->address(), To->port()}, packStates(Part));
   }
 }
 
+void EngineBulletin::passOn(wire::EngineStatesT &States) {
+  const std::vector<std::string> Others = std::exchange(States.pass_to, {});
+  if (Others.empty())
+    return;
+  const Frame Packed = packStates(States);
+  for (const std::string &Other : Others)
+    if (const auto To = parseAddress(NetAddress(Other)))
+      send({To->address(), To->port()}, Packed);
+}
+
 std::uint32_t EngineBulletin::homeGateways() const {
+  const auto AtHome = [this](const auto &Entry) { return Entry.second.Home_ == Home_; };
   return static_cast<std::uint32_t>(
-      1 + std::count_if(Subscribers_.begin(), Subscribers_.end(),
-                        [](const auto &Entry) { return Entry.second.AtHome_; }));
+      1 + std::count_if(Subscribers_.begin(), Subscribers_.end(), AtHome));
 }
 
 std::vector<std::string> EngineBulletin::firstMembers() const {
   std::vector<std::string> Members{Member_};
   for (const auto &[To, Each] : Subscribers_)
-    if (Each.AtHome_)
-      Members.push_back(fmt::format("{}:{}", To.address().to_string(), To.port()));
+    if (Each.Home_ == Home_)
+      Members.push_back(text(To));
   std::sort(Members.begin(), Members.end());
   Members.resize(std::min(Members.size(), MostMembers));
   return Members;
 }
 
-std::vector<EngineBulletin::Frame> EngineBulletin::stateFrames(bool ForHome) const {
+std::vector<wire::EngineStatesT> EngineBulletin::stateParts() const {
   const TimePoint Now = Time_.now();
-  std::vector<Frame> Frames;
-  wire::EngineStatesT States;
-  const auto Flush = [&] {
-    States.data_center = Home_.str();
-    States.fence = Fence_->value();
-    if (ForHome && Frames.empty())
-      States.members = firstMembers();
-    States.gateways = homeGateways();
-    wire::GatewayDatagramT Content;
-    Content.payload.Set(std::exchange(States, {}));
-    Frames.push_back(pack(Content));
-  };
+  // Without engines, the number of gateways still goes out.
+  std::vector<wire::EngineStatesT> Parts(1);
   for (const auto &[Id, Record] : Roster_.all()) {
     if (Record.Listing_.DataCenter_ != Home_ || (!Record.reported() && !Record.silent(Now)))
       continue;
-    States.engines.push_back(stateOf(Id, Record, Now));
-    if (States.engines.size() == EnginesPerDatagram)
-      Flush();
+    if (Parts.back().engines.size() == EnginesPerDatagram)
+      Parts.emplace_back();
+    Parts.back().engines.push_back(stateOf(Id, Record, Now));
   }
-  // Without engines, the number of gateways still goes out.
-  if (!States.engines.empty() || Frames.empty())
-    Flush();
-  return Frames;
+  Parts.front().members = firstMembers();
+  for (wire::EngineStatesT &Part : Parts) {
+    Part.data_center = Home_.str();
+    Part.fence = Fence_->value();
+    Part.gateways = homeGateways();
+  }
+  return Parts;
 }
 
 void EngineBulletin::onTold(const wire::EngineSilentT &Told) {
@@ -330,6 +345,12 @@
   });
 }
 
+EngineBulletin::Frame EngineBulletin::packStates(const wire::EngineStatesT &States) {
+  wire::GatewayDatagramT Content;
+  Content.payload.Set(wire::EngineStatesT(States));
+  return pack(Content);
+}
+
 EngineBulletin::Frame EngineBulletin::pack(const wire::GatewayDatagramT &Content) {
   flatbuffers::FlatBufferBuilder Builder(512);
   Builder.Finish(wire::GatewayDatagram::Pack(Builder, &Content));
--- a/Source/Gateway/EngineBulletin.h
+++ b/Source/Gateway/EngineBulletin.h
@@ -2,6 +2,7 @@
 
 #include "Core/Common/Logger.h"
 #include "Core/Membership/GatewayCensus.h"
+#include "Core/Membership/RelayPlan.h"
 #include "Core/Serving/EndpointRoster.h"
 #include "Gateway/MetadataStore.h"
 #include "Net/Timer.h"
@@ -16,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <system_error>
@@ -73,7 +75,7 @@
   };
   struct Subscriber {
     TimePoint Until_{};
-    bool AtHome_ = false;
+    DataCenterId Home_;
     bool InUse_ = false;
     /// Subscribers of other data centres that don't use this one hear of it now and then.
     TimePoint NextAt_{};
@@ -84,8 +86,11 @@
   void onDatagram(std::size_t Size);
   void onStates(const wire::EngineStatesT &States);
   void onTold(const wire::EngineSilentT &Told);
-  /// The states of the home data centre's engines, each frame small enough for one packet.
-  std::vector<Frame> stateFrames(bool ForHome) const;
+  /// The states of the home data centre's engines, each part small enough for one packet.
+  std::vector<wire::EngineStatesT> stateParts() const;
+  /// Sends all parts to a relay, which passes them on.
+  void sendParts(std::vector<wire::EngineStatesT> &Parts, const RelayGroup &Group);
+  void passOn(wire::EngineStatesT &States);
   std::vector<std::string> firstMembers() const;
   /// Gateways of the home data centre that subscribe here, and this one.
   std::uint32_t homeGateways() const;
@@ -94,6 +99,7 @@
   void subscribe();
   void subscribeAt(const DataCenterId &Place, Source &From);
   void findOwner(const DataCenterId &Place, Source &From);
+  static Frame packStates(const wire::EngineStatesT &States);
   static Frame pack(const wire::GatewayDatagramT &Content);
   void send(const Udp::endpoint &To, const Frame &Packed);
   /// Says which owner is no longer heard, once.
@@ -119,6 +125,7 @@
   std::function<void(FencingNumber)> Outranked_;
   std::optional<FencingNumber> Fence_;
   TimePoint OthersUsedUntil_{};
+  std::mt19937 Random_{std::random_device{}()};
   /// Datagrams that could not be sent, and why the last of them could not.
   std::uint32_t Dropped_ = 0;
   std::error_code DropReason_;
