Only gateways that the last owner named stand in for it

Callers may see: none directly; engines are asked and ordered by many owners at once.

Cause: an owner names eight gateways of its data centre. One that is not among them took its rank to be the number of names, so that all of these stood in together, and nobody would have subscribed to them.

Now a gateway without a rank does not stand in.

GatewaysThatNobodyNamedStandInForALostOwner: all four unnamed gateways of twelve stood in before, none does now.

--- a/Source/Gateway/EngineBulletin.cpp
+++ b/Source/Gateway/EngineBulletin.cpp
@@ -287,13 +287,15 @@
   return Time_.now() - From->second.HeardAt_;
 }
 
-std::size_t EngineBulletin::rank() const {
+std::optional<std::size_t> EngineBulletin::rank() const {
   const auto From = Sources_.find(Home_);
   if (From == Sources_.end())
-    return 0;
+    return std::nullopt;
   const auto &Members = From->second.Members_;
-  return static_cast<std::size_t>(std::find(Members.begin(), Members.end(), Member_) -
-                                  Members.begin());
+  const auto Place = std::find(Members.begin(), Members.end(), Member_);
+  if (Place == Members.end())
+    return std::nullopt;
+  return static_cast<std::size_t>(Place - Members.begin());
 }
 
 void EngineBulletin::subscribe() {
--- a/Source/Gateway/EngineBulletin.h
+++ b/Source/Gateway/EngineBulletin.h
@@ -58,8 +58,9 @@
   void onOutranked(std::function<void(FencingNumber)> Handler) { Outranked_ = std::move(Handler); }
   /// Time since the owner at home was last heard; nothing if it never was.
   std::optional<Duration> ownerSilence() const;
-  /// This gateway's place among the home data centre's, as the last owner told them.
-  std::size_t rank() const;
+  /// This gateway's place among those that the last owner at home named as its stand-ins; nothing
+  /// if it is none of them.
+  std::optional<std::size_t> rank() const;
 
 private:
   using Udp = boost::asio::ip::udp;
--- a/Source/Gateway/PlacementOwner.cpp
+++ b/Source/Gateway/PlacementOwner.cpp
@@ -107,10 +107,10 @@
 
 void PlacementOwner::standIn() {
   const auto Silence = Use_.Bulletin_.ownerSilence();
-  if (owns() || !storeLost() || !Silence || Generation_ <= RefusedFence_)
+  const auto Rank = Use_.Bulletin_.rank();
+  if (owns() || !storeLost() || !Silence || !Rank || Generation_ <= RefusedFence_)
     return;
-  const auto Rank = static_cast<std::int64_t>(Use_.Bulletin_.rank());
-  if (*Silence > OwnerLostTime + Rank * StandInStep)
+  if (*Silence > OwnerLostTime + static_cast<std::int64_t>(*Rank) * StandInStep)
     setOwner(Generation_, "stand-in");
 }
 
--- a/Tests/System/GatewayDeployment.cpp
+++ b/Tests/System/GatewayDeployment.cpp
@@ -169,6 +169,11 @@
   return BlockingHttp().get(StateAddresses_[Index], "/metrics").Response_.Body_;
 }
 
+bool GatewayDeployment::owns(std::size_t Index) {
+  const auto State = BlockingHttp().getJson(StateAddresses_[Index], "/v1/state");
+  return State.is_object() && State.as_object().at("owns_placement").as_bool();
+}
+
 bool GatewayDeployment::isReady(std::size_t Index) {
   const HttpResult Result = BlockingHttp().get(StateAddresses_[Index], "/readyz");
   return !Result.Error_ && Result.Response_.Status_ == 200;
@@ -203,12 +208,9 @@
   std::size_t Found = DataCenters_.size();
   await(
       [&] {
-        for (std::size_t I = 0; I < DataCenters_.size(); ++I) {
-          const auto State = BlockingHttp().getJson(StateAddresses_[I], "/v1/state");
-          if (DataCenters_[I] == DataCenter && State.is_object() &&
-              State.as_object().at("owns_placement").as_bool())
+        for (std::size_t I = 0; I < DataCenters_.size(); ++I)
+          if (DataCenters_[I] == DataCenter && owns(I))
             Found = I;
-        }
         return Found < DataCenters_.size();
       },
       "an owner of " + DataCenter);
--- a/Tests/System/GatewayDeployment.h
+++ b/Tests/System/GatewayDeployment.h
@@ -47,6 +47,8 @@
   std::string soleHolder(const std::string &DataCenter, const std::string &Not) const;
   /// The index of the gateway that owns the placement of a data centre.
   std::size_t owner(const std::string &DataCenter);
+  /// Whether a gateway owns the placement of its data centre.
+  bool owns(std::size_t Index);
   bool isReady(std::size_t Index);
   /// Waits until a gateway has read its settings again.
   void awaitReload(std::size_t Index);
--- a/Tests/System/GatewayTest.cpp
+++ b/Tests/System/GatewayTest.cpp
@@ -7,6 +7,7 @@
 
 #include <ostream>
 #include <set>
+#include <thread>
 
 using namespace rattancart;
 using Life = LayerEngineFront::Life;
@@ -367,6 +368,23 @@
   noFaults(Deployment.site());
 }
 
+BOOST_AUTO_TEST_CASE(GatewaysThatNobodyNamedStandInForALostOwner) {
+  // An owner names eight gateways in order of their addresses, itself among them.
+  constexpr std::size_t Named = 8;
+  const std::vector<std::string> Places(12, "east");
+  GatewayDeployment Deployment(Places, {{{"east", {{"h100", 3}}}}});
+  const std::size_t Owner = Deployment.owner("east");
+  Deployment.site().setStoreFault(StoreFault::Silent);
+  for (std::size_t I = 0; I < Named; ++I)
+    Deployment.gateway(I).pause();
+  Deployment.gateway(Owner).pause();
+  // The last of those named would have stood in after 8 s of silence.
+  std::this_thread::sleep_for(std::chrono::seconds(11));
+  for (std::size_t I = Named; I < Places.size(); ++I)
+    if (I != Owner)
+      BOOST_TEST(!Deployment.owns(I));
+}
+
 BOOST_AUTO_TEST_CASE(TheStoresAbsenceStopsNothing) {
   for (const StoreFault Fault : {StoreFault::Busy, StoreFault::Silent, StoreFault::LosesAnswers}) {
     GatewayDeployment Deployment({"east"}, {{{"east", {{"h100", 3}}}}});
