--- /dev/null
+++ b/Tests/Core/Recovery/StorePatienceTest.cpp
@@ -0,0 +1,80 @@
+#include "Core/Recovery/StorePatience.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <string>
+
+using namespace rattancart;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start{1h};
+
+struct BackoffCase {
+  int Failures_;
+  Duration Least_;
+  Duration Most_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const BackoffCase &Case) {
+  return Out << Case.Failures_ << " failures";
+}
+
+const BackoffCase BackoffCases[] = {
+    {1, 125ms, 250ms},  {2, 250ms, 500ms},   {3, 500ms, 1000ms},
+    {4, 500ms, 1000ms}, {99, 500ms, 1000ms},
+};
+
+struct OutageCase {
+  const char *Name_;
+  /// Ends of calls, 100 ms apart: + answered, - not.
+  const char *Calls_;
+  /// After each call: . no change, L lost, B back.
+  const char *Changes_;
+  /// Whether entries may have lapsed, two and three seconds after the last call.
+  bool LapsesAfter2s_;
+  bool LapsesAfter3s_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const OutageCase &Case) { return Out << Case.Name_; }
+
+const OutageCase OutageCases[] = {
+    {"never away", "++", "..", false, false},
+    {"single answers are lost", "-+-+", "....", false, false},
+    {"away", "--", ".L", true, true},
+    {"still away", "----", ".L..", true, true},
+    {"back", "--+", ".LB", true, false},
+    {"away again", "--+--", ".LB.L", true, true},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(WaitsGrowUpToALimitAndDiffer, BackoffCases, Case) {
+  std::mt19937 Random(3);
+  for (int Round = 0; Round < 50; ++Round) {
+    StoreBackoff Backoff;
+    Duration Wait{};
+    for (int I = 0; I < Case.Failures_; ++I)
+      Wait = Backoff.afterFailure(Random);
+    BOOST_TEST((Wait >= Case.Least_ && Wait <= Case.Most_));
+    Backoff.succeeded();
+    BOOST_TEST((Backoff.afterFailure(Random) <= BackoffCases[0].Most_));
+  }
+}
+
+BOOST_DATA_TEST_CASE(OutageBeginsWithFailuresInARowAndEndsWithAnAnswer, OutageCases, Case) {
+  OutageDetector Detector;
+  TimePoint Now = Start;
+  std::string Changes;
+  for (const char Call : std::string(Case.Calls_)) {
+    Now += 100ms;
+    const auto Change = Detector.onCallEnded(Call == '+', Now);
+    Changes += !Change ? '.' : *Change ? 'B' : 'L';
+  }
+  BOOST_TEST(Changes == Case.Changes_);
+  BOOST_TEST(Detector.maySeeLapses(Now + 2s) == Case.LapsesAfter2s_);
+  BOOST_TEST(Detector.maySeeLapses(Now + 3s) == Case.LapsesAfter3s_);
+}
