The census' times follow the window of the budget

Settling and coming back take one and two windows, since they wait for what was spent before to leave the window. With the users' window of 10 s nothing changes.

--- a/Source/Core/Membership/GatewayCensus.cpp
+++ b/Source/Core/Membership/GatewayCensus.cpp
@@ -4,6 +4,22 @@
 
 namespace rattancart {
 
+namespace {
+
+/// Until a lost store is noticed at its slowest, and a machine's pause at its longest.
+constexpr Duration NoticeTime = std::chrono::seconds(10);
+constexpr Duration PauseTime = std::chrono::seconds(15);
+
+} // namespace
+
+GatewayCensusOptions GatewayCensusOptions::forWindow(Duration Window) {
+  GatewayCensusOptions Options;
+  Options.Settle_ = Window;
+  Options.Return_ = 2 * Window;
+  Options.Ownerless_ = Options.Hold_ + NoticeTime + PauseTime + Window;
+  return Options;
+}
+
 GatewayCensus::GatewayCensus(const std::vector<DataCenterId> &Places, DataCenterId Home,
                              GatewayCensusOptions Options)
     : Options_(Options), Home_(std::move(Home)) {
--- a/Source/Core/Membership/GatewayCensus.h
+++ b/Source/Core/Membership/GatewayCensus.h
@@ -13,18 +13,20 @@
 namespace rattancart {
 
 struct GatewayCensusOptions {
-  /// A gateway that has reached neither the store nor the owner at home for this long is not sure
-  /// to be counted by others any more.
+  /// The times that fit a limit which is counted over windows of that length.
+  static GatewayCensusOptions forWindow(Duration Window);
+
+  /// A gateway that has not reached the store, or has not heard the owner at home, for this long
+  /// may no longer be counted by others.
   Duration Hold_ = std::chrono::seconds(10);
   /// From the first time on that all data centres are known until the count is relied on: owners
-  /// that have just started themselves hear of the others only by and by.
+  /// that have just started themselves hear of the others only by and by. One window.
   Duration Settle_ = std::chrono::seconds(10);
-  /// The same after a doubt: others may have forgotten this gateway, and need this long to hear of
-  /// it again and to spend no more than before in a whole window.
+  /// The same after a doubt: others may have forgotten this gateway. They hear of it again within
+  /// one window, and what they did until then is over after another one.
   Duration Return_ = std::chrono::seconds(20);
   /// A data centre whose duty nobody owns for this long has no gateways that rely on being counted.
-  /// Longer than Hold_, the time until a lost store is noticed, a machine's pause and a budget's
-  /// window together.
+  /// Hold_, the time until a lost store is noticed, a machine's pause and one window together.
   Duration Ownerless_ = std::chrono::seconds(45);
   /// Gateways are counted for this long after their owner heard of them last. An owner that hears
   /// nobody can't tell whether the others are gone or its own link is bad, so this is longer than
@@ -59,6 +61,9 @@
   /// The store was lost or regained.
   void storeReachable(bool Reachable, TimePoint Now);
 
+  /// Takes other times; what is known stays.
+  void setOptions(GatewayCensusOptions Options) { Options_ = Options; }
+
   GatewayCount count(TimePoint Now) const;
 
 private:
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -62,7 +62,8 @@
       Store_(Platform.MakeStore_(Loop_, Time, Log, Metrics_, StoreClient_, Settings_.Store_)),
       Health_(Loop_, Time, Log, Metrics_, Client_, Platform.Dialect_, Roster_),
       Paths_(Roster_, Settings_.Process_.DataCenter_), Retries_(Settings_.Retries_, Time.now()),
-      Census_(Settings_.DataCenters_, Settings_.Process_.DataCenter_),
+      Census_(Settings_.DataCenters_, Settings_.Process_.DataCenter_,
+              GatewayCensusOptions::forWindow(Settings_.Retries_.Window_)),
       Bulletin_(Loop_, Time, Log, Metrics_, *Store_, Roster_, Census_,
                 Settings_.Process_.DataCenter_, Settings_.DataCenters_),
       Placement_({Loop_, Time, Log, Metrics_, Client_, Platform.Dialect_, *Store_, Roster_, Config_,
@@ -284,6 +285,7 @@
   Settings_.Answers_ = Loaded.Answers_;
   Parts_.Answers_ = Loaded.Answers_;
   Retries_.setOptions(Loaded.Retries_, Time_.now());
+  Census_.setOptions(GatewayCensusOptions::forWindow(Loaded.Retries_.Window_));
   Log_.log(LogEvent::SettingsReloaded, {{"file", SettingsFile_}});
 }
 
--- a/Tests/Core/Membership/GatewayCensusTest.cpp
+++ b/Tests/Core/Membership/GatewayCensusTest.cpp
@@ -132,3 +132,15 @@
   BOOST_TEST(std::string(Census.count(Start + 9s).Doubt_) == "not settled yet");
   BOOST_TEST(Census.count(Start + 10s).Gateways_.value_or(0) == 12U);
 }
+
+BOOST_AUTO_TEST_CASE(TimesFollowTheWindowOfTheLimit) {
+  const GatewayCensusOptions Usual = GatewayCensusOptions::forWindow(10s);
+  const GatewayCensusOptions Default;
+  BOOST_TEST((Usual.Settle_ == Default.Settle_ && Usual.Return_ == Default.Return_ &&
+              Usual.Ownerless_ == Default.Ownerless_));
+  GatewayCensus Census({East}, East, GatewayCensusOptions::forWindow(1min));
+  Census.counted(East, 5, Start);
+  hearHome(Census, 1min, 5);
+  BOOST_TEST(!Census.count(Start + 59s).Gateways_.has_value());
+  BOOST_TEST(Census.count(Start + 1min).Gateways_.value_or(0) == 5U);
+}
