--- a/Tests/System/GatewayBudgetTest.cpp
+++ b/Tests/System/GatewayBudgetTest.cpp
@@ -66,3 +66,18 @@
   BOOST_TEST(static_cast<double>(Repeats) <=
              Budget.Ratio_ * static_cast<double>(Calls) + Budget.Extra_);
 }
+
+BOOST_AUTO_TEST_CASE(GatewaysOfAllDataCentresAreCountedThroughTheirOwners) {
+  SiteOptions Options{{{"east", {}}, {"west", {}}}};
+  // The count settles within a window.
+  Options.Retries_.Window_ = 500ms;
+  const std::vector<std::string> Places{"east", "east", "east", "west", "west"};
+  GatewayDeployment Deployment(Places, Options);
+  for (std::size_t I = 0; I < Places.size(); ++I)
+    GatewayDeployment::await(
+        [&] {
+          return Deployment.metrics(I).find("rattancart_gateway_retry_budget_gateways 5\n") !=
+                 std::string::npos;
+        },
+        "a gateway to know how many there are");
+}
