CallerRequest has the prompt parts that other requests may share

Needed to tell which part of a prompt crashes engines. Read from the platform's header once, by platform/; the last part of a prompt is the request's own and is left out. Nothing uses it yet.

--- a/Source/Core/Common/Ids.h
+++ b/Source/Core/Common/Ids.h
@@ -27,6 +27,8 @@
 using ChangeId = StringId<struct ChangeTag>;
 /// An HTTP request of a caller that a router received; unique over all routers.
 using RequestId = StringId<struct RequestTag>;
+/// A part of a prompt that several requests share, such as the instructions of one kind of request.
+using PromptPartId = StringId<struct PromptPartTag>;
 /// The caller's deduplication key for an at-most-once call.
 using IdempotencyKey = StringId<struct IdempotencyKeyTag>;
 
--- a/Source/Gateway/EndpointProtocol.h
+++ b/Source/Gateway/EndpointProtocol.h
@@ -22,6 +22,9 @@
   /// The key that names the customer; empty if there is none.
   std::string Key_;
   double PromptTokens_ = 0;
+  /// The parts of the prompt that other requests may share, in order. The last part of a prompt
+  /// belongs to the request or its session alone, so it is not among them.
+  std::vector<PromptPartId> SharedPromptParts_;
   /// Maximum number of tokens in the response; 0 if the caller gave none.
   double MaxAnswerTokens_ = 0;
   /// The caller's estimate of the number of tokens in the response.
--- a/Tests/platform/PlatformProtocolTest.cpp
+++ b/Tests/platform/PlatformProtocolTest.cpp
@@ -56,6 +56,26 @@
     {"500", 500, "X-Response-Stamp", false},
 };
 
+/// A list of prompt parts, and the ids of those that other requests may share.
+struct PromptPartsCase {
+  const char *Name_;
+  const char *Header_;
+  std::vector<std::string> Shared_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const PromptPartsCase &Case) {
+  return Out << Case.Name_;
+}
+
+const PromptPartsCase PromptPartsCases[] = {
+    {"none", "", {}},
+    {"the request's own part only", "e440:250", {}},
+    {"two shared parts", "5c1e07a2:800,91bd3f06:410,e4402b7d:250", {"5c1e07a2", "91bd3f06"}},
+    {"spaces after commas", "5c1e07a2:800, 91bd3f06:410, e4402b7d:250", {"5c1e07a2", "91bd3f06"}},
+    {"sizes missing", "5c1e07a2,91bd3f06,e4402b7d", {"5c1e07a2", "91bd3f06"}},
+    {"empty entries", ",,:3,5c1e07a2:800,", {"5c1e07a2"}},
+};
+
 struct OrderCase {
   std::uint32_t Status_;
   OrderOutcome Outcome_;
@@ -71,6 +91,15 @@
 
 } // namespace
 
+BOOST_DATA_TEST_CASE(ParsesThePromptPartsThatOthersMayShare, PromptPartsCases, Case) {
+  HttpRequest Request;
+  Request.Headers_.add("X-Prompt-Prefix", Case.Header_);
+  std::vector<std::string> Parts;
+  for (const PromptPartId &Each : PlatformProtocol().parseRequest(Request).SharedPromptParts_)
+    Parts.push_back(Each.str());
+  BOOST_TEST(Parts == Case.Shared_, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(ParsesTheHeadersOfACaller) {
   const CallerRequest Caller = PlatformProtocol().parseRequest(callerRequest());
   BOOST_TEST(Caller.Id_.str() == "9c41");
