--- a/Schemas/Gateway_generated.h
+++ b/Schemas/Gateway_generated.h
@@ -24,6 +24,18 @@
 struct EngineStateBuilder;
 struct EngineStateT;
 
+struct EngineCrash;
+struct EngineCrashBuilder;
+struct EngineCrashT;
+
+struct PromptSuspect;
+struct PromptSuspectBuilder;
+struct PromptSuspectT;
+
+struct PromptReport;
+struct PromptReportBuilder;
+struct PromptReportT;
+
 struct EngineStates;
 struct EngineStatesBuilder;
 struct EngineStatesT;
@@ -41,33 +53,36 @@
   EngineSubscribe = 1,
   EngineStates = 2,
   EngineSilent = 3,
+  PromptReport = 4,
   MIN = NONE,
-  MAX = EngineSilent
+  MAX = PromptReport
 };
 
-inline const GatewayPayload (&EnumValuesGatewayPayload())[4] {
+inline const GatewayPayload (&EnumValuesGatewayPayload())[5] {
   static const GatewayPayload values[] = {
     GatewayPayload::NONE,
     GatewayPayload::EngineSubscribe,
     GatewayPayload::EngineStates,
-    GatewayPayload::EngineSilent
+    GatewayPayload::EngineSilent,
+    GatewayPayload::PromptReport
   };
   return values;
 }
 
 inline const char * const *EnumNamesGatewayPayload() {
-  static const char * const names[5] = {
+  static const char * const names[6] = {
     "NONE",
     "EngineSubscribe",
     "EngineStates",
     "EngineSilent",
+    "PromptReport",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameGatewayPayload(GatewayPayload e) {
-  if (flatbuffers::IsOutRange(e, GatewayPayload::NONE, GatewayPayload::EngineSilent)) return "";
+  if (flatbuffers::IsOutRange(e, GatewayPayload::NONE, GatewayPayload::PromptReport)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesGatewayPayload()[index];
 }
@@ -88,6 +103,10 @@
   static const GatewayPayload enum_value = GatewayPayload::EngineSilent;
 };
 
+template<> struct GatewayPayloadTraits<rattancart::wire::PromptReport> {
+  static const GatewayPayload enum_value = GatewayPayload::PromptReport;
+};
+
 template<typename T> struct GatewayPayloadUnionTraits {
   static const GatewayPayload enum_value = GatewayPayload::NONE;
 };
@@ -104,6 +123,10 @@
   static const GatewayPayload enum_value = GatewayPayload::EngineSilent;
 };
 
+template<> struct GatewayPayloadUnionTraits<rattancart::wire::PromptReportT> {
+  static const GatewayPayload enum_value = GatewayPayload::PromptReport;
+};
+
 struct GatewayPayloadUnion {
   GatewayPayload type;
   void *value;
@@ -158,6 +181,14 @@
     return type == GatewayPayload::EngineSilent ?
       reinterpret_cast<const rattancart::wire::EngineSilentT *>(value) : nullptr;
   }
+  rattancart::wire::PromptReportT *AsPromptReport() {
+    return type == GatewayPayload::PromptReport ?
+      reinterpret_cast<rattancart::wire::PromptReportT *>(value) : nullptr;
+  }
+  const rattancart::wire::PromptReportT *AsPromptReport() const {
+    return type == GatewayPayload::PromptReport ?
+      reinterpret_cast<const rattancart::wire::PromptReportT *>(value) : nullptr;
+  }
 };
 
 bool VerifyGatewayPayload(flatbuffers::Verifier &verifier, const void *obj, GatewayPayload type);
@@ -484,6 +515,269 @@
 
 flatbuffers::Offset<EngineState> CreateEngineState(flatbuffers::FlatBufferBuilder &_fbb, const EngineStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct EngineCrashT : public flatbuffers::NativeTable {
+  typedef EngineCrash TableType;
+  std::string engine{};
+  uint64_t run = 0;
+  uint32_t age_ms = 0;
+  bool cleared = false;
+};
+
+struct EngineCrash FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EngineCrashT NativeTableType;
+  typedef EngineCrashBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENGINE = 4,
+    VT_RUN = 6,
+    VT_AGE_MS = 8,
+    VT_CLEARED = 10
+  };
+  const flatbuffers::String *engine() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENGINE);
+  }
+  uint64_t run() const {
+    return GetField<uint64_t>(VT_RUN, 0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  bool cleared() const {
+    return GetField<uint8_t>(VT_CLEARED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENGINE) &&
+           verifier.VerifyString(engine()) &&
+           VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_CLEARED, 1) &&
+           verifier.EndTable();
+  }
+  EngineCrashT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EngineCrashT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EngineCrash> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineCrashT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EngineCrashBuilder {
+  typedef EngineCrash Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_engine(flatbuffers::Offset<flatbuffers::String> engine) {
+    fbb_.AddOffset(EngineCrash::VT_ENGINE, engine);
+  }
+  void add_run(uint64_t run) {
+    fbb_.AddElement<uint64_t>(EngineCrash::VT_RUN, run, 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(EngineCrash::VT_AGE_MS, age_ms, 0);
+  }
+  void add_cleared(bool cleared) {
+    fbb_.AddElement<uint8_t>(EngineCrash::VT_CLEARED, static_cast<uint8_t>(cleared), 0);
+  }
+  explicit EngineCrashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EngineCrash> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EngineCrash>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EngineCrash> CreateEngineCrash(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> engine = 0,
+    uint64_t run = 0,
+    uint32_t age_ms = 0,
+    bool cleared = false) {
+  EngineCrashBuilder builder_(_fbb);
+  builder_.add_run(run);
+  builder_.add_age_ms(age_ms);
+  builder_.add_engine(engine);
+  builder_.add_cleared(cleared);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<EngineCrash> CreateEngineCrashDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *engine = nullptr,
+    uint64_t run = 0,
+    uint32_t age_ms = 0,
+    bool cleared = false) {
+  auto engine__ = engine ? _fbb.CreateString(engine) : 0;
+  return rattancart::wire::CreateEngineCrash(
+      _fbb,
+      engine__,
+      run,
+      age_ms,
+      cleared);
+}
+
+flatbuffers::Offset<EngineCrash> CreateEngineCrash(flatbuffers::FlatBufferBuilder &_fbb, const EngineCrashT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PromptSuspectT : public flatbuffers::NativeTable {
+  typedef PromptSuspect TableType;
+  std::string part{};
+  bool served = false;
+  std::vector<std::unique_ptr<rattancart::wire::EngineCrashT>> crashes{};
+  PromptSuspectT() = default;
+  PromptSuspectT(const PromptSuspectT &o);
+  PromptSuspectT(PromptSuspectT&&) FLATBUFFERS_NOEXCEPT = default;
+  PromptSuspectT &operator=(PromptSuspectT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct PromptSuspect FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PromptSuspectT NativeTableType;
+  typedef PromptSuspectBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PART = 4,
+    VT_SERVED = 6,
+    VT_CRASHES = 8
+  };
+  const flatbuffers::String *part() const {
+    return GetPointer<const flatbuffers::String *>(VT_PART);
+  }
+  bool served() const {
+    return GetField<uint8_t>(VT_SERVED, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EngineCrash>> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EngineCrash>> *>(VT_CRASHES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_PART) &&
+           verifier.VerifyString(part()) &&
+           VerifyField<uint8_t>(verifier, VT_SERVED, 1) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           verifier.VerifyVectorOfTables(crashes()) &&
+           verifier.EndTable();
+  }
+  PromptSuspectT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PromptSuspectT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PromptSuspect> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PromptSuspectT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PromptSuspectBuilder {
+  typedef PromptSuspect Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_part(flatbuffers::Offset<flatbuffers::String> part) {
+    fbb_.AddOffset(PromptSuspect::VT_PART, part);
+  }
+  void add_served(bool served) {
+    fbb_.AddElement<uint8_t>(PromptSuspect::VT_SERVED, static_cast<uint8_t>(served), 0);
+  }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EngineCrash>>> crashes) {
+    fbb_.AddOffset(PromptSuspect::VT_CRASHES, crashes);
+  }
+  explicit PromptSuspectBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PromptSuspect> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PromptSuspect>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PromptSuspect> CreatePromptSuspect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> part = 0,
+    bool served = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EngineCrash>>> crashes = 0) {
+  PromptSuspectBuilder builder_(_fbb);
+  builder_.add_crashes(crashes);
+  builder_.add_part(part);
+  builder_.add_served(served);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PromptSuspect> CreatePromptSuspectDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *part = nullptr,
+    bool served = false,
+    const std::vector<flatbuffers::Offset<rattancart::wire::EngineCrash>> *crashes = nullptr) {
+  auto part__ = part ? _fbb.CreateString(part) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::EngineCrash>>(*crashes) : 0;
+  return rattancart::wire::CreatePromptSuspect(
+      _fbb,
+      part__,
+      served,
+      crashes__);
+}
+
+flatbuffers::Offset<PromptSuspect> CreatePromptSuspect(flatbuffers::FlatBufferBuilder &_fbb, const PromptSuspectT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PromptReportT : public flatbuffers::NativeTable {
+  typedef PromptReport TableType;
+  std::vector<std::unique_ptr<rattancart::wire::PromptSuspectT>> suspects{};
+  PromptReportT() = default;
+  PromptReportT(const PromptReportT &o);
+  PromptReportT(PromptReportT&&) FLATBUFFERS_NOEXCEPT = default;
+  PromptReportT &operator=(PromptReportT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct PromptReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PromptReportT NativeTableType;
+  typedef PromptReportBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SUSPECTS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::PromptSuspect>> *suspects() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::PromptSuspect>> *>(VT_SUSPECTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SUSPECTS) &&
+           verifier.VerifyVector(suspects()) &&
+           verifier.VerifyVectorOfTables(suspects()) &&
+           verifier.EndTable();
+  }
+  PromptReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PromptReportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PromptReport> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PromptReportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PromptReportBuilder {
+  typedef PromptReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_suspects(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::PromptSuspect>>> suspects) {
+    fbb_.AddOffset(PromptReport::VT_SUSPECTS, suspects);
+  }
+  explicit PromptReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PromptReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PromptReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PromptReport> CreatePromptReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::PromptSuspect>>> suspects = 0) {
+  PromptReportBuilder builder_(_fbb);
+  builder_.add_suspects(suspects);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PromptReport> CreatePromptReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<rattancart::wire::PromptSuspect>> *suspects = nullptr) {
+  auto suspects__ = suspects ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::PromptSuspect>>(*suspects) : 0;
+  return rattancart::wire::CreatePromptReport(
+      _fbb,
+      suspects__);
+}
+
+flatbuffers::Offset<PromptReport> CreatePromptReport(flatbuffers::FlatBufferBuilder &_fbb, const PromptReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EngineStatesT : public flatbuffers::NativeTable {
   typedef EngineStates TableType;
   std::string data_center{};
@@ -492,6 +786,7 @@
   std::vector<std::string> members{};
   std::vector<std::unique_ptr<rattancart::wire::EngineStateT>> engines{};
   std::vector<std::string> pass_to{};
+  std::vector<std::unique_ptr<rattancart::wire::PromptSuspectT>> suspects{};
   EngineStatesT() = default;
   EngineStatesT(const EngineStatesT &o);
   EngineStatesT(EngineStatesT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -507,7 +802,8 @@
     VT_GATEWAYS = 8,
     VT_MEMBERS = 10,
     VT_ENGINES = 12,
-    VT_PASS_TO = 14
+    VT_PASS_TO = 14,
+    VT_SUSPECTS = 16
   };
   const flatbuffers::String *data_center() const {
     return GetPointer<const flatbuffers::String *>(VT_DATA_CENTER);
@@ -527,6 +823,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *pass_to() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_PASS_TO);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::PromptSuspect>> *suspects() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::PromptSuspect>> *>(VT_SUSPECTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_DATA_CENTER) &&
@@ -542,6 +841,9 @@
            VerifyOffset(verifier, VT_PASS_TO) &&
            verifier.VerifyVector(pass_to()) &&
            verifier.VerifyVectorOfStrings(pass_to()) &&
+           VerifyOffset(verifier, VT_SUSPECTS) &&
+           verifier.VerifyVector(suspects()) &&
+           verifier.VerifyVectorOfTables(suspects()) &&
            verifier.EndTable();
   }
   EngineStatesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -571,6 +873,9 @@
   void add_pass_to(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> pass_to) {
     fbb_.AddOffset(EngineStates::VT_PASS_TO, pass_to);
   }
+  void add_suspects(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::PromptSuspect>>> suspects) {
+    fbb_.AddOffset(EngineStates::VT_SUSPECTS, suspects);
+  }
   explicit EngineStatesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -589,9 +894,11 @@
     uint32_t gateways = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> members = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EngineState>>> engines = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> pass_to = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> pass_to = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::PromptSuspect>>> suspects = 0) {
   EngineStatesBuilder builder_(_fbb);
   builder_.add_fence(fence);
+  builder_.add_suspects(suspects);
   builder_.add_pass_to(pass_to);
   builder_.add_engines(engines);
   builder_.add_members(members);
@@ -607,11 +914,13 @@
     uint32_t gateways = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *members = nullptr,
     const std::vector<flatbuffers::Offset<rattancart::wire::EngineState>> *engines = nullptr,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *pass_to = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *pass_to = nullptr,
+    const std::vector<flatbuffers::Offset<rattancart::wire::PromptSuspect>> *suspects = nullptr) {
   auto data_center__ = data_center ? _fbb.CreateString(data_center) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*members) : 0;
   auto engines__ = engines ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::EngineState>>(*engines) : 0;
   auto pass_to__ = pass_to ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*pass_to) : 0;
+  auto suspects__ = suspects ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::PromptSuspect>>(*suspects) : 0;
   return rattancart::wire::CreateEngineStates(
       _fbb,
       data_center__,
@@ -619,7 +928,8 @@
       gateways,
       members__,
       engines__,
-      pass_to__);
+      pass_to__,
+      suspects__);
 }
 
 flatbuffers::Offset<EngineStates> CreateEngineStates(flatbuffers::FlatBufferBuilder &_fbb, const EngineStatesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -729,6 +1039,9 @@
   const rattancart::wire::EngineSilent *payload_as_EngineSilent() const {
     return payload_type() == rattancart::wire::GatewayPayload::EngineSilent ? static_cast<const rattancart::wire::EngineSilent *>(payload()) : nullptr;
   }
+  const rattancart::wire::PromptReport *payload_as_PromptReport() const {
+    return payload_type() == rattancart::wire::GatewayPayload::PromptReport ? static_cast<const rattancart::wire::PromptReport *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PAYLOAD_TYPE, 1) &&
@@ -753,6 +1066,10 @@
   return payload_as_EngineSilent();
 }
 
+template<> inline const rattancart::wire::PromptReport *GatewayDatagram::payload_as<rattancart::wire::PromptReport>() const {
+  return payload_as_PromptReport();
+}
+
 struct GatewayDatagramBuilder {
   typedef GatewayDatagram Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -883,6 +1200,123 @@
       _reported);
 }
 
+inline EngineCrashT *EngineCrash::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<EngineCrashT>(new EngineCrashT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EngineCrash::UnPackTo(EngineCrashT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = engine(); if (_e) _o->engine = _e->str(); }
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+  { auto _e = cleared(); _o->cleared = _e; }
+}
+
+inline flatbuffers::Offset<EngineCrash> EngineCrash::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineCrashT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEngineCrash(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EngineCrash> CreateEngineCrash(flatbuffers::FlatBufferBuilder &_fbb, const EngineCrashT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EngineCrashT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _engine = _o->engine.empty() ? 0 : _fbb.CreateString(_o->engine);
+  auto _run = _o->run;
+  auto _age_ms = _o->age_ms;
+  auto _cleared = _o->cleared;
+  return rattancart::wire::CreateEngineCrash(
+      _fbb,
+      _engine,
+      _run,
+      _age_ms,
+      _cleared);
+}
+
+inline PromptSuspectT::PromptSuspectT(const PromptSuspectT &o)
+      : part(o.part),
+        served(o.served) {
+  crashes.reserve(o.crashes.size());
+  for (const auto &crashes_ : o.crashes) { crashes.emplace_back((crashes_) ? new rattancart::wire::EngineCrashT(*crashes_) : nullptr); }
+}
+
+inline PromptSuspectT &PromptSuspectT::operator=(PromptSuspectT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(part, o.part);
+  std::swap(served, o.served);
+  std::swap(crashes, o.crashes);
+  return *this;
+}
+
+inline PromptSuspectT *PromptSuspect::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<PromptSuspectT>(new PromptSuspectT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PromptSuspect::UnPackTo(PromptSuspectT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = part(); if (_e) _o->part = _e->str(); }
+  { auto _e = served(); _o->served = _e; }
+  { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<rattancart::wire::EngineCrashT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<PromptSuspect> PromptSuspect::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PromptSuspectT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePromptSuspect(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PromptSuspect> CreatePromptSuspect(flatbuffers::FlatBufferBuilder &_fbb, const PromptSuspectT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PromptSuspectT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _part = _o->part.empty() ? 0 : _fbb.CreateString(_o->part);
+  auto _served = _o->served;
+  auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::EngineCrash>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateEngineCrash(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return rattancart::wire::CreatePromptSuspect(
+      _fbb,
+      _part,
+      _served,
+      _crashes);
+}
+
+inline PromptReportT::PromptReportT(const PromptReportT &o) {
+  suspects.reserve(o.suspects.size());
+  for (const auto &suspects_ : o.suspects) { suspects.emplace_back((suspects_) ? new rattancart::wire::PromptSuspectT(*suspects_) : nullptr); }
+}
+
+inline PromptReportT &PromptReportT::operator=(PromptReportT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(suspects, o.suspects);
+  return *this;
+}
+
+inline PromptReportT *PromptReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<PromptReportT>(new PromptReportT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PromptReport::UnPackTo(PromptReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = suspects(); if (_e) { _o->suspects.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->suspects[_i] = std::unique_ptr<rattancart::wire::PromptSuspectT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<PromptReport> PromptReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PromptReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePromptReport(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PromptReport> CreatePromptReport(flatbuffers::FlatBufferBuilder &_fbb, const PromptReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PromptReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _suspects = _o->suspects.size() ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::PromptSuspect>> (_o->suspects.size(), [](size_t i, _VectorArgs *__va) { return CreatePromptSuspect(*__va->__fbb, __va->__o->suspects[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return rattancart::wire::CreatePromptReport(
+      _fbb,
+      _suspects);
+}
+
 inline EngineStatesT::EngineStatesT(const EngineStatesT &o)
       : data_center(o.data_center),
         fence(o.fence),
@@ -891,6 +1325,8 @@
         pass_to(o.pass_to) {
   engines.reserve(o.engines.size());
   for (const auto &engines_ : o.engines) { engines.emplace_back((engines_) ? new rattancart::wire::EngineStateT(*engines_) : nullptr); }
+  suspects.reserve(o.suspects.size());
+  for (const auto &suspects_ : o.suspects) { suspects.emplace_back((suspects_) ? new rattancart::wire::PromptSuspectT(*suspects_) : nullptr); }
 }
 
 inline EngineStatesT &EngineStatesT::operator=(EngineStatesT o) FLATBUFFERS_NOEXCEPT {
@@ -900,6 +1336,7 @@
   std::swap(members, o.members);
   std::swap(engines, o.engines);
   std::swap(pass_to, o.pass_to);
+  std::swap(suspects, o.suspects);
   return *this;
 }
 
@@ -918,6 +1355,7 @@
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = _e->Get(_i)->str(); } } }
   { auto _e = engines(); if (_e) { _o->engines.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->engines[_i] = std::unique_ptr<rattancart::wire::EngineStateT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = pass_to(); if (_e) { _o->pass_to.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pass_to[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = suspects(); if (_e) { _o->suspects.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->suspects[_i] = std::unique_ptr<rattancart::wire::PromptSuspectT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<EngineStates> EngineStates::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineStatesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -934,6 +1372,7 @@
   auto _members = _o->members.size() ? _fbb.CreateVectorOfStrings(_o->members) : 0;
   auto _engines = _o->engines.size() ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::EngineState>> (_o->engines.size(), [](size_t i, _VectorArgs *__va) { return CreateEngineState(*__va->__fbb, __va->__o->engines[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _pass_to = _o->pass_to.size() ? _fbb.CreateVectorOfStrings(_o->pass_to) : 0;
+  auto _suspects = _o->suspects.size() ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::PromptSuspect>> (_o->suspects.size(), [](size_t i, _VectorArgs *__va) { return CreatePromptSuspect(*__va->__fbb, __va->__o->suspects[i].get(), __va->__rehasher); }, &_va ) : 0;
   return rattancart::wire::CreateEngineStates(
       _fbb,
       _data_center,
@@ -941,7 +1380,8 @@
       _gateways,
       _members,
       _engines,
-      _pass_to);
+      _pass_to,
+      _suspects);
 }
 
 inline EngineSilentT *EngineSilent::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1019,6 +1459,10 @@
       auto ptr = reinterpret_cast<const rattancart::wire::EngineSilent *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case GatewayPayload::PromptReport: {
+      auto ptr = reinterpret_cast<const rattancart::wire::PromptReport *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -1050,6 +1494,10 @@
       auto ptr = reinterpret_cast<const rattancart::wire::EngineSilent *>(obj);
       return ptr->UnPack(resolver);
     }
+    case GatewayPayload::PromptReport: {
+      auto ptr = reinterpret_cast<const rattancart::wire::PromptReport *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -1069,6 +1517,10 @@
       auto ptr = reinterpret_cast<const rattancart::wire::EngineSilentT *>(value);
       return CreateEngineSilent(_fbb, ptr, _rehasher).Union();
     }
+    case GatewayPayload::PromptReport: {
+      auto ptr = reinterpret_cast<const rattancart::wire::PromptReportT *>(value);
+      return CreatePromptReport(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -1087,6 +1539,10 @@
       value = new rattancart::wire::EngineSilentT(*reinterpret_cast<rattancart::wire::EngineSilentT *>(u.value));
       break;
     }
+    case GatewayPayload::PromptReport: {
+      value = new rattancart::wire::PromptReportT(*reinterpret_cast<rattancart::wire::PromptReportT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -1109,6 +1565,11 @@
       delete ptr;
       break;
     }
+    case GatewayPayload::PromptReport: {
+      auto ptr = reinterpret_cast<rattancart::wire::PromptReportT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- /dev/null
+++ b/Source/Core/Recovery/PromptQuarantine.cpp
@@ -0,0 +1,246 @@
+#include "Core/Recovery/PromptQuarantine.h"
+
+#include <algorithm>
+
+namespace rattancart {
+
+namespace {
+
+/// Number of times that a change is reported.
+constexpr int ReportsPerChange = 3;
+/// Cleared suspects are passed on for this long.
+constexpr Duration ClearedShareTime = std::chrono::seconds(5);
+
+} // namespace
+
+void PromptQuarantine::onCrash(const std::vector<PromptPartId> &Parts, const EndpointId &Engine,
+                               Incarnation Run, TimePoint Now) {
+  forgetOldCrashes(Now);
+  const bool AllServed = std::all_of(Parts.begin(), Parts.end(),
+                                     [this](const PromptPartId &Part) { return wasServed(Part); });
+  bool Changed = false;
+  for (const PromptPartId &Part : Parts) {
+    if (!AllServed && wasServed(Part))
+      continue;
+    Record &Suspect = Suspects_[Part];
+    Suspect.Served_ = Suspect.Served_ || AllServed;
+    if (!Suspect.Crashes_.try_emplace({Engine, Run}, Crash{Now, false}).second)
+      continue;
+    report(Suspect, Now);
+    Changed = true;
+  }
+  limitSuspects();
+  if (Changed && ReportHandler_)
+    ReportHandler_();
+}
+
+void PromptQuarantine::onServed(const std::vector<PromptPartId> &Parts, TimePoint Now) {
+  bool Changed = false;
+  for (const PromptPartId &Part : Parts) {
+    rememberServed(Part, Now);
+    const auto Found = Suspects_.find(Part);
+    if (Found == Suspects_.end())
+      continue;
+    const bool NearLimit = isNearLimit(Found->second);
+    Found->second.Served_ = true;
+    clear(Found->second, Now);
+    if (!NearLimit)
+      continue;
+    report(Found->second, Now);
+    Changed = true;
+  }
+  if (Changed && ReportHandler_)
+    ReportHandler_();
+}
+
+std::optional<QuarantinedPart> PromptQuarantine::find(const std::vector<PromptPartId> &Parts,
+                                                      TimePoint Now) const {
+  for (const PromptPartId &Part : Parts) {
+    const auto Found = Suspects_.find(Part);
+    if (Found == Suspects_.end())
+      continue;
+    const auto Until = quarantinedUntil(Found->second);
+    if (Until && Now < *Until && !isExplainedByOther(Found->second, Parts))
+      return QuarantinedPart{Part, *Until - Now};
+  }
+  return std::nullopt;
+}
+
+std::size_t PromptQuarantine::size(TimePoint Now) const {
+  return static_cast<std::size_t>(
+      std::count_if(Suspects_.begin(), Suspects_.end(), [&](const auto &Entry) {
+        const auto Until = quarantinedUntil(Entry.second);
+        return Until && Now < *Until;
+      }));
+}
+
+std::size_t PromptQuarantine::crashCount(const PromptPartId &Part) const {
+  const auto Found = Suspects_.find(Part);
+  return Found == Suspects_.end() ? 0 : countCrashes(Found->second);
+}
+
+void PromptQuarantine::merge(const std::vector<PromptSuspect> &Suspects, TimePoint Now) {
+  bool Changed = false;
+  for (const PromptSuspect &Other : Suspects) {
+    Record &Suspect = Suspects_[Other.Part_];
+    Suspect.Served_ = Suspect.Served_ || Other.Served_;
+    for (const EngineCrash &Each : Other.Crashes_)
+      mergeCrash(Suspect, Each, Now);
+    const auto ServedHere = ServedAt_.find(Other.Part_);
+    if (ServedHere == ServedAt_.end())
+      continue;
+    // Answers that arrived here after a crash show that the part was not its cause.
+    const bool NearLimit = isNearLimit(Suspect);
+    const bool NewlyServed = !std::exchange(Suspect.Served_, true);
+    if ((!clear(Suspect, ServedHere->second) && !NewlyServed) || !NearLimit)
+      continue;
+    report(Suspect, Now);
+    Changed = true;
+  }
+  limitSuspects();
+  if (Changed && ReportHandler_)
+    ReportHandler_();
+}
+
+void PromptQuarantine::mergeCrash(Record &Suspect, const EngineCrash &Other, TimePoint Now) const {
+  if (Now - Other.At_ >= Options_.RetentionTime_)
+    return;
+  const auto [Known, New] =
+      Suspect.Crashes_.try_emplace({Other.Engine_, Other.Run_}, Crash{Other.At_, Other.Cleared_});
+  if (New || (Other.Cleared_ && !Known->second.Cleared_))
+    Suspect.ChangedAt_ = Now;
+  Known->second.Cleared_ = Known->second.Cleared_ || Other.Cleared_;
+}
+
+std::vector<PromptSuspect> PromptQuarantine::takeReports() {
+  std::vector<PromptSuspect> Reports;
+  for (auto &[Part, Suspect] : Suspects_) {
+    if (Suspect.Reports_ == 0 || Reports.size() >= Options_.MaxShared_)
+      continue;
+    --Suspect.Reports_;
+    Reports.push_back(toShared(Part, Suspect));
+  }
+  return Reports;
+}
+
+std::vector<PromptSuspect> PromptQuarantine::suspects(TimePoint Now) const {
+  std::vector<std::pair<std::size_t, PromptSuspect>> Ranked;
+  for (const auto &[Part, Suspect] : Suspects_) {
+    const std::size_t Crashes = countCrashes(Suspect);
+    if (Crashes > 0 || Now - Suspect.ChangedAt_ < ClearedShareTime)
+      Ranked.emplace_back(Crashes, toShared(Part, Suspect));
+  }
+  std::stable_sort(Ranked.begin(), Ranked.end(),
+                   [](const auto &A, const auto &B) { return A.first > B.first; });
+  Ranked.resize(std::min(Ranked.size(), Options_.MaxShared_));
+  std::vector<PromptSuspect> Shared;
+  Shared.reserve(Ranked.size());
+  for (auto &[Crashes, Suspect] : Ranked)
+    Shared.push_back(std::move(Suspect));
+  return Shared;
+}
+
+bool PromptQuarantine::wasServed(const PromptPartId &Part) const {
+  const auto Found = Suspects_.find(Part);
+  return ServedAt_.contains(Part) || (Found != Suspects_.end() && Found->second.Served_);
+}
+
+std::size_t PromptQuarantine::countCrashes(const Record &Suspect) const {
+  std::vector<TimePoint> Times;
+  for (const auto &[Id, Each] : Suspect.Crashes_)
+    if (!Each.Cleared_)
+      Times.push_back(Each.At_);
+  std::sort(Times.begin(), Times.end());
+  std::size_t Count = 0;
+  std::optional<TimePoint> Last;
+  for (const TimePoint Time : Times)
+    if (!Last || Time - *Last >= Options_.SameCrashTime_) {
+      ++Count;
+      Last = Time;
+    }
+  return Count;
+}
+
+std::optional<TimePoint> PromptQuarantine::quarantinedUntil(const Record &Suspect) const {
+  if (countCrashes(Suspect) < (Suspect.Served_ ? Options_.ServedCrashLimit_ : Options_.CrashLimit_))
+    return std::nullopt;
+  TimePoint Last{};
+  for (const auto &[Id, Each] : Suspect.Crashes_)
+    if (!Each.Cleared_)
+      Last = std::max(Last, Each.At_);
+  return Last + Options_.HoldTime_;
+}
+
+bool PromptQuarantine::isExplainedByOther(const Record &Suspect,
+                                          const std::vector<PromptPartId> &Parts) const {
+  const auto Explains = [&Suspect](const Record &Other) {
+    return std::all_of(Suspect.Crashes_.begin(), Suspect.Crashes_.end(), [&](const auto &Entry) {
+      const auto Same = Other.Crashes_.find(Entry.first);
+      return Entry.second.Cleared_ || (Same != Other.Crashes_.end() && !Same->second.Cleared_);
+    });
+  };
+  return std::any_of(Suspects_.begin(), Suspects_.end(), [&](const auto &Entry) {
+    return std::find(Parts.begin(), Parts.end(), Entry.first) == Parts.end() &&
+           quarantinedUntil(Entry.second) && Explains(Entry.second);
+  });
+}
+
+bool PromptQuarantine::clear(Record &Suspect, TimePoint ServedAt) {
+  bool Changed = false;
+  for (auto &[Id, Each] : Suspect.Crashes_)
+    if (Each.At_ <= ServedAt)
+      Changed = !std::exchange(Each.Cleared_, true) || Changed;
+  return Changed;
+}
+
+bool PromptQuarantine::isNearLimit(const Record &Suspect) const {
+  return countCrashes(Suspect) + 1 >= Options_.CrashLimit_;
+}
+
+void PromptQuarantine::report(Record &Suspect, TimePoint Now) {
+  Suspect.ChangedAt_ = Now;
+  Suspect.Reports_ = ReportsPerChange;
+}
+
+void PromptQuarantine::forgetOldCrashes(TimePoint Now) {
+  for (auto &[Part, Suspect] : Suspects_)
+    std::erase_if(Suspect.Crashes_, [&](const auto &Entry) {
+      return Now - Entry.second.At_ >= Options_.RetentionTime_;
+    });
+}
+
+void PromptQuarantine::limitSuspects() {
+  std::erase_if(Suspects_, [](const auto &Entry) { return Entry.second.Crashes_.empty(); });
+  const auto Rank = [this](const Record &Suspect) {
+    return std::pair(countCrashes(Suspect), Suspect.ChangedAt_);
+  };
+  while (Suspects_.size() > Options_.MaxSuspects_)
+    Suspects_.erase(
+        std::min_element(Suspects_.begin(), Suspects_.end(), [&](const auto &A, const auto &B) {
+          return Rank(A.second) < Rank(B.second);
+        }));
+}
+
+void PromptQuarantine::rememberServed(const PromptPartId &Part, TimePoint Now) {
+  const auto [Known, New] = ServedAt_.try_emplace(Part, Now);
+  if (!New)
+    ServedOrder_.erase({Known->second, Part});
+  Known->second = Now;
+  ServedOrder_.emplace(Now, Part);
+  if (ServedAt_.size() <= Options_.MaxServedParts_)
+    return;
+  ServedAt_.erase(ServedOrder_.begin()->second);
+  ServedOrder_.erase(ServedOrder_.begin());
+}
+
+PromptSuspect PromptQuarantine::toShared(const PromptPartId &Part, const Record &Suspect) const {
+  PromptSuspect Shared{Part, Suspect.Served_, {}};
+  for (const auto &[Id, Each] : Suspect.Crashes_)
+    Shared.Crashes_.push_back({Id.first, Id.second, Each.At_, Each.Cleared_});
+  std::sort(Shared.Crashes_.begin(), Shared.Crashes_.end(),
+            [](const EngineCrash &A, const EngineCrash &B) { return A.At_ > B.At_; });
+  Shared.Crashes_.resize(std::min(Shared.Crashes_.size(), Options_.MaxSharedCrashes_));
+  return Shared;
+}
+
+} // namespace rattancart
--- /dev/null
+++ b/Source/Core/Recovery/PromptQuarantine.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include "Core/Common/Clock.h"
+#include "Core/Common/Ids.h"
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace rattancart {
+
+struct PromptQuarantineOptions {
+  /// Crashes after which a part is quarantined if no answer to it was ever seen. A request causes
+  /// two at most, so this many come from two requests at least.
+  std::size_t CrashLimit_ = 3;
+  /// The same for a part of which answers were seen before.
+  std::size_t ServedCrashLimit_ = 5;
+  /// Engines that end together have a common cause outside of the prompts, so their crashes count
+  /// once.
+  Duration SameCrashTime_ = std::chrono::milliseconds(150);
+  /// How long after the last crash a part is quarantined. The next crash after that quarantines it
+  /// again at once.
+  Duration HoldTime_ = std::chrono::minutes(5);
+  /// Crashes are forgotten after this time.
+  Duration RetentionTime_ = std::chrono::minutes(20);
+  /// Maximum number of parts of which crashes, or answers, are remembered.
+  std::size_t MaxSuspects_ = 128;
+  std::size_t MaxServedParts_ = 4096;
+  /// Maximum number of suspects in one exchange with other gateways, and of crashes of each.
+  /// They fit into one packet.
+  std::size_t MaxShared_ = 5;
+  std::size_t MaxSharedCrashes_ = 5;
+};
+
+/// One run of an engine that ended as it began to answer a request.
+struct EngineCrash {
+  EndpointId Engine_;
+  Incarnation Run_{0};
+  /// When this process learned of it, less the age that it had then.
+  TimePoint At_{};
+  /// A request with the part was answered since, so the crash had another cause.
+  bool Cleared_ = false;
+};
+
+/// A part of prompts during whose requests engines ended.
+struct PromptSuspect {
+  PromptPartId Part_;
+  /// An answer to a request with the part was seen at some time.
+  bool Served_ = false;
+  std::vector<EngineCrash> Crashes_;
+};
+
+struct QuarantinedPart {
+  PromptPartId Part_;
+  Duration Remaining_{};
+};
+
+/// Finds the part of prompts that crashes engines, so that requests with it are refused and not
+/// sent to one engine after the other.
+///
+/// Load pattern: requests of many callers share parts of their prompts, and with one of these parts
+/// each engine ends as soon as it begins to answer. The requests come at all gateways, and each of
+/// them sees few of the crashes. So gateways exchange what they saw: each crash with the parts of
+/// the requests that had just begun, and each later answer to a request with such a part, which
+/// clears it. Parts of sound requests are answered between crashes; the part that causes them never
+/// is. Both kinds of facts are only ever added, so the order in which gateways learn of them does
+/// not matter, and no clocks are compared.
+///
+/// A part that always comes together with the cause is suspected with it until a request with it
+/// alone is answered. So such requests are let through as long as another part, which they don't
+/// have, explains all crashes.
+///
+/// Not thread-safe.
+class PromptQuarantine {
+public:
+  explicit PromptQuarantine(PromptQuarantineOptions Options = {}) : Options_(Options) {}
+
+  /// The engine ended as it began to answer a request with these parts. If some of them were never
+  /// answered, only those are suspected.
+  void onCrash(const std::vector<PromptPartId> &Parts, const EndpointId &Engine, Incarnation Run,
+               TimePoint Now);
+  /// The first event of an answer to a request with these parts has arrived.
+  void onServed(const std::vector<PromptPartId> &Parts, TimePoint Now);
+  /// The part for which a request with these parts must be refused; nothing if it may be sent.
+  std::optional<QuarantinedPart> find(const std::vector<PromptPartId> &Parts, TimePoint Now) const;
+  /// The number of quarantined parts.
+  std::size_t size(TimePoint Now) const;
+  /// The number of crashes for which the part is suspected; 0 if it is not.
+  std::size_t crashCount(const PromptPartId &Part) const;
+
+  /// Adds what another gateway knows.
+  void merge(const std::vector<PromptSuspect> &Suspects, TimePoint Now);
+  /// What this process has seen itself and other gateways may not know yet. Each change is returned
+  /// several times, since datagrams are lost.
+  std::vector<PromptSuspect> takeReports();
+  /// The suspects with the most crashes, and those that were cleared lately.
+  std::vector<PromptSuspect> suspects(TimePoint Now) const;
+  /// Sets the handler for changes that other gateways should know at once.
+  void onReport(std::function<void()> Handler) { ReportHandler_ = std::move(Handler); }
+
+private:
+  using CrashId = std::pair<EndpointId, Incarnation>;
+  struct Crash {
+    TimePoint At_{};
+    bool Cleared_ = false;
+  };
+  struct Record {
+    bool Served_ = false;
+    std::map<CrashId, Crash> Crashes_;
+    TimePoint ChangedAt_{};
+    /// How often the record is still to be reported.
+    int Reports_ = 0;
+  };
+
+  bool wasServed(const PromptPartId &Part) const;
+  std::size_t countCrashes(const Record &Suspect) const;
+  /// When the quarantine of the part ends; nothing if it is not quarantined.
+  std::optional<TimePoint> quarantinedUntil(const Record &Suspect) const;
+  /// Whether a suspect that is not among the parts had all crashes of this one.
+  bool isExplainedByOther(const Record &Suspect, const std::vector<PromptPartId> &Parts) const;
+  /// Clears the crashes until the time of an answer; returns whether one was not cleared before.
+  static bool clear(Record &Suspect, TimePoint ServedAt);
+  void mergeCrash(Record &Suspect, const EngineCrash &Other, TimePoint Now) const;
+  /// Marks the record to be reported.
+  static void report(Record &Suspect, TimePoint Now);
+  /// Whether other gateways need to know at once that the part was answered: few more crashes would
+  /// have it quarantined.
+  bool isNearLimit(const Record &Suspect) const;
+  void forgetOldCrashes(TimePoint Now);
+  /// Removes the records with the fewest crashes and the oldest changes if there are too many.
+  void limitSuspects();
+  void rememberServed(const PromptPartId &Part, TimePoint Now);
+  PromptSuspect toShared(const PromptPartId &Part, const Record &Suspect) const;
+
+  PromptQuarantineOptions Options_;
+  std::map<PromptPartId, Record> Suspects_;
+  /// When an answer to a request with a part was last seen here, and the parts by that time.
+  std::map<PromptPartId, TimePoint> ServedAt_;
+  std::set<std::pair<TimePoint, PromptPartId>> ServedOrder_;
+  std::function<void()> ReportHandler_;
+};
+
+} // namespace rattancart
--- a/Source/Gateway/EngineStateBroadcast.cpp
+++ b/Source/Gateway/EngineStateBroadcast.cpp
@@ -60,15 +60,53 @@
   return State;
 }
 
+using WireSuspects = std::vector<std::unique_ptr<wire::PromptSuspectT>>;
+
+WireSuspects toWire(const std::vector<PromptSuspect> &Suspects, TimePoint Now) {
+  WireSuspects Encoded;
+  for (const PromptSuspect &Suspect : Suspects) {
+    auto Entry = std::make_unique<wire::PromptSuspectT>();
+    Entry->part = Suspect.Part_.str();
+    Entry->served = Suspect.Served_;
+    for (const EngineCrash &Each : Suspect.Crashes_) {
+      auto Crash = std::make_unique<wire::EngineCrashT>();
+      Crash->engine = Each.Engine_.str();
+      Crash->run = Each.Run_.value();
+      Crash->age_ms = static_cast<std::uint32_t>((Now - Each.At_) / milliseconds(1));
+      Crash->cleared = Each.Cleared_;
+      Entry->crashes.push_back(std::move(Crash));
+    }
+    Encoded.push_back(std::move(Entry));
+  }
+  return Encoded;
+}
+
+std::vector<PromptSuspect> fromWire(const WireSuspects &Encoded, TimePoint Now) {
+  std::vector<PromptSuspect> Suspects;
+  for (const auto &Entry : Encoded) {
+    if (!Entry)
+      continue;
+    PromptSuspect Suspect{PromptPartId(Entry->part), Entry->served, {}};
+    for (const auto &Crash : Entry->crashes)
+      if (Crash)
+        Suspect.Crashes_.push_back({EndpointId(Crash->engine), Incarnation(Crash->run),
+                                    Now - milliseconds(Crash->age_ms), Crash->cleared});
+    Suspects.push_back(std::move(Suspect));
+  }
+  return Suspects;
+}
+
 } // namespace
 
 EngineStateBroadcast::EngineStateBroadcast(boost::asio::io_context &Loop, const Clock &Time,
                                            Logger &Log, MetricSet &Metrics, MetadataStore &Store,
                                            EndpointRoster &Roster,
-                                           GatewayCountEstimator &CountEstimator, DataCenterId Home,
+                                           GatewayCountEstimator &CountEstimator,
+                                           PromptQuarantine &Quarantine, DataCenterId Home,
                                            std::vector<DataCenterId> DataCenters)
     : Time_(Time), Log_(Log), Metrics_(Metrics), Store_(Store), Roster_(Roster),
-      CountEstimator_(CountEstimator), Home_(std::move(Home)), Socket_(Loop), Timer_(Loop) {
+      CountEstimator_(CountEstimator), Quarantine_(Quarantine), Home_(std::move(Home)),
+      Socket_(Loop), Timer_(Loop) {
   for (DataCenterId &DataCenter : DataCenters)
     Subscriptions_.emplace(std::move(DataCenter), OwnerSubscription{});
 }
@@ -120,6 +158,8 @@
   }
   if (const auto *Message = Content.payload.AsEngineSilent())
     return onEngineSilent(*Message);
+  if (const auto *Report = Content.payload.AsPromptReport())
+    return Quarantine_.merge(fromWire(Report->suspects, Time_.now()), Time_.now());
   if (const auto *Request = Content.payload.AsEngineSubscribe())
     if (Request->data_center == Home_.str()) {
       Subscriber &Known = Subscribers_[Sender_];
@@ -130,6 +170,7 @@
 }
 
 void EngineStateBroadcast::onStates(const wire::EngineStatesT &States) {
+  Quarantine_.merge(fromWire(States.suspects, Time_.now()), Time_.now());
   const auto Subscription = Subscriptions_.find(DataCenterId(States.data_center));
   if (Subscription == Subscriptions_.end())
     return;
@@ -235,6 +276,8 @@
       Datagrams.emplace_back();
     Datagrams.back().engines.push_back(toWire(Id, Record, Now));
   }
+  if (auto Suspects = suspectsDatagram())
+    Datagrams.push_back(std::move(*Suspects));
   Datagrams.front().members = standIns();
   for (wire::EngineStatesT &Datagram : Datagrams) {
     Datagram.data_center = Home_.str();
@@ -244,6 +287,33 @@
   return Datagrams;
 }
 
+std::optional<wire::EngineStatesT> EngineStateBroadcast::suspectsDatagram() const {
+  const TimePoint Now = Time_.now();
+  wire::EngineStatesT Datagram;
+  Datagram.suspects = toWire(Quarantine_.suspects(Now), Now);
+  if (Datagram.suspects.empty())
+    return std::nullopt;
+  return Datagram;
+}
+
+void EngineStateBroadcast::reportPromptSuspects() {
+  const TimePoint Now = Time_.now();
+  const std::vector<PromptSuspect> Reports = Quarantine_.takeReports();
+  if (Reports.empty())
+    return;
+  wire::PromptReportT Report;
+  Report.suspects = toWire(Reports, Now);
+  wire::GatewayDatagramT Content;
+  Content.payload.Set(std::move(Report));
+  const Bytes Packed = pack(Content);
+  for (const auto &[DataCenter, Subscription] : Subscriptions_) {
+    if (Fence_ && DataCenter == Home_)
+      continue;
+    if (const auto To = parseAddress(NetAddress(Subscription.Owner_)))
+      send({To->address(), To->port()}, Packed);
+  }
+}
+
 void EngineStateBroadcast::onEngineSilent(const wire::EngineSilentT &Message) {
   const EndpointId Engine(Message.id);
   const EndpointRecord *Record = Roster_.find(Engine);
@@ -306,6 +376,7 @@
 
 void EngineStateBroadcast::subscribe() {
   logDropped();
+  reportPromptSuspects();
   for (auto &[DataCenter, Subscription] : Subscriptions_)
     if (!Fence_ || DataCenter != Home_)
       subscribeAt(DataCenter, Subscription);
--- a/Source/Gateway/EngineStateBroadcast.h
+++ b/Source/Gateway/EngineStateBroadcast.h
@@ -3,6 +3,7 @@
 #include "Core/Common/Logger.h"
 #include "Core/Membership/GatewayCountEstimator.h"
 #include "Core/Membership/RelayPlan.h"
+#include "Core/Recovery/PromptQuarantine.h"
 #include "Core/Serving/EndpointRoster.h"
 #include "Gateway/MetadataStore.h"
 #include "Net/Timer.h"
@@ -25,7 +26,8 @@
 
 namespace rattancart {
 
-/// Distributes engine states over UDP, so that engines are polled by one gateway and not by all.
+/// Distributes engine states over UDP, so that engines are polled by one gateway and not by all,
+/// and what gateways saw of prompt parts that crash engines.
 ///
 /// In each data centre one gateway, the owner of the placement, polls the engines and sends their
 /// states to its subscribers, the other gateways. They look the owner up in the store. A lost
@@ -35,8 +37,8 @@
   /// Precondition: all arguments outlive the object.
   EngineStateBroadcast(boost::asio::io_context &Loop, const Clock &Time, Logger &Log,
                        MetricSet &Metrics, MetadataStore &Store, EndpointRoster &Roster,
-                       GatewayCountEstimator &CountEstimator, DataCenterId Home,
-                       std::vector<DataCenterId> DataCenters);
+                       GatewayCountEstimator &CountEstimator, PromptQuarantine &Quarantine,
+                       DataCenterId Home, std::vector<DataCenterId> DataCenters);
 
   /// Errors: BadAddress, BindFailed.
   std::error_code listen(const NetAddress &Address);
@@ -53,6 +55,9 @@
   void noteRemoteUse();
   /// Notifies the other gateways that an engine does not answer.
   void announceSilent(const EndpointId &Engine, const DataCenterId &DataCenter);
+  /// Sends what this process has newly seen of prompt parts that may crash engines to the owners of
+  /// all data centres, which pass it on.
+  void reportPromptSuspects();
   /// Sets the handler for engines that another gateway found silent.
   void onSilent(std::function<void(const EndpointId &)> Handler) {
     SilentHandler_ = std::move(Handler);
@@ -103,6 +108,8 @@
   void sendDatagrams(std::vector<wire::EngineStatesT> &Datagrams, const RelayGroup &Group);
   /// Forwards the datagram to the receivers that it lists.
   void relay(wire::EngineStatesT &States);
+  /// A datagram with the prompt parts that may crash engines; nothing if there are none.
+  std::optional<wire::EngineStatesT> suspectsDatagram() const;
   /// Addresses of the gateways that take over, in this order, when the owner is lost.
   std::vector<std::string> standIns() const;
   /// Number of gateways of the home data centre that subscribe here, this one included.
@@ -127,6 +134,7 @@
   MetadataStore &Store_;
   EndpointRoster &Roster_;
   GatewayCountEstimator &CountEstimator_;
+  PromptQuarantine &Quarantine_;
   DataCenterId Home_;
   Udp::socket Socket_;
   Udp::endpoint Sender_;
--- a/Source/Gateway/GatewayContext.h
+++ b/Source/Gateway/GatewayContext.h
@@ -3,6 +3,7 @@
 #include "Core/Admission/EngineMemoryQueue.h"
 #include "Core/Common/Logger.h"
 #include "Core/Layers/PathChooser.h"
+#include "Core/Recovery/PromptQuarantine.h"
 #include "Core/Recovery/RetryShare.h"
 #include "Core/Serving/EndpointRoster.h"
 #include "Core/Serving/ServingIndex.h"
@@ -32,6 +33,7 @@
   RetryShare &Retries_;
   EngineHealthMonitor &Health_;
   EngineMemoryQueue &AdmissionQueue_;
+  PromptQuarantine &Quarantine_;
   std::mt19937 &Random_;
   DataCenterId Home_;
   ResponseLimits ResponseLimits_;
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -64,7 +64,7 @@
       Paths_(Roster_, Settings_.Process_.DataCenter_), Retries_(Settings_.Retries_, Time.now()),
       CountEstimator_(Settings_.DataCenters_, Settings_.Process_.DataCenter_,
                       GatewayCountOptions::forWindow(Settings_.Retries_.Window_)),
-      StateBroadcast_(Loop_, Time, Log, Metrics_, *Store_, Roster_, CountEstimator_,
+      StateBroadcast_(Loop_, Time, Log, Metrics_, *Store_, Roster_, CountEstimator_, Quarantine_,
                       Settings_.Process_.DataCenter_, Settings_.DataCenters_),
       PlacementCoordinator_({Loop_, Time, Log, Metrics_, Client_, Platform.Protocol_, *Store_,
                              Roster_, Config_, Paths_, Prober_, StateBroadcast_},
@@ -80,6 +80,7 @@
                Retries_,
                Prober_,
                AdmissionQueue_,
+               Quarantine_,
                Random_,
                Settings_.Process_.DataCenter_,
                Settings_.ResponseLimits_},
@@ -123,6 +124,7 @@
     if (Record && Record->reported())
       Prober_.suspect(Record->Listing_.Id_);
   });
+  Quarantine_.onReport([this] { StateBroadcast_.reportPromptSuspects(); });
   StateBroadcast_.onSilent([this](const EndpointId &Engine) { Prober_.suspect(Engine); });
   Prober_.onSilent([this](const EndpointId &Engine) {
     if (const EndpointRecord *Record = Roster_.find(Engine))
@@ -331,6 +333,7 @@
   Gauges.add("in_flight", static_cast<double>(RequestHandler_.inFlight()));
   Gauges.add("ready", notReadyReason().empty() ? 1 : 0);
   Gauges.add("waiting", static_cast<double>(AdmissionQueue_.size()));
+  Gauges.add("prompts_quarantined", static_cast<double>(Quarantine_.size(Time_.now())));
   Gauges.add("store_reachable", StoreReachable_ ? 1 : 0);
   Gauges.add("owns_placement", PlacementCoordinator_.owns() ? 1 : 0);
   Gauges.add("resident_bytes", static_cast<double>(residentBytes()));
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -82,6 +82,7 @@
   RetryShare Retries_;
   GatewayCountEstimator CountEstimator_;
   EngineMemoryQueue AdmissionQueue_;
+  PromptQuarantine Quarantine_;
   EngineStateBroadcast StateBroadcast_;
   PlacementCoordinator PlacementCoordinator_;
   GatewayContext Context_;
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -34,6 +34,8 @@
 /// Range of the Retry-After when the engines lack free memory, which ending streams release.
 constexpr Duration MinMemoryRetryAfter = milliseconds(400);
 constexpr Duration MaxMemoryRetryAfter = milliseconds(1500);
+/// A request after which this many engines ended as they began to answer it is not sent again.
+constexpr std::uint32_t MaxEngineEndsAtStart = 2;
 
 std::string pathText(const LayerPath &Path) {
   std::string Text;
@@ -57,6 +59,8 @@
 
 void StreamExchange::begin() {
   LastEvent_ = Routed_.Caller_.LastEvent_;
+  if (quarantinedPart())
+    return refuseWithoutPath();
   // Requests that are already queued go first.
   const bool OthersWait = Context_.AdmissionQueue_.size() > 0;
   Shortage_ = PathShortage::NoFreeMemory;
@@ -160,6 +164,10 @@
 }
 
 void StreamExchange::tryQueued(TimePoint Now) {
+  if (quarantinedPart()) {
+    leaveQueue();
+    return refuseWithoutPath();
+  }
   const Duration Waited = Now - (WaitUntil_ - Context_.AdmissionQueue_.options().MaxWait_);
   if (Context_.AdmissionQueue_.isNext(*Ticket_, Now) && sendOnPath(/*Again=*/false)) {
     Context_.Metrics_.observe("queue_wait_seconds", "sent", Waited);
@@ -178,6 +186,8 @@
 }
 
 void StreamExchange::refuseWithoutPath() {
+  if (const auto Quarantined = quarantinedPart())
+    return refuse(503, ErrorCode::PromptQuarantined, Quarantined->Remaining_);
   if (BudgetSpent_)
     return refuse(503, ErrorCode::RetryBudgetSpent,
                   randomDuration(MinMemoryRetryAfter, MaxMemoryRetryAfter));
@@ -227,6 +237,7 @@
   if (!std::exchange(Started_, true)) {
     Context_.Metrics_.observe("first_event_seconds", Routed_.Service_->Id_.str(),
                               Monitor_.firstEventAt() - Routed_.ArrivedAt_);
+    Context_.Quarantine_.onServed(Routed_.Caller_.SharedPromptParts_, Now);
     Routed_.Responder_->startChunked(Context_.Protocol_.responseForCaller(Attempt_->Head_));
   }
   Routed_.Responder_->sendChunk(Event.Text_);
@@ -299,10 +310,61 @@
     }
   }
   Limits_.ExcludedEngines_.insert(First);
-  if (Result.Error_)
+  if (endedAtStart(Result))
+    checkCrashedEngine(First);
+  else if (Result.Error_)
     Context_.Health_.check({First}, Context_.Time_.now(), [](const std::vector<EndpointId> &) {});
 }
 
+bool StreamExchange::endedAtStart(const HttpResult &Result) const {
+  return Result.Error_ && !Started_ && Attempt_->HeadSeen_ && Attempt_->Head_.Status_ == 200;
+}
+
+void StreamExchange::checkCrashedEngine(const EndpointId &First) {
+  ++EngineEndsAtStart_;
+  const EndpointRecord *Engine = Context_.Roster_.find(First);
+  const TimePoint Now = Context_.Time_.now();
+  Context_.Health_.check({First}, Now,
+                         [Self = std::static_pointer_cast<StreamExchange>(shared_from_this()),
+                          First,
+                          Leaving = !Engine || Engine->Listing_.State_ != EndpointState::Live,
+                          Run = Engine ? Engine->Listing_.Run_ : Incarnation(0),
+                          Now](const std::vector<EndpointId> &Silent) {
+                           // A leaving engine ends as planned.
+                           if (!Silent.empty() && !Leaving)
+                             Self->noteCrash(First, Run, Now);
+                         });
+}
+
+void StreamExchange::noteCrash(const EndpointId &Engine, Incarnation Run, TimePoint At) {
+  const std::vector<PromptPartId> &Parts = Routed_.Caller_.SharedPromptParts_;
+  const bool WasQuarantined = Context_.Quarantine_.find(Parts, At).has_value();
+  Context_.Quarantine_.onCrash(Parts, Engine, Run, At);
+  Context_.Metrics_.count("prompt_crashes_total", Routed_.Service_->Id_.str());
+  std::string Text;
+  for (const PromptPartId &Part : Parts)
+    Text += fmt::format("{}{}:{}", Text.empty() ? "" : ",", Part.str(),
+                        Context_.Quarantine_.crashCount(Part));
+  Context_.Log_.log(LogEvent::EngineEndedAtStart, {{"endpoint", Engine.str()},
+                                                   {"id", Routed_.Caller_.Id_.str()},
+                                                   {"run", Run.value()},
+                                                   {"sends", Sends_},
+                                                   {"parts", Text}});
+  const auto Quarantined = Context_.Quarantine_.find(Parts, At);
+  if (Quarantined && !WasQuarantined)
+    Context_.Log_.log(LogEvent::PromptQuarantined,
+                      {{"part", Quarantined->Part_.str()},
+                       {"crashes", Context_.Quarantine_.crashCount(Quarantined->Part_)},
+                       {"hold_ms", Quarantined->Remaining_ / milliseconds(1)}});
+}
+
+std::optional<QuarantinedPart> StreamExchange::quarantinedPart() const {
+  // The parts of a stream that has begun are sound.
+  if (Started_)
+    return std::nullopt;
+  return Context_.Quarantine_.find(Routed_.Caller_.SharedPromptParts_, Context_.Time_.now());
+}
+
 void StreamExchange::noteRefusal(const EndpointRecord &Engine) {
   const TimePoint Now = Context_.Time_.now();
   Context_.Log_.log(LogEvent::EndpointRefused,
@@ -348,7 +410,7 @@
 bool StreamExchange::mayResend() const {
   const bool MayRunTwice = MayHaveRun_ || attemptIsLive();
   return (!MayRunTwice || Routed_.Route_->isRetryable()) && Sends_ < MaxSends &&
-         timeLeft() > Duration{};
+         EngineEndsAtStart_ < MaxEngineEndsAtStart && !quarantinedPart() && timeLeft() > Duration{};
 }
 
 bool StreamExchange::pathMayWork(TimePoint Now) const {
@@ -380,6 +442,8 @@
     ResumeUntil_.reset();
     return;
   }
+  if (!attemptIsLive() && quarantinedPart())
+    return giveUp();
   // Engines that are silent or no longer listed may still send the rest of a stream; until they end
   // it, the caller decides how long to wait.
   const bool Kept = Started_ ? attemptIsLive() : pathMayWork(Now);
--- a/Source/Gateway/StreamExchange.h
+++ b/Source/Gateway/StreamExchange.h
@@ -55,6 +55,13 @@
   /// Excludes the engine at fault from further paths of this request, and has it checked if the
   /// response named it or the attempt failed without a complete response.
   void noteFailure(const HttpResult &Result);
+  /// Whether the attempt broke off between the head of its answer and the first event.
+  bool endedAtStart(const HttpResult &Result) const;
+  /// Checks whether the first engine of the attempt has ended, perhaps because of the request.
+  void checkCrashedEngine(const EndpointId &First);
+  void noteCrash(const EndpointId &Engine, Incarnation Run, TimePoint At);
+  /// The part of the prompt for which the request must not be sent.
+  std::optional<QuarantinedPart> quarantinedPart() const;
   /// If the attempt was refused for an engine of its path, that engine has no memory for such a
   /// request.
   void noteMemoryRefusal();
@@ -93,6 +100,8 @@
   /// Bytes of the response since the last new event.
   std::size_t BytesSinceEvent_ = 0;
   std::optional<std::uint64_t> LastEvent_;
+  /// How often a connection broke off between the head of an answer and the first event.
+  std::uint32_t EngineEndsAtStart_ = 0;
   StreamMonitor Monitor_;
   std::uint32_t Resumes_ = 0;
   /// Why the stream left its path; empty if the last attempt did not run.
--- a/Source/SiteModel/SimulatedSite.cpp
+++ b/Source/SiteModel/SimulatedSite.cpp
@@ -172,8 +172,8 @@
                                           Site.Engines_, Site.Dialect_,
                                           Roster_,       Paths_,
                                           Retries_,      Health_,
-                                          MemoryQueue_,  Random_,
-                                          Home},
+                                          MemoryQueue_,  Quarantine_,
+                                          Random_,       Home},
         Handler_(Context_, Site.Config_), Home_(Home) {
     Retries_.setProcesses(Count);
   }
@@ -183,6 +183,7 @@
   PathChooser Paths_;
   RetryShare Retries_;
   EngineMemoryQueue MemoryQueue_;
+  PromptQuarantine Quarantine_;
   MetricSet Metrics_;
   std::mt19937 Random_;
   GatewayContext Context_;
--- /dev/null
+++ b/Tests/Core/Recovery/PromptQuarantineTest.cpp
@@ -0,0 +1,209 @@
+#include "Core/Recovery/PromptQuarantine.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <ostream>
+#include <random>
+#include <string>
+
+using namespace rattancart;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start{1h};
+const PromptPartId Shared("shared");
+const PromptPartId Poison("poison");
+const std::vector<PromptPartId> SoundParts{Shared};
+const std::vector<PromptPartId> PoisonParts{Shared, Poison};
+
+void crash(PromptQuarantine &Quarantine, const std::vector<PromptPartId> &Parts, int Engine,
+           Duration At) {
+  Quarantine.onCrash(Parts, EndpointId("engine-" + std::to_string(Engine)), Incarnation(1),
+                     Start + At);
+}
+
+/// What a gateway sees, and which requests it refuses afterwards.
+struct QuarantineCase {
+  const char *Name_;
+  void (*Happens_)(PromptQuarantine &);
+  bool RefusesPoison_;
+  bool RefusesSound_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const QuarantineCase &Case) {
+  return Out << Case.Name_;
+}
+
+const QuarantineCase QuarantineCases[] = {
+    {"no crash", [](PromptQuarantine &) {}, false, false},
+    {"two crashes",
+     [](PromptQuarantine &Quarantine) {
+       for (int I = 0; I < 2; ++I)
+         crash(Quarantine, PoisonParts, I, I * 1s);
+     },
+     false, false},
+    {"three crashes, neither part ever answered",
+     [](PromptQuarantine &Quarantine) {
+       for (int I = 0; I < 3; ++I)
+         crash(Quarantine, PoisonParts, I, I * 1s);
+     },
+     true, false},
+    {"three crashes, one part answered before",
+     [](PromptQuarantine &Quarantine) {
+       Quarantine.onServed(SoundParts, Start - 1min);
+       for (int I = 0; I < 3; ++I)
+         crash(Quarantine, PoisonParts, I, I * 1s);
+     },
+     true, false},
+    {"one engine seen by several requests",
+     [](PromptQuarantine &Quarantine) {
+       for (int I = 0; I < 9; ++I)
+         crash(Quarantine, PoisonParts, 0, I * 10ms);
+     },
+     false, false},
+    {"engines that end together",
+     [](PromptQuarantine &Quarantine) {
+       for (int I = 0; I < 9; ++I)
+         crash(Quarantine, PoisonParts, I, I * 10ms);
+     },
+     false, false},
+    {"a part that is answered between crashes",
+     [](PromptQuarantine &Quarantine) {
+       for (int I = 0; I < 20; ++I) {
+         crash(Quarantine, SoundParts, I, I * 1s);
+         Quarantine.onServed(SoundParts, Start + I * 1s + 500ms);
+       }
+     },
+     false, false},
+    {"a part that was answered until it crashed four engines",
+     [](PromptQuarantine &Quarantine) {
+       Quarantine.onServed(SoundParts, Start - 1s);
+       for (int I = 0; I < 4; ++I)
+         crash(Quarantine, SoundParts, I, I * 1s);
+     },
+     false, false},
+    {"a part that was answered until it crashed five engines",
+     [](PromptQuarantine &Quarantine) {
+       Quarantine.onServed(SoundParts, Start - 1s);
+       for (int I = 0; I < 5; ++I)
+         crash(Quarantine, SoundParts, I, I * 1s);
+     },
+     true, true},
+    {"an answer after all",
+     [](PromptQuarantine &Quarantine) {
+       for (int I = 0; I < 3; ++I)
+         crash(Quarantine, PoisonParts, I, I * 1s);
+       Quarantine.onServed(PoisonParts, Start + 3s);
+     },
+     false, false},
+    {"parts of prompts are not known",
+     [](PromptQuarantine &Quarantine) {
+       for (int I = 0; I < 9; ++I)
+         crash(Quarantine, {}, I, I * 1s);
+     },
+     false, false},
+};
+
+/// Gateways that exchange what they know through one owner. Some datagrams are lost.
+class Gateways {
+public:
+  explicit Gateways(unsigned Seed) : Random_(Seed) {}
+
+  PromptQuarantine &operator[](std::size_t Index) { return All_[Index]; }
+  static constexpr std::size_t Count = 12;
+
+  void exchange(TimePoint Now) {
+    for (PromptQuarantine &Each : All_)
+      if (const auto Reports = Each.takeReports(); !lost())
+        All_.front().merge(Reports, Now);
+    const auto Known = All_.front().suspects(Now);
+    for (PromptQuarantine &Each : All_)
+      if (!lost())
+        Each.merge(Known, Now);
+  }
+
+  std::mt19937 &random() { return Random_; }
+
+private:
+  bool lost() { return Random_() % 4 == 0; }
+
+  std::array<PromptQuarantine, Count> All_;
+  std::mt19937 Random_;
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(OnlyThePartThatCrashesEnginesIsQuarantined, QuarantineCases, Case) {
+  PromptQuarantine Quarantine;
+  Case.Happens_(Quarantine);
+  const TimePoint Now = Start + 20s;
+  BOOST_TEST(Quarantine.find(PoisonParts, Now).has_value() == Case.RefusesPoison_);
+  BOOST_TEST(Quarantine.find(SoundParts, Now).has_value() == Case.RefusesSound_);
+}
+
+BOOST_AUTO_TEST_CASE(AQuarantineEndsAndTheNextCrashRenewsIt) {
+  PromptQuarantine Quarantine;
+  for (int I = 0; I < 3; ++I)
+    crash(Quarantine, PoisonParts, I, I * 1s);
+  const TimePoint Last = Start + 2s;
+  BOOST_TEST((Quarantine.find(PoisonParts, Last + 4min)->Remaining_ == 1min));
+  BOOST_TEST(Quarantine.size(Last + 4min) == 2U);
+  BOOST_TEST(!Quarantine.find(PoisonParts, Last + 5min));
+  BOOST_TEST(Quarantine.size(Last + 5min) == 0U);
+  crash(Quarantine, PoisonParts, 3, 6min);
+  BOOST_TEST(Quarantine.find(PoisonParts, Start + 6min).has_value());
+  // After the retention time, old crashes don't count.
+  crash(Quarantine, PoisonParts, 4, 40min);
+  BOOST_TEST(!Quarantine.find(PoisonParts, Start + 40min));
+}
+
+BOOST_AUTO_TEST_CASE(QuarantinedPartsOutliveManySuspects) {
+  PromptQuarantine Quarantine;
+  for (int I = 0; I < 3; ++I)
+    crash(Quarantine, PoisonParts, I, I * 1s);
+  for (int I = 0; I < 1000; ++I)
+    crash(Quarantine, {PromptPartId("part-" + std::to_string(I))}, 10 + I, 10s + I * 1ms);
+  BOOST_TEST(Quarantine.find(PoisonParts, Start + 12s).has_value());
+  // What gateways exchange stays small.
+  BOOST_TEST(Quarantine.suspects(Start + 12s).size() <= PromptQuarantineOptions().MaxShared_);
+}
+
+// Each gateway sees a few of the crashes, and sound parts are in flight at many of them.
+BOOST_AUTO_TEST_CASE(GatewaysFindThePartOfWhichEachSeesOneCrash) {
+  for (unsigned Seed = 1; Seed <= 300; ++Seed) {
+    Gateways All(Seed);
+    auto &Random = All.random();
+    TimePoint Now = Start;
+    int Engine = 0;
+    const auto Step = [&](bool WithPoison) {
+      Now += 200ms;
+      // Sound requests are answered at some of the gateways.
+      for (int I = 0; I < 6; ++I)
+        All[Random() % Gateways::Count].onServed(
+            {PromptPartId("sound-" + std::to_string(Random() % 8))}, Now);
+      ++Engine;
+      const EndpointId Id("engine-" + std::to_string(Engine));
+      const std::vector<PromptPartId> Sound{PromptPartId("sound-" + std::to_string(Random() % 8))};
+      All[Random() % Gateways::Count].onCrash(Sound, Id, Incarnation(1), Now);
+      if (WithPoison)
+        All[Random() % Gateways::Count].onCrash({Sound.front(), Poison}, Id, Incarnation(1), Now);
+      All.exchange(Now + 50ms);
+    };
+    for (int I = 0; I < 5; ++I)
+      Step(/*WithPoison=*/true);
+    for (int I = 0; I < 15; ++I) {
+      Now += 200ms;
+      All.exchange(Now);
+    }
+    BOOST_TEST_CONTEXT("seed " << Seed) {
+      for (std::size_t I = 0; I < Gateways::Count; ++I) {
+        BOOST_TEST(All[I].find({PromptPartId("sound-0"), Poison}, Now).has_value());
+        for (int Part = 0; Part < 8; ++Part)
+          BOOST_TEST(!All[I].find({PromptPartId("sound-" + std::to_string(Part))}, Now));
+      }
+    }
+  }
+}
