An attempt is kept until the next path delivers

What callers saw: streams ended in the middle, and requests without an event got 502, although the engines that ran them worked all the while.

Cause: when an engine of a path answered too late, the request was sent over another path and the first attempt was cancelled at once. If the engines of the next path refused the request (503, not run) or crashed, no attempt was left, and the stream was given up 1.6 s after its last event, a request without an event after 0.45 s.

Change: the attempt on the old path is kept while the next one has delivered nothing. Whichever of the two delivers first goes on and the other one is cancelled, so the events of two runs still join at the last event that the caller had. If the next path fails, the request is back on the old one. At most two attempts are alive; both end with the caller. Each further send takes the retry budget as before.

--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -95,7 +95,7 @@
     BudgetSpent_ = true;
     return false;
   }
-  endAttempt();
+  keepAttempt();
   Path_ = std::move(*Choice.Path_);
   ReservedTokens_ = Demand.PromptTokens_ + Demand.AnswerTokens_;
 
@@ -115,11 +115,14 @@
   Monitor_.recordSent(Now);
   FirstSendToEngine_ = RanAt_.insert(Path_.Stages_.front().Engine_).second;
   const EndpointRecord *First = Context_.Roster_.find(Path_.Stages_.front().Engine_);
-  Attempt_ = send(*First, std::move(Options),
-                  Sends_ == 0 ? ConnectionUse::Pooled : ConnectionUse::Fresh, ConnectTimeout,
-                  [this](const AttemptPtr &, const HttpResult &Result) { onDone(Result); });
+  Attempt_ =
+      send(*First, std::move(Options), Sends_ == 0 ? ConnectionUse::Pooled : ConnectionUse::Fresh,
+           ConnectTimeout,
+           [this](const AttemptPtr &Sent, const HttpResult &Result) { onDone(Sent, Result); });
   Attempt_->HeadHandler_ = [this] { onHead(); };
-  Attempt_->BodyHandler_ = [this](std::string_view Data) { return onBody(Data); };
+  Attempt_->BodyHandler_ = [this, From = Attempt_.get()](std::string_view Data) {
+    return onBody(*From, Data);
+  };
   logSend(Attempt_->Endpoint_,
           fmt::format("path {} in {}, reports up to {} ms old", pathText(Path_),
                       Choice.DataCenter_.str(), Choice.OldestReport_ / milliseconds(1)));
@@ -190,7 +193,14 @@
 
 void StreamExchange::onHead() { Monitor_.recordHead(Context_.Time_.now()); }
 
-bool StreamExchange::onBody(std::string_view Data) {
+bool StreamExchange::onBody(const Attempt &From, std::string_view Data) {
+  if (&From != Attempt_.get()) {
+    // The failure that this response states is handled at its end.
+    if (From.Head_.Status_ != 200)
+      return Data.size() <= Context_.ResponseLimits_.MaxBodyBytes_;
+    // The engines of the kept attempt work after all, and the newest attempt has no event yet.
+    returnToKept();
+  }
   if (Attempt_->Head_.Status_ != 200) {
     FailureBody_ += Data;
     return FailureBody_.size() <= Context_.ResponseLimits_.MaxBodyBytes_;
@@ -213,12 +223,9 @@
   if (Event.Id_)
     LastEvent_ = Event.Id_;
   const TimePoint Now = Context_.Time_.now();
+  endKept();
   if (std::exchange(ResumeUntil_, std::nullopt))
-    Context_.Log_.log(LogEvent::StreamKept,
-                      {{"id", Routed_.Caller_.Id_.str()},
-                       {"cause", ResumeCause_},
-                       {"quiet_ms", Monitor_.silenceDuration(Now) / milliseconds(1)},
-                       {"events", Monitor_.events()}});
+    logKept();
   if (const auto LostAt = std::exchange(PathLostAt_, std::nullopt))
     Context_.Metrics_.observe("resume_seconds", Routed_.Service_->Id_.str(), Now - *LostAt);
   Monitor_.recordEvent(Now);
@@ -254,21 +261,31 @@
   }
 }
 
-void StreamExchange::onDone(const HttpResult &Result) {
+void StreamExchange::onDone(const AttemptPtr &Sent, const HttpResult &Result) {
+  if (Kept_ && Kept_->Attempt_ == Sent) {
+    if (!isComplete(*Sent, Kept_->Events_, Result))
+      return onKeptFailure(Result);
+    returnToKept();
+  }
   noteMemoryRefusal();
-  releaseReservation();
+  releaseReservation(Path_, ReservedTokens_);
   if (ended())
     return;
   FailureComplete_ = !Result.Error_;
-  const bool Success = Attempt_->HeadSeen_ && Attempt_->Head_.Status_ == 200;
-  if (!Result.Error_ && Success && Attempt_->Info_.Signed_ && Events_.pendingBytes() == 0 &&
-      Started_)
+  if (isComplete(*Attempt_, Events_, Result))
     return complete();
   logFailure(*Attempt_, Result);
   onFailure(Result);
 }
 
+bool StreamExchange::isComplete(const Attempt &Sent, const EventSplitter &Events,
+                                const HttpResult &Result) const {
+  return !Result.Error_ && Sent.HeadSeen_ && Sent.Head_.Status_ == 200 && Sent.Info_.Signed_ &&
+         Events.pendingBytes() == 0 && Started_;
+}
+
 void StreamExchange::complete() {
+  endKept();
   Routed_.Responder_->finishChunked();
   finish(Resumes_ > 0 ? "served_resumed" : "served");
 }
@@ -276,12 +293,25 @@
 void StreamExchange::onFailure(const HttpResult &Result) {
   const bool NotRun = !Result.BytesHandedOver_ || Attempt_->Info_.NotRun_;
   noteFailure(Result);
-  if (NotRun) {
-    if (FirstSendToEngine_)
-      RanAt_.erase(Attempt_->Endpoint_);
-    return continueElsewhere(false, "not_run");
+  if (NotRun && FirstSendToEngine_)
+    RanAt_.erase(Attempt_->Endpoint_);
+  if (Kept_) {
+    MayHaveRun_ = MayHaveRun_ || !NotRun;
+    returnToKept();
   }
-  continueElsewhere(true, "failed");
+  continueElsewhere(!NotRun, NotRun ? "not_run" : "failed");
+}
+
+void StreamExchange::onKeptFailure(const HttpResult &Result) {
+  const Attempt &Sent = *Kept_->Attempt_;
+  logFailure(Sent, Result);
+  Limits_.ExcludedEngines_.insert(Sent.Endpoint_);
+  const bool NotRun = !Result.BytesHandedOver_ || Sent.Info_.NotRun_;
+  MayHaveRun_ = MayHaveRun_ || !NotRun;
+  if (NotRun && Kept_->FirstSendToEngine_ && Sent.Endpoint_ != Attempt_->Endpoint_)
+    RanAt_.erase(Sent.Endpoint_);
+  releaseReservation(Kept_->Path_, Kept_->ReservedTokens_);
+  Kept_.reset();
 }
 
 void StreamExchange::noteFailure(const HttpResult &Result) {
@@ -389,6 +419,7 @@
 
 void StreamExchange::giveUp() {
   ResumeUntil_.reset();
+  endKept();
   endAttempt();
   if (Started_) {
     cancelAttempts();
@@ -493,21 +524,62 @@
     return;
   MayHaveRun_ = true;
   cancelAttempt(Attempt_);
-  releaseReservation();
+  releaseReservation(Path_, ReservedTokens_);
+}
+
+void StreamExchange::keepAttempt() {
+  if (Kept_)
+    return endAttempt();
+  if (!attemptIsLive())
+    return;
+  Kept_ =
+      KeptAttempt{Attempt_,           std::exchange(Path_, {}), std::exchange(ReservedTokens_, 0),
+                  FirstSendToEngine_, std::move(Events_),       BytesSinceEvent_};
+}
+
+void StreamExchange::returnToKept() {
+  endAttempt();
+  Attempt_ = std::move(Kept_->Attempt_);
+  Path_ = std::move(Kept_->Path_);
+  ReservedTokens_ = Kept_->ReservedTokens_;
+  FirstSendToEngine_ = Kept_->FirstSendToEngine_;
+  Events_ = std::move(Kept_->Events_);
+  BytesSinceEvent_ = Kept_->BytesSinceEvent_;
+  Kept_.reset();
+  FailureBody_.clear();
+  logKept();
+}
+
+void StreamExchange::endKept() {
+  if (!Kept_)
+    return;
+  MayHaveRun_ = true;
+  cancelAttempt(Kept_->Attempt_);
+  releaseReservation(Kept_->Path_, Kept_->ReservedTokens_);
+  Kept_.reset();
+}
+
+void StreamExchange::logKept() {
+  Context_.Log_.log(LogEvent::StreamKept,
+                    {{"id", Routed_.Caller_.Id_.str()},
+                     {"cause", ResumeCause_},
+                     {"quiet_ms", Monitor_.silenceDuration(Context_.Time_.now()) / milliseconds(1)},
+                     {"events", Monitor_.events()}});
 }
 
-void StreamExchange::releaseReservation() {
-  if (!Path_.Stages_.empty())
+void StreamExchange::releaseReservation(LayerPath &Path, double &ReservedTokens) {
+  if (!Path.Stages_.empty())
     Context_.AdmissionQueue_.onMemoryFreed(Context_.Time_.now());
-  for (const PathStage &Stage : Path_.Stages_)
+  for (const PathStage &Stage : Path.Stages_)
     Context_.Roster_.addOwnLoad(Stage.Engine_, -1,
-                                -ReservedTokens_ * (Stage.Layers_.End_ - Stage.Layers_.Begin_));
-  ReservedTokens_ = 0;
-  Path_ = {};
+                                -ReservedTokens * (Stage.Layers_.End_ - Stage.Layers_.Begin_));
+  ReservedTokens = 0;
+  Path = {};
 }
 
 void StreamExchange::cancelAttempts() {
   leaveQueue();
+  endKept();
   endAttempt();
 }
 
--- a/Source/Gateway/StreamExchange.h
+++ b/Source/Gateway/StreamExchange.h
@@ -13,7 +13,8 @@
 ///
 /// Survives the loss of an engine: when events stop, the engines of the path are probed; if one
 /// does not answer, the stream is resumed on another path after the last event that the caller
-/// received, within the same response. Not thread-safe.
+/// received, within the same response. The attempt on the old path is kept until one of the two
+/// attempts delivers the next event; the other one is then cancelled. Not thread-safe.
 class StreamExchange final : public Exchange {
 public:
   using Exchange::Exchange;
@@ -44,14 +45,17 @@
   void refuseWithoutPath();
   void onHead();
   /// False if the response exceeds a limit, such as the size of one event.
-  bool onBody(std::string_view Data);
+  bool onBody(const Attempt &From, std::string_view Data);
   /// Passes an event on to the caller, unless the caller already has it. False if the event has no
   /// number, or one that the caller already has.
   bool forwardEvent(const StreamEvent &Event);
   /// The caller reads more slowly than the engine generates, and too many bytes are queued.
   void onCallerSlow();
-  void onDone(const HttpResult &Result);
+  void onDone(const AttemptPtr &Sent, const HttpResult &Result);
+  /// Whether the attempt ended with a complete response of status 200.
+  bool isComplete(const Attempt &Sent, const EventSplitter &Events, const HttpResult &Result) const;
   void onFailure(const HttpResult &Result);
+  void onKeptFailure(const HttpResult &Result);
   /// Excludes the engine at fault from further paths of this request, and has it checked if the
   /// response named it or the attempt failed without a complete response.
   void noteFailure(const HttpResult &Result);
@@ -62,27 +66,48 @@
   void noteRefusal(const EndpointRecord &Engine);
   /// Continues the request on another path, or waits for one, or gives up.
   void continueElsewhere(bool MayHaveRun, std::string_view Cause);
+  void logKept();
   void giveUp();
   /// Whether the request may be sent once more; does not consider retry budget and paths.
   bool mayResend() const;
   bool attemptIsLive() const { return Attempt_ && Attempt_->Live_; }
   /// Whether the engines of the path may still be working on the request.
   bool pathMayWork(TimePoint Now) const;
-  /// Cancels the attempt that is under way.
+  /// Cancels the newest attempt, if it is under way.
   void endAttempt();
+  /// Keeps the newest attempt, if it is under way, while another path is tried. If an older one is
+  /// kept already, that one stays and the newest is cancelled.
+  void keepAttempt();
+  /// Cancels the newest attempt and continues with the kept one.
+  void returnToKept();
+  /// Cancels the kept attempt.
+  void endKept();
   void checkPath();
   void onChecked(const std::vector<EndpointId> &Silent);
   /// Leaves the path as soon as there is another one.
   void leavePath(const std::vector<EndpointId> &Lost, std::string_view Cause);
   /// Engines of the path that, by the report of its first engine, keep it waiting.
   std::vector<EndpointId> stalledEngines() const;
-  /// Gives back the memory that the attempt reserved on the engines of its path.
-  void releaseReservation();
+  /// Gives back the memory that an attempt reserved on the engines of its path.
+  void releaseReservation(LayerPath &Path, double &ReservedTokens);
   void complete();
 
+  /// An attempt on a path that the stream would leave, while another path is tried.
+  struct KeptAttempt {
+    AttemptPtr Attempt_;
+    LayerPath Path_;
+    double ReservedTokens_ = 0;
+    bool FirstSendToEngine_ = false;
+    EventSplitter Events_;
+    std::size_t BytesSinceEvent_ = 0;
+  };
+
+  /// The newest attempt.
   AttemptPtr Attempt_;
   LayerPath Path_;
   double ReservedTokens_ = 0;
+  /// Set only while the newest attempt is under way and has delivered no event.
+  std::optional<KeptAttempt> Kept_;
   /// Engines that the path must avoid, and engines that it may start at.
   PathConstraints Limits_;
   /// Engines that the request was sent to and that may have run it.
