A request keeps an engine that left the list before its first event

What callers saw: 502 after 0.45 s for a request that an engine had accepted and would have answered, when the engine left the list in between and there was no other path, or no budget for it.

Cause: an engine without a record counted as lost for requests without an event, so the first check (0.3 s after the send) gave them up at FirstEventTimeLimit. An engine that leaves the list serves on for some seconds.

Change: only an engine that is listed and lost ends such a request. One that has gone in truth is ended by its connection, the first engine of the path or the caller, who waits two seconds.

The simulated site can unlist engines.

--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -385,7 +385,8 @@
   return attemptIsLive() &&
          std::none_of(Path_.Stages_.begin(), Path_.Stages_.end(), [&](const PathStage &Stage) {
            const auto *Engine = Context_.Roster_.find(Stage.Engine_);
-           return !Engine || Engine->lost(Now);
+           // An engine that has left the list serves on for a while.
+           return Engine && Engine->lost(Now);
          });
 }
 
--- a/Source/SiteModel/SimulatedSite.cpp
+++ b/Source/SiteModel/SimulatedSite.cpp
@@ -257,6 +257,8 @@
   Queue_.after(ReportLag, [this, MeasuredAt, Reports = std::move(Reports)] {
     for (const auto &Each : Gateways_)
       for (const auto &[Listing, Report] : Reports) {
+        if (UnlistedEngines_.contains(Listing.Id_))
+          continue;
         Each->Roster_.updateListing(Listing, MeasuredAt);
         if (Report)
           Each->Roster_.updateReport(Listing.Id_, *Report, MeasuredAt);
@@ -291,6 +293,16 @@
   }
 }
 
+void SimulatedSite::setListed(const EndpointId &Engine, bool Listed) {
+  if (Listed) {
+    UnlistedEngines_.erase(Engine);
+    return;
+  }
+  UnlistedEngines_.insert(Engine);
+  for (const auto &Each : Gateways_)
+    Each->Roster_.removeListing(Engine, /*AfterOutage=*/false, Queue_.now());
+}
+
 void SimulatedSite::exhaustRetryBudget() {
   for (const auto &Each : Gateways_)
     while (Each->Retries_.tryRetry(ServiceId("brief"), Queue_.now()))
--- a/Source/SiteModel/SimulatedSite.h
+++ b/Source/SiteModel/SimulatedSite.h
@@ -67,6 +67,9 @@
   /// Makes all gateways consider a running engine silent, as when its answers come too late. They
   /// probe it again within half a second.
   void simulateFalseSilence(const EndpointId &Engine);
+  /// Removes an engine from the list of all gateways, or adds it again. It goes on with its
+  /// requests and accepts new ones.
+  void setListed(const EndpointId &Engine, bool Listed);
   /// Uses up the retry budgets of all gateways for this window.
   void exhaustRetryBudget();
   /// Sends a request through the gateway of the data centre with that index. The view is updated as
@@ -97,6 +100,7 @@
   std::mt19937 Random_;
   ConfigHolder Config_;
   std::vector<std::shared_ptr<Gateway>> Gateways_;
+  std::set<EndpointId> UnlistedEngines_;
   std::uint64_t NextId_ = 1;
   std::uint64_t Resumes_ = 0;
 };
--- a/Tests/Gateway/StreamHandoverTest.cpp
+++ b/Tests/Gateway/StreamHandoverTest.cpp
@@ -93,3 +93,28 @@
   BOOST_TEST(Site.engines().running() == 0U);
   BOOST_TEST(Site.inFlight() == 0U);
 }
+
+// An engine that leaves the list serves on for some seconds, and nothing tells that it is lost.
+BOOST_AUTO_TEST_CASE(RequestsWithoutAnEventFailWhenTheirEngineLeavesTheList) {
+  struct Row {
+    const char *Name_;
+    /// Prompts are read one after the other, at about 15 ms each.
+    std::size_t Requests_;
+    Duration RunsFor_;
+  };
+  for (const Row &Each : {Row{"soon after the send", 60, 5ms}, Row{"later", 60, 250ms},
+                          Row{"a longer wait", 120, 100ms}}) {
+    SimulatedSite Site(1, makeModel(80), {{"east", {{"huge", 1}}}});
+    Site.runUntilLoaded();
+    const Views Sent = sendRequests(Site, Each.Requests_, 3000, 10);
+    Site.queue().run(Each.RunsFor_);
+    Site.setListed(Site.engineIds().front(), false);
+    Site.queue().run(20s);
+    BOOST_TEST_CONTEXT(Each.Name_) {
+      checkServed(Sent);
+      // Guards against first events that come before the time limit.
+      BOOST_TEST((Sent.back()->TimeToFirstEvent_ > 700ms || Sent.back()->Status_ != 200U));
+      BOOST_TEST(Site.inFlight() == 0U);
+    }
+  }
+}
