Exploration of streams around new configurations and leaving engines

The simulated site can list an engine as leaving, remove it from the list, and take a new configuration.

--- a/Source/SiteModel/SimulatedSite.cpp
+++ b/Source/SiteModel/SimulatedSite.cpp
@@ -41,7 +41,7 @@
 
   void send(HttpResponse Response) override {
     View_->Status_ = Response.Status_;
-    View_->Complete_ = true;
+    finishChunked();
   }
   void startChunked(HttpResponse Head) override { View_->Status_ = Head.Status_; }
   void sendChunk(std::string_view Data) override {
@@ -55,8 +55,14 @@
     View_->EventIds_.push_back(Id);
     View_->LastEventAt_ = Now;
   }
-  void finishChunked() override { View_->Complete_ = true; }
-  void abort() override { View_->Aborted_ = true; }
+  void finishChunked() override {
+    View_->Complete_ = true;
+    View_->EndedAt_ = Time_.now();
+  }
+  void abort() override {
+    View_->Aborted_ = true;
+    View_->EndedAt_ = Time_.now();
+  }
   bool isOpen() const override { return !View_->ended(); }
   std::size_t queuedBytes() const override { return 0; }
   void onClosed(std::function<void()> Handler) override { View_->OnLeave_ = std::move(Handler); }
@@ -250,7 +256,10 @@
 void SimulatedSite::updateRosters() {
   const TimePoint MeasuredAt = Queue_.now();
   std::vector<std::pair<EndpointListing, std::optional<EngineReport>>> Reports;
-  for (const EndpointListing &Each : Engines_.listings()) {
+  for (EndpointListing Each : Engines_.listings()) {
+    const auto Leaving = LeavingEngines_.find(Each.Id_);
+    if (Leaving != LeavingEngines_.end() && Leaving->second == Each.Run_)
+      Each.State_ = EndpointState::Leaving;
     const bool Answers = Engines_.condition(Each.Id_) == EngineCondition::Running;
     Reports.emplace_back(Each, Answers ? std::optional(Engines_.report(Each.Id_)) : std::nullopt);
   }
@@ -303,6 +312,11 @@
     Each->Roster_.removeListing(Engine, /*AfterOutage=*/false, Queue_.now());
 }
 
+void SimulatedSite::announceLeaving(const EndpointId &Engine) {
+  Engines_.setLeaving(Engine, true);
+  LeavingEngines_.insert_or_assign(Engine, Engines_.report(Engine).Run_);
+}
+
 void SimulatedSite::exhaustRetryBudget() {
   for (const auto &Each : Gateways_)
     while (Each->Retries_.tryRetry(ServiceId("brief"), Queue_.now()))
--- a/Source/SiteModel/SimulatedSite.h
+++ b/Source/SiteModel/SimulatedSite.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <set>
@@ -26,6 +27,8 @@
   Duration TimeToFirstEvent_{};
   Duration LongestPause_{};
   TimePoint LastEventAt_{};
+  /// When the response was complete or aborted.
+  TimePoint EndedAt_{};
   bool Complete_ = false;
   bool Aborted_ = false;
   bool Left_ = false;
@@ -70,6 +73,15 @@
   /// Removes an engine from the list of all gateways, or adds it again. It goes on with its
   /// requests and accepts new ones.
   void setListed(const EndpointId &Engine, bool Listed);
+  /// Lists an engine as leaving until its next run. It refuses new requests from now on and goes on
+  /// with those that it has.
+  void announceLeaving(const EndpointId &Engine);
+  const ServingConfig &config() const { return Config_.current()->config(); }
+  /// All gateways take a configuration for new requests. Precondition: its revision is higher than
+  /// that of config().
+  void replaceConfig(ServingConfig Config) {
+    Config_.replaceIfNewer(std::move(Config), Queue_.now());
+  }
   /// Uses up the retry budgets of all gateways for this window.
   void exhaustRetryBudget();
   /// Sends a request through the gateway of the data centre with that index. The view is updated as
@@ -101,6 +113,8 @@
   ConfigHolder Config_;
   std::vector<std::shared_ptr<Gateway>> Gateways_;
   std::set<EndpointId> UnlistedEngines_;
+  /// Engines that are listed as leaving, with their run.
+  std::map<EndpointId, Incarnation> LeavingEngines_;
   std::uint64_t NextId_ = 1;
   std::uint64_t Resumes_ = 0;
 };
--- a/Tests/Gateway/StreamExplorationTest.cpp
+++ b/Tests/Gateway/StreamExplorationTest.cpp
@@ -1,10 +1,10 @@
 #include "SiteModel/SimulatedSite.h"
 #include "Tests/Core/Layers/Deployments.h"
+#include "Tests/Gateway/Schedules.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
-#include <cstdlib>
 #include <set>
 
 using namespace rattancart;
@@ -13,18 +13,11 @@
 
 namespace {
 
-/// Number of random schedules per test run; RATTANCART_SCHEDULES overrides it.
-constexpr unsigned DefaultSchedules = 300;
 constexpr int Steps = 60;
 constexpr std::size_t MaxAttempts = 2;
 /// Engines must have stopped working on a request this long after its caller has left.
 constexpr Duration StopTime = 500ms;
 
-unsigned schedules() {
-  const char *Wanted = std::getenv("RATTANCART_SCHEDULES");
-  return Wanted ? static_cast<unsigned>(std::strtoul(Wanted, nullptr, 10)) : DefaultSchedules;
-}
-
 const std::vector<std::vector<SimulatedSite::DataCenterSetup>> Sites = {
     {{"east", {{"h100", 1}, {"l4", 8}}}, {"west", {{"h100", 1}, {"l4", 8}}}},
     {{"east", {{"a100s", 1}, {"l4", 8}, {"t4", 3}}}},
