Tables of what two paths of a stream may do

StreamExchangeTest plays the engines of one request by hand: a stream and a request without an event, with a second path tried while the first attempt is kept.

--- /dev/null
+++ b/Tests/Gateway/StreamExchangeTest.cpp
@@ -0,0 +1,363 @@
+#include "Gateway/GatewayRequestHandler.h"
+#include "SiteModel/SimulatedEngines.h"
+#include "Tests/Core/Layers/Deployments.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+using namespace rattancart;
+using namespace rattancart::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start{1h};
+const ServiceId Brief("brief");
+
+/// Sends nothing; the test plays the engines.
+class ScriptedEngines final : public HttpSender {
+public:
+  HttpCallId send(const NetAddress & /*Address*/, HttpRequest /*Request*/, HttpSendOptions Options,
+                  HttpCallback Done) override {
+    Calls_.push_back({Options.Sink_, std::move(Done)});
+    return HttpCallId(static_cast<std::int64_t>(Calls_.size()));
+  }
+  void cancel(HttpCallId Id) override { Calls_.at(index(Id)).Cancelled_ = true; }
+
+  /// Calls are numbered from 0 in the order of their sends.
+  std::size_t sends() const { return Calls_.size(); }
+  bool isLive(std::size_t Number) const {
+    return !Calls_.at(Number).Cancelled_ && !Calls_.at(Number).Ended_;
+  }
+  void head(std::size_t Number, std::uint32_t Status, bool NotRun = false) {
+    HttpResponse Head;
+    Head.Status_ = Status;
+    Head.Headers_.add("id", "r");
+    if (NotRun)
+      Head.Headers_.add("not-run", "1");
+    BOOST_REQUIRE(isLive(Number));
+    Calls_[Number].Sink_->onHead(Head);
+  }
+  void body(std::size_t Number, std::string_view Data) {
+    BOOST_REQUIRE(isLive(Number));
+    Calls_[Number].Sink_->onBody(Data);
+  }
+  /// States that the request did not run.
+  void refuse(std::size_t Number) {
+    head(Number, 503, /*NotRun=*/true);
+    end(Number);
+  }
+  void refuseAll() {
+    for (std::size_t Number = 0; Number < sends(); ++Number)
+      if (isLive(Number))
+        refuse(Number);
+  }
+  void end(std::size_t Number, std::error_code Error = {}) {
+    BOOST_REQUIRE(isLive(Number));
+    Calls_[Number].Ended_ = true;
+    HttpResult Result;
+    Result.Error_ = Error;
+    Result.BytesHandedOver_ = true;
+    const HttpCallback Done = std::move(Calls_[Number].Done_);
+    Done(std::move(Result));
+  }
+
+private:
+  struct Call {
+    HttpResponseSink *Sink_ = nullptr;
+    HttpCallback Done_;
+    bool Cancelled_ = false;
+    bool Ended_ = false;
+  };
+  static std::size_t index(HttpCallId Id) { return static_cast<std::size_t>(Id.value()) - 1; }
+
+  std::vector<Call> Calls_;
+};
+
+/// All engines answer.
+class AllAnswer final : public EngineHealthMonitor {
+public:
+  void check(const std::vector<EndpointId> &, TimePoint, Callback Done) override { Done({}); }
+  void suspect(const EndpointId &) override {}
+  void noteActivity(const EndpointId &) override {}
+};
+
+struct Caller {
+  std::uint32_t Status_ = 0;
+  std::string Text_;
+  bool Complete_ = false;
+  bool Aborted_ = false;
+};
+
+class CallerConnection final : public HttpResponder {
+public:
+  explicit CallerConnection(std::shared_ptr<Caller> Seen) : Seen_(std::move(Seen)) {}
+  void send(HttpResponse Response) override {
+    Seen_->Status_ = Response.Status_;
+    Seen_->Text_ = Response.Body_;
+    Seen_->Complete_ = true;
+  }
+  void startChunked(HttpResponse Head) override { Seen_->Status_ = Head.Status_; }
+  void sendChunk(std::string_view Data) override { Seen_->Text_ += Data; }
+  void finishChunked() override { Seen_->Complete_ = true; }
+  void abort() override { Seen_->Aborted_ = true; }
+  bool isOpen() const override { return !Seen_->Complete_ && !Seen_->Aborted_; }
+  std::size_t queuedBytes() const override { return 0; }
+  void onClosed(std::function<void()>) override {}
+
+private:
+  std::shared_ptr<Caller> Seen_;
+};
+
+std::string events(std::uint64_t First, std::uint64_t Last) {
+  std::string Text;
+  for (std::uint64_t Id = First; Id <= Last; ++Id)
+    Text += "id: " + std::to_string(Id) + "\ndata: x\n\n";
+  return Text;
+}
+
+/// A gateway with three engines that each hold the whole model, and one request.
+struct OneRequest {
+  ManualClock Time_;
+  boost::asio::io_context Loop_;
+  NullLogger Log_;
+  MetricSet Metrics_;
+  ScriptedEngines Engines_;
+  SimulatedEngineProtocol Protocol_;
+  EndpointRoster Roster_;
+  PathChooser Paths_{Roster_, DataCenterId("east")};
+  RetryShare Retries_{{0.2, 100, 10s}, Start - 1min};
+  AllAnswer Health_;
+  EngineMemoryQueue Queue_;
+  std::mt19937 Random_{1};
+  GatewayContext Context_{
+      Loop_,  Time_,    Log_,    Metrics_, Engines_, Protocol_,           Roster_,
+      Paths_, Retries_, Health_, Queue_,   Random_,  DataCenterId("east")};
+  ConfigHolder Config_;
+  GatewayRequestHandler Handler_{Context_, Config_};
+  std::shared_ptr<Caller> Caller_ = std::make_shared<Caller>();
+  std::vector<EndpointId> Ids_{EndpointId("a"), EndpointId("b"), EndpointId("c")};
+
+  explicit OneRequest(std::optional<std::uint64_t> LastEvent = {}) {
+    Retries_.setProcesses(1);
+    ServingConfig Config;
+    Config.Revision_ = ConfigRevision(1);
+    ServingRoute Route;
+    Route.Id_ = RouteId("brief");
+    Route.Host_ = "site";
+    Route.PathPrefix_ = "/";
+    Route.Kind_ = RequestKind::Stream;
+    Route.Services_ = {{Brief, 1}};
+    Route.Timeout_ = 20s;
+    Route.MaxAttempts_ = 2;
+    Route.Public_ = true;
+    Route.Resumable_ = true;
+    Config.Routes_.push_back(Route);
+    Config.Services_.push_back({Brief, 10, makeModel(80)});
+    Config_.replaceIfNewer(std::move(Config), Start);
+    for (const EndpointId &Id : Ids_) {
+      EndpointListing Listing;
+      Listing.Id_ = Id;
+      Listing.Service_ = Brief;
+      Listing.Address_ = NetAddress(Id.str());
+      Listing.DataCenter_ = DataCenterId("east");
+      Listing.Run_ = Incarnation(1);
+      Listing.Kind_ = "huge";
+      Roster_.updateListing(Listing, Start);
+      EngineReport Report;
+      Report.Run_ = Incarnation(1);
+      Report.Layers_ = {0, 80};
+      Report.TotalTokenLayers_ = 1e7;
+      Roster_.updateReport(Id, Report, Start);
+    }
+    HttpRequest Request;
+    Request.Method_ = "POST";
+    Request.Headers_.add("Host", "site");
+    Request.Headers_.add("id", "r");
+    Request.Headers_.add("prompt", "100");
+    Request.Headers_.add("events", "9");
+    if (LastEvent)
+      Request.Headers_.add("last", std::to_string(*LastEvent));
+    Handler_.handle(std::move(Request), std::make_shared<CallerConnection>(Caller_));
+    BOOST_REQUIRE(Engines_.sends() == 1U);
+  }
+
+  /// The engine that runs the newest call is taken for silent.
+  void alarm() {
+    for (const EndpointId &Id : Ids_)
+      if (Roster_.find(Id)->OwnRequests_ > 0 && !Roster_.find(Id)->silent(Time_.now())) {
+        Roster_.markSilent(Id, Time_.now(), Time_.now() + 1500ms);
+        return Handler_.onEngineSilent(Id);
+      }
+  }
+  double reserved() const {
+    double Tokens = 0;
+    for (const EndpointId &Id : Ids_)
+      Tokens += Roster_.find(Id)->OwnTokenLayers_ + Roster_.find(Id)->OwnRequests_;
+    return Tokens;
+  }
+};
+
+/// What the engines of a first and a second path do, and what the caller gets.
+struct TwoPathsCase {
+  const char *Name_;
+  void (*Play_)(ScriptedEngines &);
+  std::uint32_t Status_;
+  std::string Text_;
+  bool Complete_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const TwoPathsCase &Case) { return Out << Case.Name_; }
+
+const TwoPathsCase TwoPathsCases[] = {
+    {"the second path delivers first",
+     [](ScriptedEngines &Engines) {
+       Engines.head(1, 200);
+       Engines.body(1, events(3, 4));
+       BOOST_TEST(!Engines.isLive(0));
+       Engines.end(1);
+     },
+     200, events(1, 4), true},
+    {"the first path delivers first",
+     [](ScriptedEngines &Engines) {
+       Engines.head(1, 200);
+       Engines.body(0, events(3, 3));
+       BOOST_TEST(!Engines.isLive(1));
+       Engines.body(0, events(4, 4));
+       Engines.end(0);
+     },
+     200, events(1, 4), true},
+    {"the second path begins with an event that the caller has",
+     [](ScriptedEngines &Engines) {
+       Engines.head(1, 200);
+       Engines.body(1, events(2, 2));
+       BOOST_TEST(Engines.isLive(0));
+       Engines.body(1, events(3, 4));
+       BOOST_TEST(!Engines.isLive(0));
+       Engines.end(1);
+     },
+     200, events(1, 4), true},
+    {"the first path had begun an event",
+     [](ScriptedEngines &Engines) {
+       Engines.body(0, "id: 3\nda");
+       BOOST_TEST(!Engines.isLive(1));
+       Engines.body(0, "ta: x\n\n");
+       Engines.end(0);
+     },
+     200, events(1, 3), true},
+    {"only the end of the first path was missing",
+     [](ScriptedEngines &Engines) {
+       Engines.end(0);
+       BOOST_TEST(!Engines.isLive(1));
+     },
+     200, events(1, 2), true},
+    {"the second path fails",
+     [](ScriptedEngines &Engines) {
+       Engines.head(1, 500);
+       Engines.body(1, "failure");
+       Engines.end(1);
+       if (Engines.sends() > 2)
+         Engines.end(2, ErrorCode::ConnectionClosed);
+       Engines.body(0, events(3, 4));
+       Engines.end(0);
+     },
+     200, events(1, 4), true},
+    {"the first path breaks off, the second goes on",
+     [](ScriptedEngines &Engines) {
+       Engines.end(0, ErrorCode::ConnectionClosed);
+       BOOST_TEST(Engines.isLive(1));
+       Engines.head(1, 200);
+       Engines.body(1, events(3, 4));
+       Engines.end(1);
+     },
+     200, events(1, 4), true},
+};
+
+/// The same for a request without an event. All engines refuse what comes after this.
+const TwoPathsCase NoEventCases[] = {
+    {"both refuse", [](ScriptedEngines & /*Engines*/) {}, 503, "", true},
+    {"the second refuses first",
+     [](ScriptedEngines &Engines) {
+       Engines.refuse(1);
+       BOOST_TEST(Engines.isLive(0));
+     },
+     503, "", true},
+    {"the first breaks off",
+     [](ScriptedEngines &Engines) { Engines.end(0, ErrorCode::ConnectionClosed); }, 502, "", true},
+    {"the second breaks off",
+     [](ScriptedEngines &Engines) { Engines.end(1, ErrorCode::ConnectionClosed); }, 502, "", true},
+    {"the second fails, the first answers",
+     [](ScriptedEngines &Engines) {
+       Engines.head(1, 500);
+       Engines.body(1, "failure");
+       Engines.end(1);
+       Engines.head(0, 200);
+       Engines.body(0, events(1, 2));
+       Engines.end(0);
+     },
+     200, events(1, 2), true},
+    {"the first answers after the head of the second",
+     [](ScriptedEngines &Engines) {
+       Engines.head(1, 200);
+       Engines.head(0, 200);
+       Engines.body(0, events(1, 2));
+       BOOST_TEST(!Engines.isLive(1));
+       Engines.end(0);
+     },
+     200, events(1, 2), true},
+    {"the first fails, the second answers",
+     [](ScriptedEngines &Engines) {
+       Engines.head(0, 500);
+       Engines.body(0, "failure");
+       Engines.end(0);
+       Engines.head(1, 200);
+       Engines.body(1, events(1, 2));
+       Engines.end(1);
+     },
+     200, events(1, 2), true},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(StreamsMissOrRepeatEventsWhileTwoPathsAreTried, TwoPathsCases, Case) {
+  OneRequest Each;
+  Each.Engines_.head(0, 200);
+  Each.Engines_.body(0, events(1, 2));
+  Each.alarm();
+  BOOST_REQUIRE(Each.Engines_.sends() == 2U);
+  BOOST_TEST(Each.Engines_.isLive(0));
+  Case.Play_(Each.Engines_);
+  BOOST_TEST(Each.Caller_->Status_ == Case.Status_);
+  BOOST_TEST(Each.Caller_->Text_ == Case.Text_);
+  BOOST_TEST(Each.Caller_->Complete_ == Case.Complete_);
+  BOOST_TEST(!Each.Caller_->Aborted_);
+  BOOST_TEST(Each.Handler_.inFlight() == 0U);
+  BOOST_TEST(Each.reserved() == 0);
+  for (std::size_t Number = 0; Number < Each.Engines_.sends(); ++Number)
+    BOOST_TEST(!Each.Engines_.isLive(Number));
+}
+
+BOOST_DATA_TEST_CASE(RequestsGetAWrongStatusWhileTwoPathsAreTried, NoEventCases, Case) {
+  OneRequest Each;
+  Each.alarm();
+  BOOST_REQUIRE(Each.Engines_.sends() == 2U);
+  Case.Play_(Each.Engines_);
+  // An attempt that failed may be followed by another one.
+  for (int Round = 0; Round < 100; ++Round) {
+    Each.Engines_.refuseAll();
+    Each.Time_.advance(25ms);
+    Each.Handler_.tick();
+  }
+  BOOST_TEST(Each.Caller_->Status_ == Case.Status_);
+  BOOST_TEST(Each.Caller_->Text_ == Case.Text_);
+  BOOST_TEST(Each.Caller_->Complete_ == Case.Complete_);
+  BOOST_TEST(Each.Handler_.inFlight() == 0U);
+  BOOST_TEST(Each.reserved() == 0);
+}
