A resumed stream may have no further event

What callers saw: a caller whose connection broke after the last event, and that asked for the rest by Last-Event-Id, got no answer from an engine that had nothing to add.

Cause: a complete response of 200 without an event counted as a failure, also where the caller had named the last event that it has. The request was sent again, up to its limit of sends.

Change: such a response is complete and is passed on.

ResumedStreamsWithoutFurtherEventsFail: 4 checks failed before (3 sends in place of 1, no answer), none now. The switch-off fails with the same 4.

--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -281,11 +281,13 @@
 bool StreamExchange::isComplete(const Attempt &Sent, const EventSplitter &Events,
                                 const HttpResult &Result) const {
   return !Result.Error_ && Sent.HeadSeen_ && Sent.Head_.Status_ == 200 && Sent.Info_.Signed_ &&
-         Events.pendingBytes() == 0 && Started_;
+         Events.pendingBytes() == 0 && (Started_ || Routed_.Caller_.LastEvent_);
 }
 
 void StreamExchange::complete() {
   endKept();
+  if (!Started_)
+    Routed_.Responder_->startChunked(Context_.Protocol_.responseForCaller(Attempt_->Head_));
   Routed_.Responder_->finishChunked();
   finish(Resumes_ > 0 ? "served_resumed" : "served");
 }
--- a/Source/Gateway/StreamExchange.h
+++ b/Source/Gateway/StreamExchange.h
@@ -52,7 +52,8 @@
   /// The caller reads more slowly than the engine generates, and too many bytes are queued.
   void onCallerSlow();
   void onDone(const AttemptPtr &Sent, const HttpResult &Result);
-  /// Whether the attempt ended with a complete response of status 200.
+  /// Whether the attempt ended with a complete response of status 200. Only a stream that the
+  /// caller resumes may have no event.
   bool isComplete(const Attempt &Sent, const EventSplitter &Events, const HttpResult &Result) const;
   void onFailure(const HttpResult &Result);
   void onKeptFailure(const HttpResult &Result);
--- a/Tests/Gateway/StreamExchangeTest.cpp
+++ b/Tests/Gateway/StreamExchangeTest.cpp
@@ -361,3 +361,18 @@
   BOOST_TEST(Each.Handler_.inFlight() == 0U);
   BOOST_TEST(Each.reserved() == 0);
 }
+
+// A caller whose connection broke after the last event asks for the rest of its stream.
+BOOST_AUTO_TEST_CASE(ResumedStreamsWithoutFurtherEventsFail) {
+  OneRequest Each(/*LastEvent=*/9);
+  Each.Engines_.head(0, 200);
+  Each.Engines_.end(0);
+  for (int Round = 0; Round < 100; ++Round) {
+    Each.Time_.advance(25ms);
+    Each.Handler_.tick();
+  }
+  BOOST_TEST(Each.Engines_.sends() == 1U);
+  BOOST_TEST(Each.Caller_->Status_ == 200U);
+  BOOST_TEST(Each.Caller_->Complete_);
+  BOOST_TEST(Each.Handler_.inFlight() == 0U);
+}
