Programs that tests start inherit no sockets

Cause: a program started by a test held the listening sockets of the stand-ins in the test's own process. The port of a stand-in that had stopped still accepted connections, and the stand-in could not listen on it again.

Change: the child closes all descriptors but the standard ones. The new case of support_test failed before (1 failure) and passes now; GatewayTest, GatewayBudgetTest, GatewayLogTest and the other programs that use ChildProcess pass.

--- a/Tests/Support/ChildProcess.cpp
+++ b/Tests/Support/ChildProcess.cpp
@@ -27,6 +27,9 @@
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   if (getppid() != Parent || dup2(Output, STDOUT_FILENO) < 0)
     _exit(126);
+  // With an inherited listening socket, the port of a stand-in would stay open after the stand-in
+  // has stopped.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   execv(Arguments.front(), Arguments.data());
   _exit(127);
 }
--- a/Tests/Support/ChildProcessTest.cpp
+++ b/Tests/Support/ChildProcessTest.cpp
@@ -2,6 +2,8 @@
 
 #include "Tests/Support/Cluster.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <csignal>
@@ -37,6 +39,19 @@
   BOOST_TEST(Http.get(Address, "/healthz").Response_.Status_ == 200U);
 }
 
+// Guards against a stand-in in the test's own process that can't listen on its port again, since
+// the programs that were started meanwhile hold its socket.
+BOOST_AUTO_TEST_CASE(PortIsFreeAgainWhileAProgramRunsThatWasStartedMeanwhile) {
+  using boost::asio::ip::tcp;
+  boost::asio::io_context Loop;
+  tcp::acceptor First(Loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  const tcp::endpoint Address = First.local_endpoint();
+  ChildProcess Platform({"rattancart-fake-platform", {}});
+  Platform.address();
+  First.close();
+  BOOST_CHECK_NO_THROW(tcp::acceptor(Loop, Address));
+}
+
 BOOST_AUTO_TEST_CASE(WrongUsageExitsWithoutListening) {
   BOOST_CHECK_THROW(ChildProcess({"rattancart-fake-engine", {"--layers", "5-2"}}).address(),
                     std::runtime_error);
