Stand-in site: a prompt part that crashes engines

The first engine of a path sends the response head, stops, and runs again after a downtime at the same address, empty and as a new incarnation. The activity log has the crashes and the received requests by part.

--- a/Source/StandIns/Site/ActivityLog.h
+++ b/Source/StandIns/Site/ActivityLog.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Core/Common/Clock.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -14,12 +16,30 @@
 /// Answers without an end stop once the endpoints of a site have sent this many bytes of them.
 inline constexpr std::size_t MaxEndlessBytes = 64 * 1024 * 1024;
 
+/// A request that an engine received.
+struct ReceivedRequest {
+  std::string Id_;
+  std::string Engine_;
+  TimePoint At_;
+};
+
+/// A crash of an engine.
+struct EngineCrash {
+  std::string Engine_;
+  TimePoint At_;
+};
+
 /// What the endpoints of a site executed, refused and found wrong, for tests to check.
 struct ActivityLog {
   /// The ids of the endpoints that executed each request id, in order.
   std::map<std::string, std::vector<std::string>> Executions_;
   /// Number of refused requests, by the id of the engine that could not take them.
   std::map<std::string, std::size_t> Refusals_;
+  /// The crashes caused by a prompt part, by part, in order.
+  std::map<std::string, std::vector<EngineCrash>> PromptCrashes_;
+  /// The requests with a prompt part that crashes engines, whether executed or refused, by part, in
+  /// the order in which engines received them.
+  std::map<std::string, std::vector<ReceivedRequest>> CrashingRequests_;
   /// The request ids of the bookings.
   std::set<std::string> Bookings_;
   /// Bytes sent of answers without an end.
--- a/Source/StandIns/Site/FakeLayerEngine.cpp
+++ b/Source/StandIns/Site/FakeLayerEngine.cpp
@@ -23,6 +23,8 @@
 constexpr Duration MaxStallTime = std::chrono::milliseconds(2500);
 /// Memory of one token in one layer.
 constexpr double TokenLayerBytes = 7375;
+/// A restart is tried again after this time if the engine's port is in use.
+constexpr Duration RestartRetryInterval = std::chrono::milliseconds(50);
 
 std::uint64_t parseNumberAt(std::string_view Text, std::size_t From) {
   std::uint64_t Value = 0;
@@ -31,13 +33,26 @@
   return Value;
 }
 
+/// Whether Part is one of the parts of a prompt ("ID:TOKENS,ID:TOKENS,...") and not the last.
+bool isSharedPart(std::string_view Prompt, std::string_view Part) {
+  for (std::size_t Comma = Prompt.find(','); Comma != std::string_view::npos;
+       Comma = Prompt.find(',')) {
+    if (Prompt.substr(0, std::min(Comma, Prompt.find(':'))) == Part)
+      return true;
+    Prompt.remove_prefix(Comma + 1);
+  }
+  return false;
+}
+
 } // namespace
 
 FakeLayerEngine::FakeLayerEngine(boost::asio::io_context &Loop, const Clock &Time, Logger &Log,
                                  LayerEngineOptions Options, EngineDirectory &Peers,
                                  ActivityLog &Activity)
-    : Time_(Time), Options_(std::move(Options)), Peers_(Peers), Activity_(Activity),
+    : Loop_(Loop), Time_(Time), Log_(Log), Options_(std::move(Options)), Peers_(Peers),
+      Activity_(Activity),
       Server_(std::make_unique<HttpServer>(Loop, HttpServerOptions{}, *this, Log)), Timer_(Loop),
+      RestartTimer_(Loop),
       Incarnation_(static_cast<std::uint64_t>(Time.wallNow().time_since_epoch().count())) {
   Timer_.every(Options_.EventInterval_, [this] { advanceStreams(); });
 }
@@ -53,6 +68,7 @@
 
 void FakeLayerEngine::setRunState(RunState Next) {
   RunState_ = Next;
+  RestartTimer_.cancel();
   if (Next != RunState::Stopped)
     return;
   for (Stream &Each : Streams_)
@@ -180,6 +196,10 @@
 
 void FakeLayerEngine::startStream(const HttpRequest &Request, const HttpResponderPtr &Responder) {
   const std::string Id(Request.Headers_.get("X-Attempt-Id"));
+  const bool Crashes = !CrashingPromptPart_.empty() &&
+                       isSharedPart(Request.Headers_.get("X-Prompt-Prefix"), CrashingPromptPart_);
+  if (Crashes)
+    Activity_.CrashingRequests_[CrashingPromptPart_].push_back({Id, Options_.Id_, Time_.now()});
   std::vector<Stage> Path;
   std::uint32_t CoveredLayers = 0;
   std::string_view Rest = Request.Headers_.get("X-Hop-Count");
@@ -221,6 +241,8 @@
   Started.Path_ = std::move(Path);
   Started.Tokens_ = AllTokens;
   Started.PrefilledAt_ = Time_.now() + Options_.PrefillTime_;
+  if (Crashes)
+    Started.CrashingPart_ = CrashingPromptPart_;
   Started.NextEvent_ = parseNumberAt(Request.Headers_.get("Last-Event-Id"), 0) + 1;
   Started.LastEvent_ = LastEvent;
   if (Options_.PrefillTime_ == Duration{})
@@ -263,6 +285,11 @@
     return true;
   if (!Active.HeadSent_)
     sendHead(Active);
+  if (!Active.CrashingPart_.empty()) {
+    if (!Active.CrashesAt_)
+      Active.CrashesAt_ = Now + Options_.CrashDelay_;
+    return true;
+  }
   if (SendsEndlessEvent_ && Activity_.EndlessBytesSent_ <= MaxEndlessBytes) {
     if (Active.Responder_->queuedBytes() == 0) {
       Active.Responder_->sendChunk("data: " + std::string(EndlessChunkBytes, 'x') + "\n");
@@ -283,6 +310,31 @@
   const TimePoint Now = Time_.now();
   for (auto Each = Streams_.begin(); Each != Streams_.end();)
     Each = advance(*Each, Now) ? std::next(Each) : Streams_.erase(Each);
+  const auto Crashing = std::find_if(Streams_.begin(), Streams_.end(), [Now](const Stream &Each) {
+    return Each.CrashesAt_ && Now >= *Each.CrashesAt_;
+  });
+  if (Crashing != Streams_.end())
+    crash(Crashing->CrashingPart_);
+}
+
+void FakeLayerEngine::crash(std::string Part) {
+  Activity_.PromptCrashes_[std::move(Part)].push_back({Options_.Id_, Time_.now()});
+  setRunState(RunState::Stopped);
+  RestartTimer_.after(Options_.CrashDowntime_, [this] { restart(); });
+}
+
+void FakeLayerEngine::restart() {
+  auto Server = std::make_unique<HttpServer>(Loop_, HttpServerOptions{}, *this, Log_);
+  if (Server->listen(address()))
+    return RestartTimer_.after(RestartRetryInterval, [this] { restart(); });
+  Server_ = std::move(Server);
+  Unanswered_.clear();
+  HeldLayers_ = {};
+  LoadedAt_ = {};
+  OrderCount_ = 0;
+  HighestFence_ = 0;
+  Incarnation_ = static_cast<std::uint64_t>(Time_.wallNow().time_since_epoch().count());
+  RunState_ = RunState::Running;
 }
 
 } // namespace rattancart
--- a/Source/StandIns/Site/FakeLayerEngine.h
+++ b/Source/StandIns/Site/FakeLayerEngine.h
@@ -12,7 +12,9 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 
 namespace rattancart {
 
@@ -36,6 +38,11 @@
   Duration EventInterval_ = std::chrono::milliseconds(10);
   /// Time to prefill a prompt. If it isn't zero, the response head is sent with the first event.
   Duration PrefillTime_{};
+  /// Time from the response head to the crash that a prompt part causes.
+  Duration CrashDelay_ = std::chrono::milliseconds(36);
+  /// Time after which an engine that has crashed runs again. Streams that pass through the engine
+  /// end earlier.
+  Duration CrashDowntime_ = std::chrono::seconds(3);
 };
 
 /// A stand-in for a model engine that holds a range of layers and, as the first engine of a path,
@@ -67,8 +74,14 @@
   void setLoseOrderAnswers(bool Lose) { LoseOrderAnswers_ = Lose; }
   /// Whether streams continue with one event that never ends, up to MaxEndlessBytes.
   void setSendsEndlessEvent(bool Endless) { SendsEndlessEvent_ = Endless; }
+  /// Makes the engine crash, as the first engine of a path, between the response head and the first
+  /// event of each stream whose prompt has this part, unless the part is the prompt's last. It runs
+  /// again after CrashDowntime_, at the same address, without layers and as a new incarnation. An
+  /// empty part ends this.
+  void setCrashingPromptPart(std::string Part) { CrashingPromptPart_ = std::move(Part); }
   /// Layers held now; empty while layers load.
   LayerRange layers() const;
+  /// Changes when the engine runs again after a crash.
   std::uint64_t incarnation() const { return Incarnation_; }
   /// Tokens times layers that the streams of all engines occupy in this engine.
   double usedTokenLayers() const;
@@ -90,6 +103,10 @@
     std::vector<Stage> Path_;
     double Tokens_ = 0;
     TimePoint PrefilledAt_{};
+    /// The part of the prompt that crashes the engine; empty if there is none.
+    std::string CrashingPart_;
+    /// When the stream crashes the engine; not set before the response head was sent.
+    std::optional<TimePoint> CrashesAt_;
     bool HeadSent_ = false;
     std::uint64_t NextEvent_ = 1;
     std::uint64_t LastEvent_ = 0;
@@ -114,14 +131,20 @@
   /// False once the stream has ended.
   bool handleStall(Stream &Active, TimePoint Now);
   void sendHead(Stream &Active);
+  /// Stops the engine and schedules its restart. Part is the prompt part that causes it.
+  void crash(std::string Part);
+  void restart();
   void advanceStreams();
 
+  boost::asio::io_context &Loop_;
   const Clock &Time_;
+  Logger &Log_;
   LayerEngineOptions Options_;
   EngineDirectory &Peers_;
   ActivityLog &Activity_;
   std::unique_ptr<HttpServer> Server_;
   Timer Timer_;
+  Timer RestartTimer_;
   std::list<Stream> Streams_;
   std::list<HttpResponderPtr> Unanswered_;
   LayerRange HeldLayers_;
@@ -129,6 +152,7 @@
   std::uint64_t OrderCount_ = 0;
   std::int64_t HighestFence_ = 0;
   std::uint64_t Incarnation_ = 0;
+  std::string CrashingPromptPart_;
   RunState RunState_ = RunState::Running;
   bool Leaving_ = false;
   bool LoseOrderAnswers_ = false;
--- a/Source/StandIns/Site/Site.cpp
+++ b/Source/StandIns/Site/Site.cpp
@@ -91,6 +91,7 @@
         Engine.MemoryMb_ = memoryMb(Kind);
         Engine.EventInterval_ = Options_.EventInterval_;
         Engine.PrefillTime_ = Options_.PrefillTime_;
+        Engine.CrashDowntime_ = Options_.CrashedEngineDowntime_;
         Engines_.push_back(std::make_unique<FakeLayerEngine>(Loop_, Time_, Log_, std::move(Engine),
                                                              Peers_, Activity_));
         if (Engines_.back()->listen())
@@ -232,6 +233,13 @@
   });
 }
 
+void Site::setCrashingPromptPart(const std::string &Part) {
+  runOnLoop([&] {
+    for (const auto &Engine : Engines_)
+      Engine->setCrashingPromptPart(Part);
+  });
+}
+
 void Site::setDeskFault(DeskFault Fault) {
   runOnLoop([&] {
     for (const auto &Desk : Desks_)
--- a/Source/StandIns/Site/Site.h
+++ b/Source/StandIns/Site/Site.h
@@ -35,6 +35,8 @@
   Duration EventInterval_ = std::chrono::milliseconds(10);
   /// Time that an engine takes to prefill a prompt.
   Duration PrefillTime_{};
+  /// Time after which an engine runs again that a prompt part has crashed.
+  Duration CrashedEngineDowntime_ = std::chrono::seconds(3);
   /// The retry budget that the gateways share. The ratio allows a gateway that has just started to
   /// repeat each of its requests.
   RetryShareOptions Retries_{.Ratio_ = 10};
@@ -67,6 +69,9 @@
   void setLoseOrderAnswers(bool Lose);
   /// Makes the streams of this engine, and of no other, continue with one event that never ends.
   void setEngineSendsEndlessEvent(const std::string &Id);
+  /// Makes every engine crash at the start of streams whose prompt has this part; see
+  /// FakeLayerEngine::setCrashingPromptPart(). An empty part ends this.
+  void setCrashingPromptPart(const std::string &Part);
   void setDeskFault(DeskFault Fault);
   /// Writes the next version of the configuration, with these API keys of customer "crew".
   void writeConfig(const std::vector<std::string> &Keys);
