--- a/Tests/System/GatewayDeployment.cpp
+++ b/Tests/System/GatewayDeployment.cpp
@@ -45,6 +45,29 @@
   throw std::runtime_error("no consecutive free ports were found");
 }
 
+/// A request of customer "crew". Tokens is the value of the header with the numbers of tokens,
+/// empty for a request without them.
+HttpRequest customerRequest(const std::string &Id, const char *Method, const char *Path,
+                            const std::string &Key, const std::string &Tokens) {
+  HttpRequest Request;
+  Request.Method_ = Method;
+  Request.Target_ = Path;
+  Request.Body_ = std::string(Method) == "POST" ? "body" : "";
+  Request.Headers_.add("Host", site::Host);
+  Request.Headers_.add("X-Attempt-Id", Id);
+  Request.Headers_.add("Authorization", "Token " + Key);
+  if (!Tokens.empty())
+    Request.Headers_.add("X-Token-Counts", Tokens);
+  return Request;
+}
+
+HttpSendOptions customerSendOptions() {
+  HttpSendOptions Options;
+  Options.KeepHost_ = true;
+  Options.ResponseTimeout_ = AwaitTimeout;
+  return Options;
+}
+
 } // namespace
 
 GatewayDeployment::GatewayDeployment(std::vector<std::string> DataCenters, SiteOptions Options)
@@ -102,23 +125,13 @@
 HttpResult GatewayDeployment::call(std::size_t Index, const std::string &Id, const char *Method,
                                    const char *Path, int Events, const std::string &Key,
                                    int Prompt) const {
-  HttpRequest Request;
-  Request.Method_ = Method;
-  Request.Target_ = Path;
-  Request.Body_ = std::string(Method) == "POST" ? "body" : "";
-  Request.Headers_.add("Host", site::Host);
-  Request.Headers_.add("X-Attempt-Id", Id);
-  Request.Headers_.add("Authorization", "Token " + Key);
-  if (Events > 0)
-    Request.Headers_.add("X-Token-Counts", fmt::format("{},{}", Prompt, Events));
   boost::asio::io_context Loop;
   HttpClient Client(Loop);
-  HttpSendOptions Options;
-  Options.KeepHost_ = true;
-  Options.ResponseTimeout_ = AwaitTimeout;
   std::optional<HttpResult> Received;
-  Client.send(Addresses_[Index], std::move(Request), Options,
-              [&](HttpResult Result) { Received = std::move(Result); });
+  Client.send(Addresses_[Index],
+              customerRequest(Id, Method, Path, Key,
+                              Events > 0 ? fmt::format("{},{}", Prompt, Events) : ""),
+              customerSendOptions(), [&](HttpResult Result) { Received = std::move(Result); });
   while (!Received)
     Loop.run_one();
   return *Received;
@@ -131,6 +144,21 @@
                     [=, this] { return call(Index, Id, Method, Path, Events, "key-1", Prompt); });
 }
 
+void GatewayDeployment::sendStream(HttpClient &Client, std::size_t Index, const std::string &Id,
+                                   const std::vector<PromptPart> &Prompt, int Events,
+                                   HttpCallback Done) const {
+  int Tokens = 0;
+  std::string Parts;
+  for (const PromptPart &Part : Prompt) {
+    Tokens += Part.Tokens_;
+    Parts += fmt::format("{}{}:{}", Parts.empty() ? "" : ",", Part.Id_, Part.Tokens_);
+  }
+  HttpRequest Request =
+      customerRequest(Id, "POST", site::BriefPath, "key-1", fmt::format("{},{}", Tokens, Events));
+  Request.Headers_.add("X-Prompt-Prefix", Parts);
+  Client.send(Addresses_[Index], std::move(Request), customerSendOptions(), std::move(Done));
+}
+
 void GatewayDeployment::await(const std::function<bool()> &Done, const std::string &What) {
   const auto Deadline = std::chrono::steady_clock::now() + AwaitTimeout;
   while (!Done()) {
--- a/Tests/System/GatewayDeployment.h
+++ b/Tests/System/GatewayDeployment.h
@@ -14,6 +14,12 @@
 
 namespace rattancart {
 
+/// A part of a prompt.
+struct PromptPart {
+  std::string Id_;
+  int Tokens_ = 0;
+};
+
 /// Gateways as separate processes, and a stand-in of the users' platform. Not thread-safe, except
 /// for call().
 class GatewayDeployment {
@@ -40,6 +46,11 @@
   /// Does the same as call() with "key-1", on a thread of its own.
   std::future<HttpResult> callAsync(std::size_t Index, const std::string &Id, const char *Method,
                                     const char *Path, int Events = 0, int Prompt = 700) const;
+  /// Sends a stream of customer "crew" to a gateway through a client, which calls Done on its event
+  /// loop. The last part of the prompt is the stream's own. Precondition: Client outlives the
+  /// stream.
+  void sendStream(HttpClient &Client, std::size_t Index, const std::string &Id,
+                  const std::vector<PromptPart> &Prompt, int Events, HttpCallback Done) const;
   /// Waits until a stream runs of which at least Events events were sent, and returns the id of its
   /// first engine.
   std::string awaitStream(std::uint64_t Events = 5) const;
