--- a/Source/StandIns/Site/ActivityLog.h
+++ b/Source/StandIns/Site/ActivityLog.h
@@ -23,8 +23,8 @@
   TimePoint At_;
 };
 
-/// A crash of an engine.
-struct EngineCrash {
+/// A crash of an engine that a part of a prompt caused.
+struct PromptCrash {
   std::string Engine_;
   TimePoint At_;
 };
@@ -36,7 +36,7 @@
   /// Number of refused requests, by the id of the engine that could not take them.
   std::map<std::string, std::size_t> Refusals_;
   /// The crashes caused by a prompt part, by part, in order.
-  std::map<std::string, std::vector<EngineCrash>> PromptCrashes_;
+  std::map<std::string, std::vector<PromptCrash>> PromptCrashes_;
   /// The requests with a prompt part that crashes engines, whether executed or refused, by part, in
   /// the order in which engines received them.
   std::map<std::string, std::vector<ReceivedRequest>> CrashingRequests_;
--- a/Tests/System/PromptCrashTest.cpp
+++ b/Tests/System/PromptCrashTest.cpp
@@ -153,12 +153,12 @@
 };
 
 /// The crash from which recovery counts: the fifth, or the last if there were fewer.
-TimePoint decisiveCrash(const std::vector<EngineCrash> &Crashes) {
+TimePoint decisiveCrash(const std::vector<PromptCrash> &Crashes) {
   return Crashes[std::min(Crashes.size(), CrashesUntilKnown) - 1].At_;
 }
 
-std::vector<EngineCrash> crashesBefore(std::vector<EngineCrash> Crashes, TimePoint Time) {
-  std::erase_if(Crashes, [Time](const EngineCrash &Each) { return Each.At_ >= Time; });
+std::vector<PromptCrash> crashesBefore(std::vector<PromptCrash> Crashes, TimePoint Time) {
+  std::erase_if(Crashes, [Time](const PromptCrash &Each) { return Each.At_ >= Time; });
   return Crashes;
 }
 
