Requests under way end when a part of their prompt is quarantined

It is now cancelled at the next tick and its caller gets 502; one that waits at the gateway gets 503.

EnginesBeginToAnswerAPromptThatIsQuarantinedMeanwhile fails without the change.

--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -167,10 +167,6 @@
 }
 
 void StreamExchange::tryQueued(TimePoint Now) {
-  if (quarantinedPart()) {
-    leaveQueue();
-    return refuseWithoutPath();
-  }
   const Duration Waited = Now - (WaitUntil_ - Context_.AdmissionQueue_.options().MaxWait_);
   if (Context_.AdmissionQueue_.isNext(*Ticket_, Now) && sendOnPath(/*Again=*/false)) {
     Context_.Metrics_.observe("queue_wait_seconds", "sent", Waited);
@@ -477,8 +473,6 @@
     ResumeUntil_.reset();
     return;
   }
-  if (!attemptIsLive() && quarantinedPart())
-    return giveUp();
   // Engines that are silent or no longer listed may still send the rest of a stream; until they end
   // it, the caller decides how long to wait.
   const bool Kept = Started_ ? attemptIsLive() : pathMayWork(Now);
@@ -511,11 +505,16 @@
 }
 
 void StreamExchange::tick(TimePoint Now) {
-  if (!ended() && Ticket_)
+  if (ended())
+    return;
+  // An engine that has not begun the answer yet would crash too.
+  if (quarantinedPart())
+    return giveUp();
+  if (Ticket_)
     return tryQueued(Now);
-  if (!ended() && ResumeUntil_)
+  if (ResumeUntil_)
     return tryResume(Now);
-  if (ended() || !Attempt_ || !Attempt_->Live_ || Checking_ || !Monitor_.isCheckDue(Now))
+  if (!Attempt_ || !Attempt_->Live_ || Checking_ || !Monitor_.isCheckDue(Now))
     return;
   checkPath();
 }
--- a/Source/SiteModel/SimulatedEngines.cpp
+++ b/Source/SiteModel/SimulatedEngines.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <sstream>
 
 namespace rattancart {
 
@@ -44,6 +45,9 @@
   Caller.MaxAnswerTokens_ = numericHeader(Request.Headers_, "events") * TokensPerEvent;
   if (Request.Headers_.has("last"))
     Caller.LastEvent_ = static_cast<std::uint64_t>(numericHeader(Request.Headers_, "last"));
+  std::istringstream Parts{std::string(Request.Headers_.get("parts"))};
+  for (std::string Part; std::getline(Parts, Part, ',');)
+    Caller.SharedPromptParts_.emplace_back(Part);
   return Caller;
 }
 
--- a/Tests/Gateway/StreamExchangeTest.cpp
+++ b/Tests/Gateway/StreamExchangeTest.cpp
@@ -146,7 +146,7 @@
   std::shared_ptr<Caller> Caller_ = std::make_shared<Caller>();
   std::vector<EndpointId> Ids_{EndpointId("a"), EndpointId("b"), EndpointId("c")};
 
-  explicit OneRequest(std::optional<std::uint64_t> LastEvent = {}) {
+  explicit OneRequest(std::optional<std::uint64_t> LastEvent = {}, bool IsSent = true) {
     Retries_.setProcesses(1);
     ServingConfig Config;
     Config.Revision_ = ConfigRevision(1);
@@ -184,10 +184,20 @@
     Request.Headers_.add("id", "r");
     Request.Headers_.add("prompt", "100");
     Request.Headers_.add("events", "9");
+    Request.Headers_.add("parts", "shared,bad");
     if (LastEvent)
       Request.Headers_.add("last", std::to_string(*LastEvent));
     Handler_.handle(std::move(Request), std::make_shared<CallerConnection>(Caller_));
-    BOOST_REQUIRE(Engines_.sends() == 1U);
+    if (IsSent)
+      BOOST_REQUIRE(Engines_.sends() == 1U);
+  }
+
+  /// Two engines crash under requests of other callers with a part of this prompt.
+  static void quarantine(PromptQuarantine &Quarantine) {
+    Quarantine.onServed({PromptPartId("shared")}, Start - 2s);
+    for (const auto &[Engine, Age] : {std::pair{"x", 2s}, std::pair{"y", 1s}})
+      Quarantine.onCrash({PromptPartId("shared"), PromptPartId("bad")}, EndpointId(Engine),
+                         Incarnation(1), Start - Age);
   }
 
   /// The engine that runs the newest call is taken for silent.
@@ -377,3 +387,45 @@
   BOOST_TEST(Each.Caller_->Complete_);
   BOOST_TEST(Each.Handler_.inFlight() == 0U);
 }
+
+namespace {
+
+/// What a request with a prompt part had come to when the part was quarantined.
+struct QuarantineCase {
+  const char *Name_;
+  void (*Play_)(ScriptedEngines &);
+  /// 0 if the stream goes on.
+  std::uint32_t Status_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const QuarantineCase &Case) {
+  return Out << Case.Name_;
+}
+
+const QuarantineCase QuarantineCases[] = {
+    {"the engine has it", [](ScriptedEngines &) {}, 502},
+    {"the engine has sent a head", [](ScriptedEngines &Engines) { Engines.head(0, 200); }, 502},
+    {"the answer has begun",
+     [](ScriptedEngines &Engines) {
+       Engines.head(0, 200);
+       Engines.body(0, events(1, 1));
+     },
+     0},
+    {"every engine has refused it", [](ScriptedEngines &Engines) { Engines.refuseAll(); }, 503},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(EnginesBeginToAnswerAPromptThatIsQuarantinedMeanwhile, QuarantineCases, Case) {
+  OneRequest Played;
+  Case.Play_(Played.Engines_);
+  OneRequest::quarantine(Played.Quarantine_);
+  Played.Time_.advance(25ms);
+  Played.Handler_.tick();
+  for (std::size_t Number = 0; Number < Played.Engines_.sends(); ++Number)
+    BOOST_TEST(Played.Engines_.isLive(Number) == (Case.Status_ == 0));
+  BOOST_TEST(Played.Caller_->Complete_ == (Case.Status_ != 0));
+  if (Case.Status_ != 0)
+    BOOST_TEST(Played.Caller_->Status_ == Case.Status_);
+  BOOST_TEST((Case.Status_ == 0 || Played.Handler_.inFlight() == 0U));
+}
