HttpServer: a timer that expired during a delay of the event loop loses no request

What callers saw: after the process had been delayed for longer than a time limit, a request that had arrived meanwhile ended without an answer (closed as idle), or got its answer and then a 408 of another kind behind it on the same connection, which was closed with the request that ran.

Cause: a handler of an expired timer that is already queued can't be cancelled. The socket is read first after a delay, so that the handler of an earlier use of the timer closed the connection, or refused a request that had been read completely in the meantime. An idle connection was also closed with unread bytes, and a request refused whose rest had arrived.

Change: each use of the timer has a number, and a handler of an earlier use does nothing. An idle connection with unread bytes is not closed. A request is still read for 100 ms after its limit before it gets 408.

--- a/Source/Net/HttpServer.cpp
+++ b/Source/Net/HttpServer.cpp
@@ -59,6 +59,16 @@
          !boost::beast::iequals(Header[http::field::transfer_encoding], "chunked");
 }
 
+/// What a connection does when its timer expires.
+enum class TimerAction {
+  Close,
+  /// Refuses a request that has not arrived completely.
+  Refuse,
+};
+
+/// How long a request is still read after its time limit, for bytes that had arrived by then.
+constexpr std::chrono::milliseconds LateReadTime{100};
+
 /// One caller's connection. Reads a request and reads the next after the response to it.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
 public:
@@ -81,7 +91,7 @@
       return close();
     if (Buffer_.size() > 0)
       return readRequest();
-    armTimer(Shared_->Options_.IdleTimeout_, /*RefuseOnExpiry=*/false);
+    armTimer(Shared_->Options_.IdleTimeout_, TimerAction::Close);
     Socket_.async_wait(tcp::socket::wait_read,
                        [Self = shared_from_this()](boost::system::error_code E) {
                          if (Self->Closed_)
@@ -103,7 +113,7 @@
     if (Closed_)
       return;
     Closed_ = true;
-    Timer_.cancel();
+    cancelTimer();
     boost::system::error_code Ignored;
     Socket_.shutdown(tcp::socket::shutdown_both, Ignored);
     Socket_.close(Ignored);
@@ -145,27 +155,46 @@
   bool isHeadRequest() const { return IsHeadRequest_; }
 
 private:
-  void armTimer(Duration Delay, bool RefuseOnExpiry) {
+  void armTimer(Duration Delay, TimerAction Action) {
+    const std::uint64_t Number = ++TimerNumber_;
     Timer_.expires_after(Delay);
-    Timer_.async_wait([Weak = weak_from_this(), RefuseOnExpiry](boost::system::error_code E) {
+    Timer_.async_wait([Weak = weak_from_this(), Number, Action](boost::system::error_code E) {
       const auto Self = Weak.lock();
-      if (E || !Self || Self->Closed_)
-        return;
-      if (!RefuseOnExpiry)
-        return Self->close();
-      ++Self->Shared_->Stats_.TimedOut_;
-      Self->refuse(408, ErrorCode::SlowRequest);
+      // A handler that was already queued when the timer was armed again can't be cancelled.
+      if (!E && Self && !Self->Closed_ && Number == Self->TimerNumber_)
+        Self->onTimer(Action);
     });
   }
 
+  void cancelTimer() {
+    ++TimerNumber_;
+    Timer_.cancel();
+  }
+
+  void onTimer(TimerAction Action) {
+    // After a delay of the event loop, bytes that arrived in time may still be unread.
+    if (Action == TimerAction::Close) {
+      boost::system::error_code E;
+      // The pending wait reads the request.
+      if (Idle_ && Socket_.available(E) > 0)
+        return;
+      return close();
+    }
+    if (!std::exchange(ReadsLate_, true))
+      return armTimer(LateReadTime, TimerAction::Refuse);
+    ++Shared_->Stats_.TimedOut_;
+    refuse(408, ErrorCode::SlowRequest);
+  }
+
   void readRequest() {
     Idle_ = false;
+    ReadsLate_ = false;
     Parser_.emplace();
     Parser_->header_limit(static_cast<std::uint32_t>(Shared_->Options_.MaxHeaderBytes_));
     Parser_->body_limit(Shared_->Options_.MaxBodyBytes_);
     RequestEnd_ = std::chrono::steady_clock::now() + Shared_->Options_.RequestTimeout_;
     armTimer(std::min(Shared_->Options_.HeaderTimeout_, Shared_->Options_.RequestTimeout_),
-             /*RefuseOnExpiry=*/true);
+             TimerAction::Refuse);
     http::async_read_header(Socket_, Buffer_, *Parser_,
                             [Self = shared_from_this()](boost::system::error_code E, std::size_t) {
                               Self->onHeader(E);
@@ -182,7 +211,7 @@
       return refuse(400, ErrorCode::MalformedRequest);
     if (boost::beast::iequals(Message[http::field::expect], "100-continue"))
       sendContinue();
-    armTimer(RequestEnd_ - std::chrono::steady_clock::now(), /*RefuseOnExpiry=*/true);
+    armTimer(RequestEnd_ - std::chrono::steady_clock::now(), TimerAction::Refuse);
     http::async_read(Socket_, Buffer_, *Parser_,
                      [Self = shared_from_this()](boost::system::error_code Failure, std::size_t) {
                        Self->onRequest(Failure);
@@ -201,7 +230,7 @@
       return;
     if (E)
       return onReadError(E);
-    Timer_.cancel();
+    cancelTimer();
 
     auto Message = Parser_->release();
     KeepAlive_ = Message.keep_alive();
@@ -259,7 +288,7 @@
   void startLingeringClose() {
     boost::system::error_code Ignored;
     Socket_.shutdown(tcp::socket::shutdown_send, Ignored);
-    armTimer(std::chrono::milliseconds(500), /*RefuseOnExpiry=*/false);
+    armTimer(std::chrono::milliseconds(500), TimerAction::Close);
     discardInput();
   }
 
@@ -345,9 +374,13 @@
   std::uint64_t ExchangeNumber_ = 0;
   /// The time by which the request that is being read must have arrived.
   std::chrono::steady_clock::time_point RequestEnd_;
+  /// Identifies the last use of the timer.
+  std::uint64_t TimerNumber_ = 0;
   bool Closed_ = false;
   bool Refused_ = false;
   bool Idle_ = false;
+  /// The time limit of the request has expired; what had arrived by then is still read.
+  bool ReadsLate_ = false;
   bool InResponse_ = false;
   bool ResponseEnded_ = false;
   bool KeepAlive_ = true;
