HttpServer: a connection that a response promised to keep takes the next request

What callers saw: a stream that had begun before a shutdown ended, and the request that the caller then sent on the same connection, which it had been told is kept, was read, discarded and closed without an answer, up to half a second later (much later if the caller closed nothing itself). During a drain a request that was under way on a connection just opened or just used was reset.

Cause: whether the connection is kept was decided at the head of the response and once more at its end. If a shutdown had begun between, the connection was closed after discarding input for a while. The wait that watches for the caller's close was still pending then and awaited a request again, with the idle limit in place of the half second. A drain closed idle connections at once.

Change: what the head said holds, so that a connection is closed after a response with 'Connection: close'. No request is awaited on a connection that is being closed. A drain closes connections that have been idle for half a second; a connection holds up the shutdown no longer than its limit, as before.

--- a/Source/Net/HttpServer.cpp
+++ b/Source/Net/HttpServer.cpp
@@ -69,6 +69,10 @@
 /// How long a request is still read after its time limit, for bytes that had arrived by then.
 constexpr std::chrono::milliseconds LateReadTime{100};
 
+/// How long a connection on which no request has arrived is kept during a drain. Its caller was
+/// told that it is kept, and a request may be on its way.
+constexpr std::chrono::milliseconds DrainIdleTimeout{500};
+
 /// One caller's connection. Reads a request and reads the next after the response to it.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
 public:
@@ -86,12 +90,11 @@
 
   /// Waits for the first byte of the next request.
   void awaitRequest() {
-    Idle_ = true;
-    if (Shared_->Draining_ && Buffer_.size() == 0)
-      return close();
     if (Buffer_.size() > 0)
       return readRequest();
-    armTimer(Shared_->Options_.IdleTimeout_, TimerAction::Close);
+    Idle_ = true;
+    IdleSince_ = std::chrono::steady_clock::now();
+    armIdleTimer();
     Socket_.async_wait(tcp::socket::wait_read,
                        [Self = shared_from_this()](boost::system::error_code E) {
                          if (Self->Closed_)
@@ -102,11 +105,10 @@
                        });
   }
 
-  void closeIfIdle() {
-    boost::system::error_code E;
-    // A request that has arrived but is not read yet is still answered.
-    if (Idle_ && Socket_.available(E) == 0)
-      close();
+  /// Applies the current limit to a connection that is already idle.
+  void limitIdleTime() {
+    if (Idle_)
+      armIdleTimer();
   }
 
   void close() {
@@ -150,11 +152,21 @@
       finishExchange();
   }
 
-  bool keepAlive() const { return KeepAlive_ && !Shared_->Draining_ && !Shared_->AnnounceClose_; }
-  void forceClose() { KeepAlive_ = false; }
+  /// Decides whether the connection is kept after the response whose head is sent now.
+  bool decideKeepAlive() {
+    KeptAfterResponse_ = KeepAlive_ && !Shared_->Draining_ && !Shared_->AnnounceClose_;
+    return KeptAfterResponse_;
+  }
   bool isHeadRequest() const { return IsHeadRequest_; }
 
 private:
+  void armIdleTimer() {
+    Duration Limit = Shared_->Options_.IdleTimeout_;
+    if (Shared_->Draining_)
+      Limit = std::min<Duration>(Limit, DrainIdleTimeout);
+    armTimer(IdleSince_ + Limit - std::chrono::steady_clock::now(), TimerAction::Close);
+  }
+
   void armTimer(Duration Delay, TimerAction Action) {
     const std::uint64_t Number = ++TimerNumber_;
     Timer_.expires_after(Delay);
@@ -286,6 +298,7 @@
   /// Closes the connection after reading and discarding input for a short time. A close with unread
   /// input would reset the connection, and the caller could lose the response.
   void startLingeringClose() {
+    Lingers_ = true;
     boost::system::error_code Ignored;
     Socket_.shutdown(tcp::socket::shutdown_send, Ignored);
     armTimer(std::chrono::milliseconds(500), TimerAction::Close);
@@ -322,13 +335,13 @@
   void finishExchange() {
     if (!InResponse_)
       return;
-    const bool Keep = keepAlive();
     InResponse_ = false;
     ResponseEnded_ = false;
     OnClosed_ = nullptr;
     ++ExchangeNumber_;
     --Shared_->Stats_.InFlight_;
-    if (!Keep)
+    // What the head of the response said holds, also if a shutdown has begun since.
+    if (!KeptAfterResponse_)
       return startLingeringClose();
     if (!WatchPending_)
       return awaitRequest();
@@ -344,7 +357,7 @@
     Socket_.async_wait(tcp::socket::wait_read,
                        [Self = shared_from_this()](boost::system::error_code E) {
                          Self->WatchPending_ = false;
-                         if (Self->Closed_)
+                         if (Self->Closed_ || Self->Lingers_)
                            return;
                          if (!Self->InResponse_)
                            return Self->awaitRequest();
@@ -374,6 +387,7 @@
   std::uint64_t ExchangeNumber_ = 0;
   /// The time by which the request that is being read must have arrived.
   std::chrono::steady_clock::time_point RequestEnd_;
+  std::chrono::steady_clock::time_point IdleSince_;
   /// Identifies the last use of the timer.
   std::uint64_t TimerNumber_ = 0;
   bool Closed_ = false;
@@ -383,7 +397,12 @@
   bool ReadsLate_ = false;
   bool InResponse_ = false;
   bool ResponseEnded_ = false;
+  /// Whether the caller wants the connection to be kept.
   bool KeepAlive_ = true;
+  /// Whether the head of the response said that the connection is kept.
+  bool KeptAfterResponse_ = false;
+  /// The connection is closed, and only the caller's remaining input is discarded.
+  bool Lingers_ = false;
   bool IsHeadRequest_ = false;
   bool WatchPending_ = false;
 };
@@ -404,7 +423,7 @@
     if (!isOpen())
       return;
     Ended_ = true;
-    std::string Text = formatHead(Response, Connection_->keepAlive(),
+    std::string Text = formatHead(Response, Connection_->decideKeepAlive(),
                                   fmt::format("Content-Length: {}\r\n", Response.Body_.size()));
     if (!Connection_->isHeadRequest())
       Text += Response.Body_;
@@ -414,7 +433,7 @@
   void startChunked(HttpResponse Head) override {
     if (isOpen())
       Connection_->queueText(
-          formatHead(Head, Connection_->keepAlive(), "Transfer-Encoding: chunked\r\n"));
+          formatHead(Head, Connection_->decideKeepAlive(), "Transfer-Encoding: chunked\r\n"));
   }
   void sendChunk(std::string_view Data) override {
     if (isOpen() && !Data.empty())
@@ -489,7 +508,7 @@
     Shared_->Draining_ = true;
     closeAcceptor();
     for (const auto &Connection : lockConnections())
-      Connection->closeIfIdle();
+      Connection->limitIdleTime();
   }
 
   void stop() {
--- a/Source/Net/HttpServer.h
+++ b/Source/Net/HttpServer.h
@@ -87,14 +87,14 @@
   std::error_code listen(const NetAddress &Address);
   /// The address on which the server listens.
   NetAddress address() const;
-  /// Continues to accept connections, but adds "Connection: close" to each response, so that
-  /// callers reconnect and can reach another process. Meant for the time until a load balancer has
-  /// noticed that this process is shutting down.
+  /// Continues to accept connections, but adds "Connection: close" to each response that begins
+  /// from now on, so that callers reconnect and can reach another process. Meant for the time until
+  /// a load balancer has noticed that this process is shutting down.
   void announceClose();
   /// Sets the limits for requests that start from now on.
   void setLimits(const HttpServerOptions &Options);
-  /// Accepts no new connections. Idle connections are closed; the others close after their current
-  /// response, which has "Connection: close".
+  /// Accepts no new connections. A connection is closed when it has been idle for half a second, or
+  /// after a response with "Connection: close", as each response has that begins from now on.
   void drain();
   /// Accepts no new connections and closes all open ones.
   void stop();
--- a/Tests/Net/KeptConnectionTest.cpp
+++ b/Tests/Net/KeptConnectionTest.cpp
@@ -51,6 +51,29 @@
     {"kept connection after the limit", true, true},
 };
 
+/// How a server stops to accept connections.
+struct ShutdownCase {
+  const char *Name_;
+  void (*Start_)(HttpServer &);
+};
+
+std::ostream &operator<<(std::ostream &Out, const ShutdownCase &Case) { return Out << Case.Name_; }
+
+const ShutdownCase ShutdownCases[] = {
+    {"announced", [](HttpServer &Server) { Server.announceClose(); }},
+    {"drained", [](HttpServer &Server) { Server.drain(); }},
+};
+
+/// When a caller sends its next request on a connection that it was not told to give up.
+enum class NextRequest { WithTheStream, DuringTheStream, AfterTheStream };
+
+std::ostream &operator<<(std::ostream &Out, NextRequest When) {
+  return Out << static_cast<int>(When);
+}
+
+const NextRequest NextRequests[] = {NextRequest::WithTheStream, NextRequest::DuringTheStream,
+                                    NextRequest::AfterTheStream};
+
 } // namespace
 
 BOOST_DATA_TEST_CASE(RequestThatArrivedDuringADelayOfTheEventLoopIsAnswered,
@@ -80,3 +103,73 @@
   BOOST_TEST(countOccurrences(Setup.Received_, "HTTP/1.1 ") == (Arrival.Kept_ ? 2U : 1U));
   BOOST_TEST(Setup.Server_.stats().TimedOut_ == 0U);
 }
+
+BOOST_DATA_TEST_CASE(RequestBehindAStreamThatBeganBeforeTheShutdownIsAnswered,
+                     data::make(ShutdownCases) * data::make(NextRequests), Shutdown, When) {
+  RawHttpFixture Setup;
+  Setup.send(get("/stream") + (When == NextRequest::WithTheStream ? get("/next") : ""));
+  Setup.receiveUntil("\r\n\r\n");
+  BOOST_TEST(!Setup.received("Connection: close"));
+  Shutdown.Start_(Setup.Server_);
+  if (When == NextRequest::DuringTheStream)
+    Setup.send(get("/next"));
+  Setup.Handler_.Held_->sendChunk("event");
+  Setup.Handler_.Held_->finishChunked();
+  Setup.receiveUntil("0\r\n\r\n");
+  Setup.Loop_.poll();
+  if (When == NextRequest::AfterTheStream)
+    Setup.send(get("/next"));
+  Setup.receiveToEnd();
+  BOOST_TEST(Setup.received("/next ;"));
+  BOOST_TEST(countOccurrences(Setup.Received_, "Connection: close") == 1U);
+  BOOST_TEST(Setup.Handler_.Count_ == 2);
+}
+
+BOOST_DATA_TEST_CASE(RequestBehindAnAnswerThatClosesTheConnectionIsNotRun,
+                     data::make(ShutdownCases), Shutdown) {
+  RawHttpFixture Setup;
+  Setup.send(get("/hold"));
+  Setup.runUntil([&] { return Setup.Handler_.Held_ != nullptr; });
+  Shutdown.Start_(Setup.Server_);
+  Setup.Handler_.Held_->send({});
+  Setup.Handler_.Held_.reset();
+  Setup.receiveToEnd();
+  BOOST_TEST(Setup.received("Connection: close"));
+  Setup.send(get("/next"));
+  Setup.runUntil([&] { return Setup.Server_.stats().Open_ == 0; });
+  BOOST_TEST(Setup.Handler_.Count_ == 1);
+}
+
+BOOST_AUTO_TEST_CASE(RequestOnAConnectionAcceptedBeforeTheDrainIsAnswered) {
+  RawHttpFixture Setup;
+  Setup.runUntil([&] { return Setup.Server_.stats().Accepted_ == 1; });
+  Setup.Server_.drain();
+  Setup.Loop_.poll();
+  Setup.send(get("/a"));
+  Setup.receiveToEnd();
+  BOOST_TEST(Setup.received("/a ;"));
+  BOOST_TEST(Setup.received("Connection: close"));
+}
+
+BOOST_AUTO_TEST_CASE(RequestOnAConnectionUsedJustBeforeTheDrainIsAnswered) {
+  RawHttpFixture Setup;
+  Setup.send(get("/a"));
+  Setup.receiveUntil("/a ;");
+  Setup.Loop_.poll();
+  Setup.Server_.drain();
+  Setup.Loop_.poll();
+  Setup.send(get("/b"));
+  Setup.receiveToEnd();
+  BOOST_TEST(Setup.received("/b ;"));
+  BOOST_TEST(countOccurrences(Setup.Received_, "Connection: close") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(IdleConnectionIsClosedByTheDrain) {
+  RawHttpFixture Setup;
+  Setup.send(get("/a"));
+  Setup.receiveUntil("/a ;");
+  Setup.Server_.drain();
+  Setup.receiveToEnd();
+  Setup.runUntil([&] { return Setup.Server_.stats().Open_ == 0; });
+  BOOST_TEST(countOccurrences(Setup.Received_, "HTTP/1.1 ") == 1U);
+}
--- a/Tests/Net/RawHttpFixture.h
+++ b/Tests/Net/RawHttpFixture.h
@@ -16,13 +16,16 @@
 
 namespace rattancart {
 
-/// Answers with the request's target and body; leaves requests to /hold unanswered in Held_.
+/// Answers with the request's target and body. Leaves requests to /hold unanswered in Held_, and
+/// those to /stream with only the head of a chunked response.
 class TargetHandler final : public HttpHandler {
 public:
   void handle(HttpRequest Request, HttpResponderPtr Responder) override {
     ++Count_;
-    if (Request.path() == "/hold") {
+    if (Request.path() == "/hold" || Request.path() == "/stream") {
       Held_ = std::move(Responder);
+      if (Request.path() == "/stream")
+        Held_->startChunked({});
       Held_->onClosed([this] { CallerDisconnected_ = true; });
       return;
     }
