HttpServer: a raised idle limit holds for connections that are idle already

What callers saw: after a change of the configuration raised the idle limit, a kept connection was closed at the earlier, shorter limit, so that a request on it could cross the close.

Cause: the timer kept the limit that held when the connection became idle.

Change: when the timer expires, the limit that holds then is applied. A lowered limit doesn't shorten the time of connections that are idle already.

Evidence: ConnectionIdleWithinARaisedLimitIsKept, before: '1 failure is detected' (no answer); now 'No errors detected'. Requests that were being read when all limits shrank were answered before this change too; the test RequestThatBeganBeforeAChangeOfTheLimitsIsAnswered keeps that.

--- a/Source/Net/HttpServer.cpp
+++ b/Source/Net/HttpServer.cpp
@@ -160,13 +160,16 @@
   bool isHeadRequest() const { return IsHeadRequest_; }
 
 private:
-  void armIdleTimer() {
+  /// How long the connection may stay idle from now on.
+  Duration idleTimeLeft() const {
     Duration Limit = Shared_->Options_.IdleTimeout_;
     if (Shared_->Draining_)
       Limit = std::min<Duration>(Limit, DrainIdleTimeout);
-    armTimer(IdleSince_ + Limit - std::chrono::steady_clock::now(), TimerAction::Close);
+    return IdleSince_ + Limit - std::chrono::steady_clock::now();
   }
 
+  void armIdleTimer() { armTimer(idleTimeLeft(), TimerAction::Close); }
+
   void armTimer(Duration Delay, TimerAction Action) {
     const std::uint64_t Number = ++TimerNumber_;
     Timer_.expires_after(Delay);
@@ -190,6 +193,9 @@
       // The pending wait reads the request.
       if (Idle_ && Socket_.available(E) > 0)
         return;
+      // The limit may have been raised since.
+      if (Idle_ && idleTimeLeft() > Duration{})
+        return armIdleTimer();
       return close();
     }
     if (!std::exchange(ReadsLate_, true))
--- a/Source/Net/HttpServer.h
+++ b/Source/Net/HttpServer.h
@@ -91,7 +91,8 @@
   /// from now on, so that callers reconnect and can reach another process. Meant for the time until
   /// a load balancer has noticed that this process is shutting down.
   void announceClose();
-  /// Sets the limits for requests that start from now on.
+  /// Sets the limits for requests that start from now on. Connections that are idle now stay open
+  /// for the longer of both idle limits.
   void setLimits(const HttpServerOptions &Options);
   /// Accepts no more connections than those already established. A connection is closed when it has
   /// been idle for half a second, or after a response with "Connection: close", as each response
--- a/Tests/Net/KeptConnectionTest.cpp
+++ b/Tests/Net/KeptConnectionTest.cpp
@@ -74,6 +74,26 @@
 const NextRequest NextRequests[] = {NextRequest::WithTheStream, NextRequest::DuringTheStream,
                                     NextRequest::AfterTheStream};
 
+/// A request of which a part is sent before the limits change.
+struct LimitCase {
+  const char *Name_;
+  std::string Before_;
+  std::string After_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const LimitCase &Case) { return Out << Case.Name_; }
+
+const LimitCase LimitCases[] = {
+    {"in a header that is larger than the new limit",
+     "GET /a HTTP/1.1\r\nHost: a\r\nX: " + std::string(500, 'x'), "\r\n\r\n"},
+    {"in a body that is larger than the new limit",
+     "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 90\r\n\r\n" + std::string(50, 'x'),
+     std::string(40, 'x')},
+    {"in chunks that are larger than the new limit",
+     "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n8\r\n12345678\r\n",
+     "8\r\n12345678\r\n0\r\n\r\n"},
+};
+
 } // namespace
 
 BOOST_DATA_TEST_CASE(RequestThatArrivedDuringADelayOfTheEventLoopIsAnswered,
@@ -179,3 +199,36 @@
   Setup.runUntil([&] { return Setup.Server_.stats().Open_ == 0; });
   BOOST_TEST(countOccurrences(Setup.Received_, "HTTP/1.1 ") == 1U);
 }
+
+BOOST_DATA_TEST_CASE(RequestThatBeganBeforeAChangeOfTheLimitsIsAnswered, data::make(LimitCases),
+                     Case) {
+  RawHttpFixture Setup;
+  Setup.send(Case.Before_);
+  Setup.runUntil([&] { return Setup.Server_.stats().Accepted_ == 1; });
+  Setup.Loop_.poll();
+  HttpServerOptions Smaller;
+  Smaller.MaxHeaderBytes_ = 40;
+  Smaller.MaxBodyBytes_ = 4;
+  Smaller.MaxConnections_ = 0;
+  Smaller.HeaderTimeout_ = {};
+  Smaller.RequestTimeout_ = {};
+  Smaller.IdleTimeout_ = {};
+  Setup.Server_.setLimits(Smaller);
+  Setup.Loop_.poll();
+  Setup.send(Case.After_);
+  Setup.receiveUntil("/a ");
+  BOOST_TEST(Setup.received("/a "));
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionIdleWithinARaisedLimitIsKept) {
+  HttpServerOptions Options = smallOptions();
+  Options.IdleTimeout_ = ShortTimeout;
+  RawHttpFixture Setup(Options);
+  Setup.runUntil([&] { return Setup.Server_.stats().Accepted_ == 1; });
+  Options.IdleTimeout_ = std::chrono::hours(1);
+  Setup.Server_.setLimits(Options);
+  Setup.Loop_.run_for(3 * ShortTimeout);
+  Setup.send(get("/a"));
+  Setup.receiveUntil("/a ;");
+  BOOST_TEST(Setup.received("/a ;"));
+}
