Gateway: a repeated shutdown signal cuts no requests

What callers saw: a stream ended in the middle when the process got a second SIGTERM during its shutdown.

Cause: a second signal ended the shutdown at once, with all requests in flight. Supervisors repeat the signal, and the shutdown has a limit anyway.

Change: the gateway ignores further signals.

Evidence: RepeatedShutdownSignalCutsNoStream, before: '1 failure is detected' (the stream isn't complete); now 'No errors detected' twice, together with ShutdownFinishesRunningStreams.

--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -241,6 +241,9 @@
 }
 
 void GatewayProcess::onShutdownSignal() {
+  // A repeated signal doesn't end a shutdown early: it would cut the requests in flight.
+  if (!Drain_.isReady())
+    return;
   Log_.log(LogEvent::ShutdownStarted, {{"in_flight", RequestHandler_.inFlight()}});
   PlacementCoordinator_.stop();
   CallerServer_.announceClose();
--- a/Tests/System/GatewayTest.cpp
+++ b/Tests/System/GatewayTest.cpp
@@ -415,6 +415,18 @@
   BOOST_TEST(Deployment.gateway(0).wait() == 0);
 }
 
+BOOST_AUTO_TEST_CASE(RepeatedShutdownSignalCutsNoStream) {
+  GatewayDeployment Deployment({"east"}, {{{"east", {{"h100", 3}}}}});
+  auto Answer = Deployment.callAsync(0, "brief-1", "POST", site::BriefPath, Events);
+  Deployment.awaitStream();
+  Deployment.gateway(0).terminate();
+  GatewayDeployment::await([&] { return !Deployment.isReady(0); },
+                           "the gateway to report that it is not ready");
+  Deployment.gateway(0).terminate();
+  BOOST_TEST(consistsOfEvents(Answer.get().Response_.Body_, 1, Events));
+  BOOST_TEST(Deployment.gateway(0).wait() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(KilledGatewaysServeAgainAfterRestart) {
   GatewayDeployment Deployment({"east", "west"});
   const auto Before = Deployment.site().layers();
