Tests: answers that end with their connection, and answers that are cut or reset

No fault was found: a reset answer was never taken as complete, with and without a sink, and the gateway answers 502 to a booking whose answer was reset or cut in its chunks. The tests keep that. HttpResponder gets startUntilClose for responses without a length; an abort of these resets the connection, since a close would look like their end.

--- a/Source/Net/HttpServer.cpp
+++ b/Source/Net/HttpServer.cpp
@@ -117,7 +117,9 @@
     Closed_ = true;
     cancelTimer();
     boost::system::error_code Ignored;
-    Socket_.shutdown(tcp::socket::shutdown_both, Ignored);
+    // A shutdown would end the stream properly before the reset.
+    if (!Resets_)
+      Socket_.shutdown(tcp::socket::shutdown_both, Ignored);
     Socket_.close(Ignored);
     if (!InResponse_)
       return;
@@ -157,6 +159,15 @@
     KeptAfterResponse_ = KeepAlive_ && !Shared_->Draining_ && !Shared_->AnnounceClose_;
     return KeptAfterResponse_;
   }
+  void forceClose() { KeepAlive_ = false; }
+  /// Closes the connection so that the caller's next read fails, also behind bytes that it
+  /// received.
+  void reset() {
+    boost::system::error_code Ignored;
+    Socket_.set_option(tcp::socket::linger(true, 0), Ignored);
+    Resets_ = true;
+    close();
+  }
   bool isHeadRequest() const { return IsHeadRequest_; }
 
 private:
@@ -409,6 +420,7 @@
   bool KeptAfterResponse_ = false;
   /// The connection is closed, and only the caller's remaining input is discarded.
   bool Lingers_ = false;
+  bool Resets_ = false;
   bool IsHeadRequest_ = false;
   bool WatchPending_ = false;
 };
@@ -420,7 +432,7 @@
       : Connection_(std::move(Connection)), ExchangeNumber_(Exchange) {}
   ~ConnectionResponder() override {
     if (!Ended_ && Connection_->isAnswering(ExchangeNumber_))
-      Connection_->close();
+      closeIncomplete();
   }
   ConnectionResponder(const ConnectionResponder &) = delete;
   ConnectionResponder &operator=(const ConnectionResponder &) = delete;
@@ -441,22 +453,34 @@
       Connection_->queueText(
           formatHead(Head, Connection_->decideKeepAlive(), "Transfer-Encoding: chunked\r\n"));
   }
+  void startUntilClose(HttpResponse Head) override {
+    if (!isOpen())
+      return;
+    EndsWithConnection_ = true;
+    Connection_->forceClose();
+    Connection_->queueText(formatHead(Head, Connection_->decideKeepAlive(), {}));
+  }
   void sendChunk(std::string_view Data) override {
-    if (isOpen() && !Data.empty())
+    if (!isOpen() || Data.empty())
+      return;
+    if (EndsWithConnection_)
+      Connection_->queueText(std::string(Data));
+    else
       Connection_->queueText(fmt::format("{:x}\r\n{}\r\n", Data.size(), Data));
   }
   void finishChunked() override {
     if (!isOpen())
       return;
     Ended_ = true;
-    Connection_->queueText("0\r\n\r\n");
+    if (!EndsWithConnection_)
+      Connection_->queueText("0\r\n\r\n");
     Connection_->endResponse();
   }
   void abort() override {
     if (!isOpen())
       return;
     Ended_ = true;
-    Connection_->close();
+    closeIncomplete();
   }
   bool isOpen() const override { return !Ended_ && Connection_->isAnswering(ExchangeNumber_); }
   std::size_t queuedBytes() const override { return Connection_->queuedBytes(); }
@@ -466,9 +490,18 @@
   }
 
 private:
+  void closeIncomplete() {
+    if (EndsWithConnection_)
+      Connection_->reset();
+    else
+      Connection_->close();
+  }
+
   std::shared_ptr<ServerConnection> Connection_;
   std::uint64_t ExchangeNumber_;
   bool Ended_ = false;
+  /// The response has no length.
+  bool EndsWithConnection_ = false;
 };
 
 void ServerConnection::dispatchRequest(HttpRequest Request) {
--- a/Source/Net/HttpServer.h
+++ b/Source/Net/HttpServer.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <string_view>
 #include <system_error>
+#include <utility>
 
 namespace rattancart {
 
@@ -25,9 +26,13 @@
   virtual void send(HttpResponse Response) = 0;
   /// Starts a chunked response. Precondition: nothing was sent yet.
   virtual void startChunked(HttpResponse Head) = 0;
-  /// Queues one chunk. Precondition: startChunked was called. Empty chunks are ignored.
+  /// Starts a response without a length, whose end is that of the connection. If it is aborted, the
+  /// connection is reset, so that it doesn't look complete. Precondition: nothing was sent yet.
+  virtual void startUntilClose(HttpResponse Head) { startChunked(std::move(Head)); }
+  /// Queues one part of the body. Precondition: startChunked or startUntilClose was called. Empty
+  /// parts are ignored.
   virtual void sendChunk(std::string_view Data) = 0;
-  /// Ends a chunked response with the last chunk.
+  /// Ends a response that startChunked or startUntilClose started.
   virtual void finishChunked() = 0;
   /// Closes the connection without ending the response, so that the caller sees an incomplete one.
   virtual void abort() = 0;
--- a/Source/StandIns/Site/FakeDesk.cpp
+++ b/Source/StandIns/Site/FakeDesk.cpp
@@ -44,9 +44,34 @@
   }
   Answer.Body_ =
       fmt::format("{{\"desk\":\"{}\",\"bookings\":{}}}", Id_, Activity_.Bookings_.size());
+  if (Fault_ == DeskFault::UntilClose || Fault_ == DeskFault::ResetsBody ||
+      Fault_ == DeskFault::CutsChunks)
+    return sendUnframed(std::move(Answer), std::move(Responder));
   Responder->send(std::move(Answer));
 }
 
+void FakeDesk::sendUnframed(HttpResponse Answer, HttpResponderPtr Responder) {
+  const std::string Body = std::move(Answer.Body_);
+  if (Fault_ == DeskFault::CutsChunks)
+    Responder->startChunked(std::move(Answer));
+  else
+    Responder->startUntilClose(std::move(Answer));
+  if (Fault_ == DeskFault::UntilClose) {
+    Responder->sendChunk(Body);
+    return Responder->finishChunked();
+  }
+  Responder->sendChunk(Body.substr(0, Body.size() / 2));
+  abortWhenWritten(std::move(Responder));
+}
+
+void FakeDesk::abortWhenWritten(HttpResponderPtr Responder) {
+  if (Responder->queuedBytes() == 0)
+    return Responder->abort();
+  boost::asio::post(Loop_, [this, Responder = std::move(Responder)]() mutable {
+    abortWhenWritten(std::move(Responder));
+  });
+}
+
 void FakeDesk::sendEndlessBody(const HttpResponderPtr &Responder) {
   if (!Responder->isOpen() || Activity_.EndlessBytesSent_ > MaxEndlessBytes)
     return Responder->abort();
--- a/Source/StandIns/Site/FakeDesk.h
+++ b/Source/StandIns/Site/FakeDesk.h
@@ -24,6 +24,12 @@
   Hangs,
   /// Answers without the X-Response-Stamp header, which names the instance that answered.
   OmitsStamp,
+  /// Answers with a body that has no length and ends with the connection.
+  UntilClose,
+  /// Does the same as UntilClose, but resets the connection within the body.
+  ResetsBody,
+  /// Does the same as ResetsBody, in a chunked answer that is closed before its last chunk.
+  CutsChunks,
   /// Answers with X-Response-Stamp and a body that continues until the caller closes the
   /// connection or MaxEndlessBytes have been sent.
   EndlessBody,
@@ -46,6 +52,9 @@
   void handle(HttpRequest Request, HttpResponderPtr Responder) override;
 
 private:
+  /// Sends an answer whose end is not known from its head, whole or only its first half.
+  void sendUnframed(HttpResponse Answer, HttpResponderPtr Responder);
+  void abortWhenWritten(HttpResponderPtr Responder);
   /// Sends the next chunk of a body without an end once the previous one has left the queue, and
   /// schedules itself again.
   void sendEndlessBody(const HttpResponderPtr &Responder);
--- a/Tests/Net/HttpStreamTest.cpp
+++ b/Tests/Net/HttpStreamTest.cpp
@@ -34,6 +34,8 @@
   int Connections_ = 0;
   /// Closes the connection after each answer.
   bool Close_ = false;
+  /// Resets the connection after each answer.
+  bool Reset_ = false;
   std::shared_ptr<tcp::socket> Last_;
 
 private:
@@ -58,7 +60,9 @@
           for (const std::string &Piece : Answers_.front())
             boost::asio::write(*Socket, boost::asio::buffer(Piece), E);
           Answers_.pop_front();
-          if (Close_)
+          if (Reset_)
+            Socket->set_option(tcp::socket::linger(true, 0), E);
+          if (Close_ || Reset_)
             return Socket->close(E), void();
           serve(Socket, Buffer);
         });
@@ -203,6 +207,24 @@
      Malformed},
 };
 
+/// An answer whose connection is reset behind its last byte.
+struct ResetCase {
+  const char *Name_;
+  std::vector<std::string> Answer_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const ResetCase &Case) { return Out << Case.Name_; }
+
+const ResetCase ResetCases[] = {
+    {"without a length", {"HTTP/1.1 200 OK\r\n\r\nabcd"}},
+    {"without a length and body", {"HTTP/1.1 200 OK\r\n\r\n"}},
+    {"without a length, to be closed", {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nabcd"}},
+    {"without a length, in an old version", {"HTTP/1.0 200 OK\r\n\r\nabcd"}},
+    {"in chunks without the last",
+     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n"}},
+    {"in its head", {"HTTP/1.1 200 OK\r\n"}},
+};
+
 struct Fixture {
   Fixture() : Server_(Loop_), Client_(Loop_) {}
 
@@ -234,6 +256,18 @@
   BOOST_TEST(Result.Response_.Body_.empty());
 }
 
+BOOST_DATA_TEST_CASE_F(Fixture, ResetResponseIsNotComplete,
+                       boost::unit_test::data::make({false, true}) *
+                           boost::unit_test::data::make(ResetCases),
+                       WithSink, Case) {
+  Server_.Answers_.push_back(Case.Answer_);
+  Server_.Reset_ = true;
+  CollectingSink Sink;
+  const HttpResult Result = call(WithSink ? &Sink : nullptr);
+  BOOST_TEST(Result.Error_.value() == Closed);
+  BOOST_TEST(!Result.CloseDelimited_);
+}
+
 BOOST_DATA_TEST_CASE_F(Fixture, EndlessResponsesAreAborted, EndlessCases, Case) {
   EndlessServer Server(Loop_, Case.Start_, Case.Repeated_);
   CollectingSink Sink;
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -27,6 +27,15 @@
       Responder->finishChunked();
       return;
     }
+    if (Request.path().starts_with("/until-close")) {
+      Responder->startUntilClose({});
+      Responder->sendChunk("one ");
+      Responder->sendChunk("two");
+      Held_ = std::move(Responder);
+      if (Request.path() == "/until-close")
+        Held_->finishChunked();
+      return;
+    }
     HttpResponse Response;
     Response.Body_ = Request.Method_ + " " + Request.Target_ + " " + Request.Body_;
     Responder->send(std::move(Response));
@@ -87,6 +96,27 @@
   BOOST_TEST(call(get("/chunks")).Response_.Body_ == "one two");
 }
 
+BOOST_FIXTURE_TEST_CASE(AnswerWithoutALengthEndsWithItsConnection, Fixture) {
+  const HttpResult Result = call(get("/until-close"));
+  BOOST_TEST(!Result.Error_);
+  BOOST_TEST(Result.CloseDelimited_);
+  BOOST_TEST(Result.Response_.Body_ == "one two");
+  BOOST_TEST(Result.Response_.Headers_.get("Connection") == "close");
+}
+
+BOOST_FIXTURE_TEST_CASE(AbortedAnswerWithoutALengthIsNotComplete, Fixture) {
+  std::optional<HttpResult> Got;
+  Client_.send(Server_.address(), get("/until-close-never"), {},
+               [&](HttpResult R) { Got = std::move(R); });
+  while ((!Handler_.Held_ || Handler_.Held_->queuedBytes() > 0) && Loop_.run_one())
+    ;
+  Loop_.poll();
+  Handler_.Held_->abort();
+  while (!Got && Loop_.run_one())
+    ;
+  BOOST_TEST(Got->Error_ == ErrorCode::ConnectionClosed);
+}
+
 BOOST_FIXTURE_TEST_CASE(RequestToASilentServerTimesOutAndItsHandlerIsNotified, Fixture) {
   HttpSendOptions Options;
   Options.ResponseTimeout_ = std::chrono::milliseconds(50);
--- a/Tests/System/GatewayTest.cpp
+++ b/Tests/System/GatewayTest.cpp
@@ -129,6 +129,48 @@
     {"lookup is shed", DeskFault::Refuses, "GET", site::LookupPath, {503}, 0, 0},
     {"lookup fails at each desk", DeskFault::Fails, "GET", site::LookupPath, {500}, 2, 2},
     {"lookup's answers are lost", DeskFault::LosesAnswer, "GET", site::LookupPath, {502}, 2, 2},
+    {"booking's answer ends with its connection",
+     DeskFault::UntilClose,
+     "POST",
+     site::BookPath,
+     {200},
+     1,
+     1},
+    {"lookup's answer ends with its connection",
+     DeskFault::UntilClose,
+     "GET",
+     site::LookupPath,
+     {200},
+     1,
+     1},
+    {"booking's answer without a length is reset",
+     DeskFault::ResetsBody,
+     "POST",
+     site::BookPath,
+     {502},
+     1,
+     1},
+    {"lookup's answers without a length are reset",
+     DeskFault::ResetsBody,
+     "GET",
+     site::LookupPath,
+     {502},
+     2,
+     2},
+    {"booking's answer is cut in its chunks",
+     DeskFault::CutsChunks,
+     "POST",
+     site::BookPath,
+     {502},
+     1,
+     1},
+    {"lookup's answers are cut in their chunks",
+     DeskFault::CutsChunks,
+     "GET",
+     site::LookupPath,
+     {502},
+     2,
+     2},
     {"booking's answer has no end", DeskFault::EndlessBody, "POST", site::BookPath, {502}, 1, 1},
     {"lookup's answers have no end", DeskFault::EndlessBody, "GET", site::LookupPath, {502}, 2, 2},
 };
@@ -274,6 +316,9 @@
   Deployment.site().setDeskFault(Case.Fault_);
   const HttpResult Result = Deployment.call(0, "call-1", Case.Method_, Case.Path_);
   BOOST_TEST(Case.Statuses_.contains(statusOrZero(Result)), "status " << statusOrZero(Result));
+  // A success is passed on whole.
+  if (statusOrZero(Result) == 200U)
+    BOOST_TEST(Result.Response_.Body_.ends_with("}"));
   const ActivityLog Ledger = Deployment.site().activity();
   const auto Runs = Ledger.Executions_.find("call-1");
   const std::size_t Count = Runs == Ledger.Executions_.end() ? 0 : Runs->second.size();
