--- a/Tests/Net/HttpStreamTest.cpp
+++ b/Tests/Net/HttpStreamTest.cpp
@@ -292,6 +292,25 @@
   BOOST_TEST(Server_.Connections_ == 2);
 }
 
+BOOST_DATA_TEST_CASE_F(Fixture, LateSecondAnswerOnAnIdleConnectionIsNotTakenForTheNext,
+                       boost::unit_test::data::make({false, true}) *
+                           boost::unit_test::data::make({false, true}),
+                       Watched, Noticed) {
+  Server_.Answers_ = {{"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"},
+                      {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\ncd"}};
+  if (Watched)
+    Client_.onIdleClosed([](const NetAddress &) {});
+  BOOST_TEST(!call(nullptr).Error_);
+  boost::asio::write(*Server_.Last_, boost::asio::buffer(std::string(
+                                         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab")));
+  // Whether the event loop handles the arrival before the next request.
+  if (Noticed)
+    Loop_.poll();
+  const HttpResult Second = call(nullptr);
+  BOOST_TEST(Second.Response_.Body_ == "cd");
+  BOOST_TEST(!Second.Reused_);
+}
+
 BOOST_FIXTURE_TEST_CASE(ConnectionsNearTheirKeepAliveTimeoutAreNotReused, Fixture) {
   Server_.Answers_ = {{"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 0\r\n\r\n"},
                       {"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60\r\nContent-Length: 0\r\n\r\n"},
