Gateway: a request that may outlast the shutdown is refused

What callers saw: a request on a connection that was still open late in a shutdown (a stream had just ended on it, or it had just been opened) was passed on to an engine and cut when the process ended.

Cause: in the drain new requests were handled as ever, though DrainState says that none are taken then.

Change: during the drain a request is passed on only if its time budget ends before the shutdown does. Any other gets 503 with Retry-After 0 at once; it has not run, and another gateway can take it.

--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -20,6 +20,8 @@
 constexpr Duration HousekeepingInterval = milliseconds(200);
 /// Interval of a timer whose lateness measures the delay of the event loop.
 constexpr Duration LoopDelayInterval = milliseconds(250);
+/// Retry-After of a request that another gateway can take at once.
+constexpr Duration ShutdownRetry{};
 /// Maximum number of idle connections kept per endpoint; a stream occupies one until it ends.
 constexpr std::size_t IdleConnections = 16;
 
@@ -83,8 +85,8 @@
                Random_,
                Settings_.Process_.DataCenter_,
                Settings_.ResponseLimits_},
-      RequestHandler_(Context_, Config_),
-      CallerServer_(Loop_, callerOptions({}), RequestHandler_, Log), StateHandler_(*this),
+      RequestHandler_(Context_, Config_), Protocol_(Platform.Protocol_),
+      CallerServer_(Loop_, callerOptions({}), *this, Log), StateHandler_(*this),
       StateHttp_(Loop_, {}, StateHandler_, Log), MetricsHttp_(Loop_, {}, StateHandler_, Log),
       Signals_(Loop_, [this] { onShutdownSignal(); }), ReloadSignal_(Loop_, SIGHUP),
       Drain_({Settings_.ShutdownGrace_, Settings_.ShutdownLimit_}), DrainTimer_(Loop_),
@@ -235,6 +237,24 @@
   return {};
 }
 
+void GatewayProcess::handle(HttpRequest Request, HttpResponderPtr Responder) {
+  if (Drain_.takesRequests())
+    return RequestHandler_.handle(std::move(Request), std::move(Responder));
+  const CallerRequest Caller = Protocol_.parseRequest(Request);
+  if (!mayOutlastShutdown(Caller))
+    return RequestHandler_.handle(std::move(Request), std::move(Responder));
+  Metrics_.count("refusals_total", errorInfo(ErrorCode::ShuttingDown).Name_);
+  Log_.log(LogEvent::RequestRefused, {{"id", Caller.Id_.str()},
+                                      {"status", 503},
+                                      {"error", static_cast<int>(ErrorCode::ShuttingDown)},
+                                      {"reason", errorInfo(ErrorCode::ShuttingDown).Text_}});
+  Responder->send(Protocol_.errorResponse(503, ErrorCode::ShuttingDown, ShutdownRetry));
+}
+
+bool GatewayProcess::mayOutlastShutdown(const CallerRequest &Caller) const {
+  return !Caller.TimeBudget_ || Time_.now() + *Caller.TimeBudget_ >= ShutdownEnd_;
+}
+
 std::size_t GatewayProcess::inFlight() const {
   // An open connection may still deliver a request.
   return RequestHandler_.inFlight() + CallerServer_.stats().Open_;
@@ -247,6 +267,7 @@
   Log_.log(LogEvent::ShutdownStarted, {{"in_flight", RequestHandler_.inFlight()}});
   PlacementCoordinator_.stop();
   CallerServer_.announceClose();
+  ShutdownEnd_ = Time_.now() + Settings_.ShutdownLimit_;
   Drain_.request(inFlight(), Time_.now());
   DrainTimer_.every(DrainInterval, [this] { drainTick(); });
   drainTick();
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -30,7 +30,7 @@
 
 /// The gateway process of one machine: serves callers, follows the platform's store, and monitors
 /// engines and their placement. Needs no control process and no disk. Not thread-safe.
-class GatewayProcess final : private StoreObserver, private StateSource {
+class GatewayProcess final : private StoreObserver, private StateSource, private HttpHandler {
 public:
   /// Precondition: Platform, Time and Log outlive the process.
   GatewayProcess(GatewaySettings Settings, std::string SettingsFile,
@@ -50,6 +50,10 @@
   void onListComplete() override;
   void onStoreReachable(bool Reachable) override;
 
+  /// Passes a request on to the request handler, or refuses it if it may outlast a shutdown.
+  void handle(HttpRequest Request, HttpResponderPtr Responder) override;
+  bool mayOutlastShutdown(const CallerRequest &Caller) const;
+
   boost::json::object state() const override;
   std::string notReadyReason() const override;
   std::string metricsText() const override;
@@ -86,6 +90,7 @@
   PlacementCoordinator PlacementCoordinator_;
   GatewayContext Context_;
   GatewayRequestHandler RequestHandler_;
+  const EndpointProtocol &Protocol_;
   HttpServer CallerServer_;
   StateServer StateHandler_;
   HttpServer StateHttp_;
@@ -93,6 +98,8 @@
   SignalWatcher Signals_;
   boost::asio::signal_set ReloadSignal_;
   DrainState Drain_;
+  /// When a shutdown that has begun cuts the requests that are still in flight.
+  TimePoint ShutdownEnd_ = TimePoint::max();
   Timer DrainTimer_;
   Timer Housekeeping_;
   Timer LoopDelayTimer_;
--- a/Tests/System/GatewayTest.cpp
+++ b/Tests/System/GatewayTest.cpp
@@ -175,6 +175,22 @@
     {"lookup's answers have no end", DeskFault::EndlessBody, "GET", site::LookupPath, {502}, 2, 2},
 };
 
+/// A request that a gateway receives after a shutdown has closed its listening socket.
+struct LateCase {
+  const char *Name_;
+  const char *Method_;
+  const char *Path_;
+  const char *TimeBudget_;
+  std::uint32_t Status_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const LateCase &Case) { return Out << Case.Name_; }
+
+const LateCase LateCases[] = {
+    {"may outlast the shutdown", "POST", site::BriefPath, "20000", 503},
+    {"ends before the shutdown", "GET", site::LookupPath, "500", 200},
+};
+
 } // namespace
 
 BOOST_DATA_TEST_CASE(StreamResumesAfterLossOfAnEngine, LossCases, Case) {
@@ -472,6 +488,49 @@
   BOOST_TEST(Deployment.gateway(0).wait() == 0);
 }
 
+BOOST_DATA_TEST_CASE(RequestOnAKeptConnectionLateInAShutdownIsAnsweredOrRefused, LateCases, Case) {
+  GatewayDeployment Deployment({"east"}, {{{"east", {{"h100", 3}}}}});
+  boost::asio::io_context Loop;
+  HttpClient Client(Loop);
+  const auto Call = [&](const char *Id, const char *Method, const char *Path, int EventCount,
+                        const char *TimeBudget) {
+    HttpRequest Request;
+    Request.Method_ = Method;
+    Request.Target_ = Path;
+    Request.Headers_.add("Host", site::Host);
+    Request.Headers_.add("X-Attempt-Id", Id);
+    Request.Headers_.add("Authorization", "Token key-1");
+    Request.Headers_.add("X-Token-Counts", "700," + std::to_string(EventCount));
+    Request.Headers_.add("X-Deadline-Ms", TimeBudget);
+    HttpSendOptions Options;
+    Options.KeepHost_ = true;
+    Options.ResponseTimeout_ = std::chrono::seconds(30);
+    std::optional<HttpResult> Received;
+    Client.send(Deployment.address(0), std::move(Request), Options,
+                [&](HttpResult Result) { Received = std::move(Result); });
+    while (!Received)
+      Loop.run_one();
+    return *Received;
+  };
+  auto First = std::async(std::launch::async, [&] {
+    return Call("brief-1", "POST", site::BriefPath, 3 * Events, "20000");
+  });
+  Deployment.awaitStream();
+  Deployment.gateway(0).terminate();
+  GatewayDeployment::await(
+      [&] {
+        return Deployment.call(0, "probe", "GET", site::LookupPath).Error_ ==
+               ErrorCode::ConnectFailed;
+      },
+      "the gateway to accept no more connections");
+  BOOST_TEST(consistsOfEvents(First.get().Response_.Body_, 1, 3 * Events));
+  const HttpResult Second = Call("late", Case.Method_, Case.Path_, 100 * Events, Case.TimeBudget_);
+  BOOST_TEST(Second.Reused_);
+  BOOST_TEST(statusOrZero(Second) == Case.Status_);
+  BOOST_TEST(Deployment.site().activity().Executions_.contains("late") == (Case.Status_ == 200));
+  BOOST_TEST(Deployment.gateway(0).wait() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(KilledGatewaysServeAgainAfterRestart) {
   GatewayDeployment Deployment({"east", "west"});
   const auto Before = Deployment.site().layers();
