--- a/Source/Net/HttpServer.cpp
+++ b/Source/Net/HttpServer.cpp
@@ -59,6 +59,20 @@
          !boost::beast::iequals(Header[http::field::transfer_encoding], "chunked");
 }
 
+/// What a connection does when its timer expires.
+enum class TimerAction {
+  Close,
+  /// Refuses a request that has not arrived completely.
+  Refuse,
+};
+
+/// How long a request is still read after its time limit, for bytes that had arrived by then.
+constexpr std::chrono::milliseconds LateReadTime{100};
+
+/// How long a connection on which no request has arrived is kept during a drain. Its caller was
+/// told that it is kept, and a request may be on its way.
+constexpr std::chrono::milliseconds DrainIdleTimeout{500};
+
 /// One caller's connection. Reads a request and reads the next after the response to it.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
 public:
@@ -76,12 +90,11 @@
 
   /// Waits for the first byte of the next request.
   void awaitRequest() {
-    Idle_ = true;
-    if (Shared_->Draining_ && Buffer_.size() == 0)
-      return close();
     if (Buffer_.size() > 0)
       return readRequest();
-    armTimer(Shared_->Options_.IdleTimeout_, /*RefuseOnExpiry=*/false);
+    Idle_ = true;
+    IdleSince_ = std::chrono::steady_clock::now();
+    armIdleTimer();
     Socket_.async_wait(tcp::socket::wait_read,
                        [Self = shared_from_this()](boost::system::error_code E) {
                          if (Self->Closed_)
@@ -92,20 +105,21 @@
                        });
   }
 
-  void closeIfIdle() {
-    boost::system::error_code E;
-    // A request that has arrived but is not read yet is still answered.
-    if (Idle_ && Socket_.available(E) == 0)
-      close();
+  /// Applies the current limit to a connection that is already idle.
+  void limitIdleTime() {
+    if (Idle_)
+      armIdleTimer();
   }
 
   void close() {
     if (Closed_)
       return;
     Closed_ = true;
-    Timer_.cancel();
+    cancelTimer();
     boost::system::error_code Ignored;
-    Socket_.shutdown(tcp::socket::shutdown_both, Ignored);
+    // A shutdown would end the stream properly before the reset.
+    if (!Resets_)
+      Socket_.shutdown(tcp::socket::shutdown_both, Ignored);
     Socket_.close(Ignored);
     if (!InResponse_)
       return;
@@ -140,32 +154,76 @@
       finishExchange();
   }
 
-  bool keepAlive() const { return KeepAlive_ && !Shared_->Draining_ && !Shared_->AnnounceClose_; }
+  /// Decides whether the connection is kept after the response whose head is sent now.
+  bool decideKeepAlive() {
+    KeptAfterResponse_ = KeepAlive_ && !Shared_->Draining_ && !Shared_->AnnounceClose_;
+    return KeptAfterResponse_;
+  }
   void forceClose() { KeepAlive_ = false; }
+  /// Closes the connection so that the caller's next read fails, also behind bytes that it
+  /// received.
+  void reset() {
+    boost::system::error_code Ignored;
+    Socket_.set_option(tcp::socket::linger(true, 0), Ignored);
+    Resets_ = true;
+    close();
+  }
   bool isHeadRequest() const { return IsHeadRequest_; }
 
 private:
-  void armTimer(Duration Delay, bool RefuseOnExpiry) {
+  /// How long the connection may stay idle from now on.
+  Duration idleTimeLeft() const {
+    Duration Limit = Shared_->Options_.IdleTimeout_;
+    if (Shared_->Draining_)
+      Limit = std::min<Duration>(Limit, DrainIdleTimeout);
+    return IdleSince_ + Limit - std::chrono::steady_clock::now();
+  }
+
+  void armIdleTimer() { armTimer(idleTimeLeft(), TimerAction::Close); }
+
+  void armTimer(Duration Delay, TimerAction Action) {
+    const std::uint64_t Number = ++TimerNumber_;
     Timer_.expires_after(Delay);
-    Timer_.async_wait([Weak = weak_from_this(), RefuseOnExpiry](boost::system::error_code E) {
+    Timer_.async_wait([Weak = weak_from_this(), Number, Action](boost::system::error_code E) {
       const auto Self = Weak.lock();
-      if (E || !Self || Self->Closed_)
-        return;
-      if (!RefuseOnExpiry)
-        return Self->close();
-      ++Self->Shared_->Stats_.TimedOut_;
-      Self->refuse(408, ErrorCode::SlowRequest);
+      // A handler that was already queued when the timer was armed again can't be cancelled.
+      if (!E && Self && !Self->Closed_ && Number == Self->TimerNumber_)
+        Self->onTimer(Action);
     });
   }
 
+  void cancelTimer() {
+    ++TimerNumber_;
+    Timer_.cancel();
+  }
+
+  void onTimer(TimerAction Action) {
+    // After a delay of the event loop, bytes that arrived in time may still be unread.
+    if (Action == TimerAction::Close) {
+      boost::system::error_code E;
+      // The pending wait reads the request.
+      if (Idle_ && Socket_.available(E) > 0)
+        return;
+      // The limit may have been raised since.
+      if (Idle_ && idleTimeLeft() > Duration{})
+        return armIdleTimer();
+      return close();
+    }
+    if (!std::exchange(ReadsLate_, true))
+      return armTimer(LateReadTime, TimerAction::Refuse);
+    ++Shared_->Stats_.TimedOut_;
+    refuse(408, ErrorCode::SlowRequest);
+  }
+
   void readRequest() {
     Idle_ = false;
+    ReadsLate_ = false;
     Parser_.emplace();
     Parser_->header_limit(static_cast<std::uint32_t>(Shared_->Options_.MaxHeaderBytes_));
     Parser_->body_limit(Shared_->Options_.MaxBodyBytes_);
     RequestEnd_ = std::chrono::steady_clock::now() + Shared_->Options_.RequestTimeout_;
     armTimer(std::min(Shared_->Options_.HeaderTimeout_, Shared_->Options_.RequestTimeout_),
-             /*RefuseOnExpiry=*/true);
+             TimerAction::Refuse);
     http::async_read_header(Socket_, Buffer_, *Parser_,
                             [Self = shared_from_this()](boost::system::error_code E, std::size_t) {
                               Self->onHeader(E);
@@ -182,7 +240,7 @@
       return refuse(400, ErrorCode::MalformedRequest);
     if (boost::beast::iequals(Message[http::field::expect], "100-continue"))
       sendContinue();
-    armTimer(RequestEnd_ - std::chrono::steady_clock::now(), /*RefuseOnExpiry=*/true);
+    armTimer(RequestEnd_ - std::chrono::steady_clock::now(), TimerAction::Refuse);
     http::async_read(Socket_, Buffer_, *Parser_,
                      [Self = shared_from_this()](boost::system::error_code Failure, std::size_t) {
                        Self->onRequest(Failure);
@@ -201,7 +259,7 @@
       return;
     if (E)
       return onReadError(E);
-    Timer_.cancel();
+    cancelTimer();
 
     auto Message = Parser_->release();
     KeepAlive_ = Message.keep_alive();
@@ -257,9 +315,10 @@
   /// Closes the connection after reading and discarding input for a short time. A close with unread
   /// input would reset the connection, and the caller could lose the response.
   void startLingeringClose() {
+    Lingers_ = true;
     boost::system::error_code Ignored;
     Socket_.shutdown(tcp::socket::shutdown_send, Ignored);
-    armTimer(std::chrono::milliseconds(500), /*RefuseOnExpiry=*/false);
+    armTimer(std::chrono::milliseconds(500), TimerAction::Close);
     discardInput();
   }
 
@@ -293,13 +352,13 @@
   void finishExchange() {
     if (!InResponse_)
       return;
-    const bool Keep = keepAlive();
     InResponse_ = false;
     ResponseEnded_ = false;
     OnClosed_ = nullptr;
     ++ExchangeNumber_;
     --Shared_->Stats_.InFlight_;
-    if (!Keep)
+    // What the head of the response said holds, also if a shutdown has begun since.
+    if (!KeptAfterResponse_)
       return startLingeringClose();
     if (!WatchPending_)
       return awaitRequest();
@@ -315,7 +374,7 @@
     Socket_.async_wait(tcp::socket::wait_read,
                        [Self = shared_from_this()](boost::system::error_code E) {
                          Self->WatchPending_ = false;
-                         if (Self->Closed_)
+                         if (Self->Closed_ || Self->Lingers_)
                            return;
                          if (!Self->InResponse_)
                            return Self->awaitRequest();
@@ -345,12 +404,23 @@
   std::uint64_t ExchangeNumber_ = 0;
   /// The time by which the request that is being read must have arrived.
   std::chrono::steady_clock::time_point RequestEnd_;
+  std::chrono::steady_clock::time_point IdleSince_;
+  /// Identifies the last use of the timer.
+  std::uint64_t TimerNumber_ = 0;
   bool Closed_ = false;
   bool Refused_ = false;
   bool Idle_ = false;
+  /// The time limit of the request has expired; what had arrived by then is still read.
+  bool ReadsLate_ = false;
   bool InResponse_ = false;
   bool ResponseEnded_ = false;
+  /// Whether the caller wants the connection to be kept.
   bool KeepAlive_ = true;
+  /// Whether the head of the response said that the connection is kept.
+  bool KeptAfterResponse_ = false;
+  /// The connection is closed, and only the caller's remaining input is discarded.
+  bool Lingers_ = false;
+  bool Resets_ = false;
   bool IsHeadRequest_ = false;
   bool WatchPending_ = false;
 };
@@ -362,7 +432,7 @@
       : Connection_(std::move(Connection)), ExchangeNumber_(Exchange) {}
   ~ConnectionResponder() override {
     if (!Ended_ && Connection_->isAnswering(ExchangeNumber_))
-      Connection_->close();
+      closeIncomplete();
   }
   ConnectionResponder(const ConnectionResponder &) = delete;
   ConnectionResponder &operator=(const ConnectionResponder &) = delete;
@@ -371,7 +441,7 @@
     if (!isOpen())
       return;
     Ended_ = true;
-    std::string Text = formatHead(Response, Connection_->keepAlive(),
+    std::string Text = formatHead(Response, Connection_->decideKeepAlive(),
                                   fmt::format("Content-Length: {}\r\n", Response.Body_.size()));
     if (!Connection_->isHeadRequest())
       Text += Response.Body_;
@@ -381,24 +451,36 @@
   void startChunked(HttpResponse Head) override {
     if (isOpen())
       Connection_->queueText(
-          formatHead(Head, Connection_->keepAlive(), "Transfer-Encoding: chunked\r\n"));
+          formatHead(Head, Connection_->decideKeepAlive(), "Transfer-Encoding: chunked\r\n"));
+  }
+  void startUntilClose(HttpResponse Head) override {
+    if (!isOpen())
+      return;
+    EndsWithConnection_ = true;
+    Connection_->forceClose();
+    Connection_->queueText(formatHead(Head, Connection_->decideKeepAlive(), {}));
   }
   void sendChunk(std::string_view Data) override {
-    if (isOpen() && !Data.empty())
+    if (!isOpen() || Data.empty())
+      return;
+    if (EndsWithConnection_)
+      Connection_->queueText(std::string(Data));
+    else
       Connection_->queueText(fmt::format("{:x}\r\n{}\r\n", Data.size(), Data));
   }
   void finishChunked() override {
     if (!isOpen())
       return;
     Ended_ = true;
-    Connection_->queueText("0\r\n\r\n");
+    if (!EndsWithConnection_)
+      Connection_->queueText("0\r\n\r\n");
     Connection_->endResponse();
   }
   void abort() override {
     if (!isOpen())
       return;
     Ended_ = true;
-    Connection_->close();
+    closeIncomplete();
   }
   bool isOpen() const override { return !Ended_ && Connection_->isAnswering(ExchangeNumber_); }
   std::size_t queuedBytes() const override { return Connection_->queuedBytes(); }
@@ -408,9 +490,18 @@
   }
 
 private:
+  void closeIncomplete() {
+    if (EndsWithConnection_)
+      Connection_->reset();
+    else
+      Connection_->close();
+  }
+
   std::shared_ptr<ServerConnection> Connection_;
   std::uint64_t ExchangeNumber_;
   bool Ended_ = false;
+  /// The response has no length.
+  bool EndsWithConnection_ = false;
 };
 
 void ServerConnection::dispatchRequest(HttpRequest Request) {
@@ -454,13 +545,15 @@
 
   void drain() {
     Shared_->Draining_ = true;
+    acceptPending();
     closeAcceptor();
     for (const auto &Connection : lockConnections())
-      Connection->closeIfIdle();
+      Connection->limitIdleTime();
   }
 
   void stop() {
     Shared_->Draining_ = true;
+    Stopped_ = true;
     closeAcceptor();
     for (const auto &Connection : lockConnections())
       Connection->close();
@@ -490,16 +583,34 @@
   void accept() {
     Acceptor_.async_accept(
         [Self = shared_from_this()](boost::system::error_code E, tcp::socket Socket) {
+          // A connection that was accepted before a drain closed the acceptor is served.
+          if (!E)
+            Self->serve(std::move(Socket));
           if (!Self->Acceptor_.is_open())
             return;
           if (E)
             return Self->acceptLater();
-          if (Self->Shared_->Connections_.size() < Self->Shared_->Options_.MaxConnections_)
-            std::make_shared<ServerConnection>(std::move(Socket), Self->Shared_)->awaitRequest();
           Self->accept();
         });
   }
 
+  /// Accepts the connections that are already established: closing the acceptor would reset them.
+  void acceptPending() {
+    boost::system::error_code E;
+    Acceptor_.non_blocking(true, E);
+    while (!E) {
+      tcp::socket Socket(Acceptor_.get_executor());
+      Acceptor_.accept(Socket, E);
+      if (!E)
+        serve(std::move(Socket));
+    }
+  }
+
+  void serve(tcp::socket Socket) {
+    if (!Stopped_ && Shared_->Connections_.size() < Shared_->Options_.MaxConnections_)
+      std::make_shared<ServerConnection>(std::move(Socket), Shared_)->awaitRequest();
+  }
+
   void acceptLater() {
     // Typically out of file descriptors; an immediate retry would fail again in a busy loop.
     Retry_.expires_after(std::chrono::milliseconds(50));
@@ -513,6 +624,7 @@
   boost::asio::steady_timer Retry_;
   std::shared_ptr<ServerState> Shared_;
   NetAddress Address_;
+  bool Stopped_ = false;
 };
 
 HttpServer::HttpServer(boost::asio::io_context &Loop, HttpServerOptions Options,
--- a/Source/Net/HttpServer.h
+++ b/Source/Net/HttpServer.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <string_view>
 #include <system_error>
+#include <utility>
 
 namespace rattancart {
 
@@ -25,9 +26,13 @@
   virtual void send(HttpResponse Response) = 0;
   /// Starts a chunked response. Precondition: nothing was sent yet.
   virtual void startChunked(HttpResponse Head) = 0;
-  /// Queues one chunk. Precondition: startChunked was called. Empty chunks are ignored.
+  /// Starts a response without a length, whose end is that of the connection. If it is aborted, the
+  /// connection is reset, so that it doesn't look complete. Precondition: nothing was sent yet.
+  virtual void startUntilClose(HttpResponse Head) { startChunked(std::move(Head)); }
+  /// Queues one part of the body. Precondition: startChunked or startUntilClose was called. Empty
+  /// parts are ignored.
   virtual void sendChunk(std::string_view Data) = 0;
-  /// Ends a chunked response with the last chunk.
+  /// Ends a response that startChunked or startUntilClose started.
   virtual void finishChunked() = 0;
   /// Closes the connection without ending the response, so that the caller sees an incomplete one.
   virtual void abort() = 0;
@@ -87,14 +92,16 @@
   std::error_code listen(const NetAddress &Address);
   /// The address on which the server listens.
   NetAddress address() const;
-  /// Continues to accept connections, but adds "Connection: close" to each response, so that
-  /// callers reconnect and can reach another process. Meant for the time until a load balancer has
-  /// noticed that this process is shutting down.
+  /// Continues to accept connections, but adds "Connection: close" to each response that begins
+  /// from now on, so that callers reconnect and can reach another process. Meant for the time until
+  /// a load balancer has noticed that this process is shutting down.
   void announceClose();
-  /// Sets the limits for requests that start from now on.
+  /// Sets the limits for requests that start from now on. Connections that are idle now stay open
+  /// for the longer of both idle limits.
   void setLimits(const HttpServerOptions &Options);
-  /// Accepts no new connections. Idle connections are closed; the others close after their current
-  /// response, which has "Connection: close".
+  /// Accepts no more connections than those already established. A connection is closed when it has
+  /// been idle for half a second, or after a response with "Connection: close", as each response
+  /// has that begins from now on.
   void drain();
   /// Accepts no new connections and closes all open ones.
   void stop();
