--- a/Tests/Gateway/StreamExchangeTest.cpp
+++ b/Tests/Gateway/StreamExchangeTest.cpp
@@ -280,6 +280,16 @@
        Engines.end(0);
      },
      200, events(1, 4), true},
+    {"the first path ends inside an event, without an error",
+     [](ScriptedEngines &Engines) {
+       Engines.body(0, "id: 3\nda");
+       Engines.end(0);
+       BOOST_REQUIRE(Engines.sends() == 3U);
+       Engines.head(2, 200);
+       Engines.body(2, events(3, 4));
+       Engines.end(2);
+     },
+     200, events(1, 4), true},
     {"the first path breaks off, the second goes on",
      [](ScriptedEngines &Engines) {
        Engines.end(0, ErrorCode::ConnectionClosed);
