--- a/Source/SiteModel/SimulatedEngines.cpp
+++ b/Source/SiteModel/SimulatedEngines.cpp
@@ -21,12 +21,25 @@
 constexpr Duration LostEngineTimeout = milliseconds(2500);
 constexpr Duration LostEngineRetryInterval = milliseconds(20);
 constexpr int TokensPerEvent = 2;
+/// Time from the head of a response to the crash of its first engine.
+constexpr Duration CrashDelay = milliseconds(36);
 
 double numericHeader(const HttpHeaders &Headers, const char *Name) {
   const std::string Text(Headers.get(Name));
   return Text.empty() ? 0 : std::strtod(Text.c_str(), nullptr);
 }
 
+std::vector<PromptPartId> promptParts(const HttpHeaders &Headers) {
+  const std::string Text(Headers.get("parts"));
+  std::vector<PromptPartId> Parts;
+  for (std::size_t Begin = 0; Begin < Text.size();) {
+    const std::size_t End = std::min(Text.find(',', Begin), Text.size());
+    Parts.emplace_back(Text.substr(Begin, End - Begin));
+    Begin = End + 1;
+  }
+  return Parts;
+}
+
 double layerFraction(const LayeredModel &Model, LayerRange Layers) {
   return static_cast<double>(Layers.End_ - Layers.Begin_) / Model.Layers_;
 }
@@ -42,6 +55,7 @@
   Caller.Id_ = RequestId(std::string(Request.Headers_.get("id")));
   Caller.PromptTokens_ = numericHeader(Request.Headers_, "prompt");
   Caller.MaxAnswerTokens_ = numericHeader(Request.Headers_, "events") * TokensPerEvent;
+  Caller.SharedPromptParts_ = promptParts(Request.Headers_);
   if (Request.Headers_.has("last"))
     Caller.LastEvent_ = static_cast<std::uint64_t>(numericHeader(Request.Headers_, "last"));
   return Caller;
@@ -52,6 +66,8 @@
   HttpRequest Sent;
   for (const char *Name : {"id", "prompt", "events"})
     Sent.Headers_.add(Name, std::string(Request.Headers_.get(Name)));
+  if (Request.Headers_.has("parts"))
+    Sent.Headers_.add("parts", std::string(Request.Headers_.get("parts")));
   for (const StageAddress &Stage : Options.Path_)
     Sent.Headers_.add("stage", fmt::format("{} {} {}", Stage.Address_.str(), Stage.Layers_.Begin_,
                                            Stage.Layers_.End_));
@@ -141,6 +157,22 @@
   Target.PrefillsUntil_ = {};
 }
 
+void SimulatedEngines::setCrashingPart(std::string Part, Duration Downtime) {
+  CrashingPart_ = PromptPartId(std::move(Part));
+  Downtime_ = Downtime;
+}
+
+void SimulatedEngines::crash(Engine &Target) {
+  PartCrashes_.push_back(Queue_.now());
+  const EndpointId Id = Target.Listing_.Id_;
+  Queue_.after(Downtime_, [this, Id, Run = Target.Listing_.Run_] {
+    const Engine &Crashed = Engines_.at(Id);
+    if (Crashed.Condition_ == EngineCondition::Stopped && Crashed.Listing_.Run_ == Run)
+      setCondition(Id, EngineCondition::Running);
+  });
+  setCondition(Id, EngineCondition::Stopped);
+}
+
 OrderOutcome SimulatedEngines::order(const PlacementOrder &Order) {
   Engine &Target = Engines_.at(Order.Engine_);
   if (Target.Condition_ != EngineCondition::Running)
@@ -189,6 +221,11 @@
         static_cast<std::uint32_t>(std::stoul(Field.Value_.substr(Second + 1)))};
     Sent->Path_.push_back({&Target, Layers, Target.Listing_.Run_});
   }
+  const auto Parts = promptParts(Request.Headers_);
+  Sent->Crashing_ =
+      CrashingPart_ && std::find(Parts.begin(), Parts.end(), *CrashingPart_) != Parts.end();
+  if (Sent->Crashing_)
+    PartSends_.push_back(Queue_.now());
   Calls_.emplace(Sent->Id_.value(), Sent);
   const Duration ConnectTimeout = Options.ConnectTimeout_;
   Sent->Prompt_ = numericHeader(Request.Headers_, "prompt");
@@ -298,9 +335,14 @@
     Head.Headers_.add("id", Sent->Request_);
     if (Sent->Sink_->onHead(Head) != HeadDecision::Accept)
       return end(Sent, ErrorCode::MalformedResponse, true);
+    const Duration Delay = Sent->Crashing_ ? CrashDelay : FirstEventDelay_;
+    if (Delay > Duration{})
+      return Queue_.after(Delay, [this, Sent] { sendNextEvent(Sent); });
   }
   if (!active(Sent))
     return;
+  if (Sent->Crashing_)
+    return crash(*Sent->Path_.front().Engine_);
   Sent->Sink_->onBody(fmt::format("id: {0}\ndata: {0}\n\n", Sent->NextEventId_));
   if (!active(Sent))
     return;
--- a/Source/SiteModel/SimulatedEngines.h
+++ b/Source/SiteModel/SimulatedEngines.h
@@ -57,6 +57,12 @@
   void setCondition(const EndpointId &Id, EngineCondition Condition);
   /// A leaving engine refuses new requests, however much memory it has free.
   void setLeaving(const EndpointId &Id, bool Leaving) { Engines_.at(Id).Leaving_ = Leaving; }
+  /// From now on, calls whose prompt has this part crash engines: shortly after the head of the
+  /// response and before its first event, the first engine of the path stops. It runs again after
+  /// the downtime.
+  void setCrashingPart(std::string Part, Duration Downtime);
+  /// Time from the head of a response to its first event; 0 by default.
+  void setFirstEventDelay(Duration Delay) { FirstEventDelay_ = Delay; }
   OrderOutcome order(const PlacementOrder &Order);
 
   HttpCallId send(const NetAddress &Address, HttpRequest Request, HttpSendOptions Options,
@@ -64,9 +70,12 @@
   void cancel(HttpCallId Id) override;
 
   /// By request: the first engine of each path that ran it, in order. A request counts as run once
-  /// its first event is sent.
+  /// its response begins.
   const std::map<std::string, std::vector<EndpointId>> &runs() const { return Runs_; }
   std::size_t sendCount() const { return Sends_; }
+  /// When calls with the crashing part were sent, and when they crashed engines, in order.
+  const std::vector<TimePoint> &crashingPartSends() const { return PartSends_; }
+  const std::vector<TimePoint> &crashingPartCrashes() const { return PartCrashes_; }
   /// Calls that have not ended yet.
   std::size_t running() const { return Calls_.size(); }
   /// Whether an engine still works on a call of the request.
@@ -102,6 +111,8 @@
     std::uint64_t FinalEventId_ = 0;
     bool Admitted_ = false;
     bool HeadSent_ = false;
+    /// Whether its prompt has the crashing part.
+    bool Crashing_ = false;
     std::optional<TimePoint> LostSince_;
   };
   using CallPtr = std::shared_ptr<Call>;
@@ -110,6 +121,7 @@
   double freeTokenLayers(const Engine &Target) const {
     return totalTokenLayers(Target) - Target.UsedTokenLayers_;
   }
+  void crash(Engine &Target);
   void onArrival(const CallPtr &Sent);
   /// The first engine of the path that refuses the call, since it is leaving, lacks a layer or
   /// lacks memory; null if there is none.
@@ -134,6 +146,11 @@
   std::int64_t NextCall_ = 1;
   std::size_t Sends_ = 0;
   std::size_t RunningLoads_ = 0;
+  std::optional<PromptPartId> CrashingPart_;
+  Duration Downtime_{};
+  Duration FirstEventDelay_{};
+  std::vector<TimePoint> PartSends_;
+  std::vector<TimePoint> PartCrashes_;
 };
 
 } // namespace rattancart
--- a/Source/SiteModel/SimulatedSite.cpp
+++ b/Source/SiteModel/SimulatedSite.cpp
@@ -15,22 +15,28 @@
 /// The owner of an engine polls it and passes the report on to the gateways, so a report is
 /// ReportLag old when the gateways receive it.
 constexpr Duration ReportInterval = milliseconds(200);
+/// Gateways of other data centres get the states of an owner less often.
+constexpr Duration RemoteStatesInterval = std::chrono::seconds(3);
+/// Gateways repeat their reports about parts of prompts.
+constexpr Duration SuspectReportInterval = std::chrono::seconds(1);
 constexpr Duration ReportLag = milliseconds(200);
 constexpr Duration ProbeAnswerTime = milliseconds(1);
 constexpr Duration ProbeTimeout = milliseconds(50);
 constexpr Duration SilenceDuration = milliseconds(1500);
 constexpr Duration RecheckInterval = milliseconds(500);
+constexpr Duration DatagramDelay = milliseconds(1);
 
-/// Counts the resumed streams and discards all log lines.
-class ResumeCounter final : public Logger {
+/// Counts some events and discards all log lines.
+class EventCounter final : public Logger {
 public:
-  explicit ResumeCounter(std::uint64_t &Resumes) : Resumes_(Resumes) {}
+  explicit EventCounter(SimulatedSite::LogCounts &Counts) : Counts_(Counts) {}
   void log(LogEvent Event, std::initializer_list<LogField>) override {
-    Resumes_ += Event == LogEvent::StreamResumed ? 1 : 0;
+    Counts_.Resumes_ += Event == LogEvent::StreamResumed ? 1 : 0;
+    Counts_.NoticedCrashes_ += Event == LogEvent::EngineEndedAtStart ? 1 : 0;
   }
 
 private:
-  std::uint64_t &Resumes_;
+  SimulatedSite::LogCounts &Counts_;
 };
 
 /// Records one response as its caller sees it.
@@ -41,6 +47,7 @@
 
   void send(HttpResponse Response) override {
     View_->Status_ = Response.Status_;
+    View_->Error_ = std::atoi(std::string(Response.Headers_.get("error")).c_str());
     finishChunked();
   }
   void startChunked(HttpResponse Head) override { View_->Status_ = Head.Status_; }
@@ -170,7 +177,8 @@
 };
 
 struct SimulatedSite::Gateway {
-  Gateway(SimulatedSite &Site, const DataCenterId &Home, std::uint32_t Count, Duration RetryWindow)
+  Gateway(SimulatedSite &Site, const DataCenterId &Home, bool Owner, std::uint32_t Count,
+          Duration RetryWindow)
       : Health_(Site, Roster_), Paths_(Roster_, Home),
         Retries_({0.2, 202, RetryWindow}, Site.Queue_.now() - 2 * RetryWindow),
         Random_(Site.Random_()), Context_{Site.Loop_,    Site.Queue_.clock(),
@@ -180,8 +188,9 @@
                                           Retries_,      Health_,
                                           MemoryQueue_,  Quarantine_,
                                           Random_,       Home},
-        Handler_(Context_, Site.Config_), Home_(Home) {
+        Handler_(Context_, Site.Config_), Home_(Home), Owner_(Owner) {
     Retries_.setProcesses(Count);
+    Quarantine_.onReport([this, &Site] { Site.reportSuspects(*this); });
   }
 
   EndpointRoster Roster_;
@@ -195,26 +204,37 @@
   GatewayContext Context_;
   GatewayRequestHandler Handler_;
   DataCenterId Home_;
+  /// Whether it owns the engines of its data centre.
+  bool Owner_;
   PlacementController Placement_;
 };
 
 SimulatedSite::SimulatedSite(unsigned Seed, LayeredModel Model,
                              const std::vector<DataCenterSetup> &DataCenters)
     : Model_(std::move(Model)), Engines_(Queue_, Model_),
-      Log_(std::make_unique<ResumeCounter>(Resumes_)), Random_(Seed) {
+      Log_(std::make_unique<EventCounter>(Counts_)), Random_(Seed), LossRandom_(Seed) {
   Config_.replaceIfNewer(makeConfig(Model_), Queue_.now());
+  std::uint32_t GatewayCount = 0;
+  for (const DataCenterSetup &Each : DataCenters)
+    GatewayCount += Each.Gateways_;
   for (const DataCenterSetup &Each : DataCenters) {
     for (const auto &[Kind, Count] : Each.EngineCounts_)
       for (int I = 0; I < Count; ++I)
         Engines_.add(EndpointId(fmt::format("{}-{}-{}", Each.Name_, Kind, I)),
                      DataCenterId(Each.Name_), Kind);
-    Gateways_.push_back(std::make_shared<Gateway>(*this, DataCenterId(Each.Name_),
-                                                  static_cast<std::uint32_t>(DataCenters.size()),
-                                                  std::chrono::seconds(10)));
-    Gateways_.back()->Placement_.setOwner(FencingNumber(1));
+    for (std::uint32_t I = 0; I < Each.Gateways_; ++I)
+      Gateways_.push_back(std::make_shared<Gateway>(*this, DataCenterId(Each.Name_), I == 0,
+                                                    GatewayCount, std::chrono::seconds(10)));
+    Gateways_[Gateways_.size() - Each.Gateways_]->Placement_.setOwner(FencingNumber(1));
   }
   Queue_.every(ReportInterval, [this] { updateRosters(); });
   Queue_.every(ReportInterval, [this] { updatePlacement(); });
+  Queue_.every(SuspectReportInterval, [this] {
+    for (const auto &Each : Gateways_)
+      reportSuspects(*Each);
+  });
+  Queue_.every(ReportInterval, [this] { broadcastSuspects(/*ToAll=*/false); });
+  Queue_.every(RemoteStatesInterval, [this] { broadcastSuspects(/*ToAll=*/true); });
   Queue_.every(TickInterval, [this] {
     for (const auto &Each : Gateways_)
       Each->Handler_.tick();
@@ -277,10 +297,14 @@
 }
 
 void SimulatedSite::updatePlacement() {
+  const auto DataCenters = static_cast<std::size_t>(std::count_if(
+      Gateways_.begin(), Gateways_.end(), [](const auto &Each) { return Each->Owner_; }));
   for (const auto &Each : Gateways_) {
+    if (!Each->Owner_)
+      continue;
     auto Whole = Each->Paths_.dataCentersHoldingModel(Model_, ServiceId("brief"), Queue_.now());
     std::erase(Whole, Each->Home_);
-    const PlacementScope Scope{Each->Home_, Gateways_.size(), Whole.size()};
+    const PlacementScope Scope{Each->Home_, DataCenters, Whole.size()};
     for (const PlacementOrder &Order :
          Each->Placement_.tick(Model_, ServiceId("brief"), Scope, Each->Roster_, Queue_.now()))
       Each->Placement_.onOrderEnded(Order, Engines_.order(Order), Queue_.now());
@@ -296,6 +320,49 @@
   updatePlacement();
 }
 
+void SimulatedSite::reportSuspects(Gateway &From) {
+  const std::vector<PromptSuspect> Reports = From.Quarantine_.takeReports();
+  if (Reports.empty())
+    return;
+  for (const auto &Each : Gateways_)
+    if (Each->Owner_ && Each.get() != &From)
+      sendSuspects(Reports, *Each);
+}
+
+void SimulatedSite::broadcastSuspects(bool ToAll) {
+  for (const auto &Owner : Gateways_) {
+    if (!Owner->Owner_)
+      continue;
+    const std::vector<PromptSuspect> Suspects = Owner->Quarantine_.suspects(Queue_.now());
+    if (Suspects.empty())
+      continue;
+    for (const auto &Each : Gateways_)
+      if (Each != Owner && (ToAll || Each->Home_ == Owner->Home_))
+        sendSuspects(Suspects, *Each);
+  }
+}
+
+void SimulatedSite::sendSuspects(const std::vector<PromptSuspect> &Suspects, Gateway &To) {
+  if (std::uniform_real_distribution(0.0, 1.0)(LossRandom_) < DatagramLoss_)
+    return;
+  const TimePoint SentAt = Queue_.now();
+  Queue_.after(DatagramDelay, [this, Suspects, SentAt, &To] {
+    std::vector<PromptSuspect> Received = Suspects;
+    // Datagrams state ages, so the times of the receiver are later by the delay.
+    for (PromptSuspect &Suspect : Received)
+      for (EngineCrash &Each : Suspect.Crashes_)
+        Each.At_ += Queue_.now() - SentAt;
+    To.Quarantine_.merge(Received, Queue_.now());
+  });
+}
+
+std::size_t SimulatedSite::quarantinedParts() const {
+  std::size_t Count = 0;
+  for (const auto &Each : Gateways_)
+    Count += Each->Quarantine_.size(Queue_.now());
+  return Count;
+}
+
 void SimulatedSite::simulateFalseSilence(const EndpointId &Engine) {
   for (const auto &Each : Gateways_) {
     Each->Roster_.markSilent(Engine, Queue_.now(), Queue_.now() + SilenceDuration);
@@ -325,7 +392,8 @@
 }
 
 std::shared_ptr<CallerView> SimulatedSite::sendRequest(std::size_t GatewayIndex, double Prompt,
-                                                       std::uint64_t Events) {
+                                                       std::uint64_t Events,
+                                                       const std::string &Parts) {
   auto View = std::make_shared<CallerView>();
   View->Id_ = "r" + std::to_string(NextId_++);
   View->SentAt_ = Queue_.now();
@@ -336,6 +404,8 @@
   Request.Headers_.add("id", View->Id_);
   Request.Headers_.add("prompt", std::to_string(Prompt));
   Request.Headers_.add("events", std::to_string(Events));
+  if (!Parts.empty())
+    Request.Headers_.add("parts", Parts);
   Gateways_[GatewayIndex]->Handler_.handle(
       std::move(Request), std::make_shared<RecordingResponder>(Queue_.clock(), View));
   return View;
--- a/Source/SiteModel/SimulatedSite.h
+++ b/Source/SiteModel/SimulatedSite.h
@@ -23,6 +23,8 @@
   std::uint64_t ExpectedEvents_ = 0;
   /// 0 until the response begins.
   std::uint32_t Status_ = 0;
+  /// The gateway's error number; 0 if it sent none.
+  int Error_ = 0;
   std::vector<std::uint64_t> EventIds_;
   Duration TimeToFirstEvent_{};
   Duration LongestPause_{};
@@ -42,15 +44,17 @@
   bool inTime() const;
 };
 
-/// Gateways, one in each data centre, in front of simulated engines. Request handling, exchanges,
-/// path selection, placement, the memory queue and the retry budget are the real ones; the clock
-/// and the sockets are simulated. Not thread-safe.
+/// Gateways in each data centre in front of simulated engines. Request handling, exchanges,
+/// path selection, placement, the memory queue, the retry budget and the quarantine of prompts are
+/// the real ones; the clock and the sockets are simulated. Not thread-safe.
 class SimulatedSite {
 public:
   struct DataCenterSetup {
     std::string Name_;
     /// How many engines of each kind it has.
     std::vector<std::pair<std::string, int>> EngineCounts_;
+    /// The first of its gateways owns its engines.
+    std::uint32_t Gateways_ = 1;
   };
 
   /// Precondition: the model defines the kinds of all engines.
@@ -84,14 +88,28 @@
   }
   /// Uses up the retry budgets of all gateways for this window.
   void exhaustRetryBudget();
-  /// Sends a request through the gateway of the data centre with that index. The view is updated as
+  /// The share of datagrams about suspected parts of prompts that are lost; 0 by default.
+  void setDatagramLoss(double Share) { DatagramLoss_ = Share; }
+  /// Sends a request through the gateway with that index, in the order of the data centres. The
+  /// parts of its prompt that other requests share are separated by commas. The view is updated as
   /// simulated time passes.
   std::shared_ptr<CallerView> sendRequest(std::size_t GatewayIndex, double Prompt,
-                                          std::uint64_t Events);
+                                          std::uint64_t Events, const std::string &Parts = {});
+  std::size_t gatewayCount() const { return Gateways_.size(); }
+  /// The number of parts of prompts that are quarantined, added up over all gateways.
+  std::size_t quarantinedParts() const;
   /// Requests in flight at all gateways.
   std::size_t inFlight() const;
   /// Streams that were resumed on another path so far.
-  std::uint64_t resumedStreams() const { return Resumes_; }
+  std::uint64_t resumedStreams() const { return Counts_.Resumes_; }
+  /// Crashes of engines that began to answer a request, as gateways noticed them so far.
+  std::uint64_t noticedCrashes() const { return Counts_.NoticedCrashes_; }
+
+  /// How often gateways logged some events.
+  struct LogCounts {
+    std::uint64_t Resumes_ = 0;
+    std::uint64_t NoticedCrashes_ = 0;
+  };
 
 private:
   class HealthMonitor;
@@ -102,6 +120,11 @@
   void updatePlacement();
   /// Tells all gateways that one of them found an engine silent.
   void broadcastSilence(const EndpointId &Engine);
+  /// Sends a gateway's new observations about parts of prompts to the owners of all data centres.
+  void reportSuspects(Gateway &From);
+  /// Each owner passes on its suspects to the gateways of its data centre, or to all gateways.
+  void broadcastSuspects(bool ToAll);
+  void sendSuspects(const std::vector<PromptSuspect> &Suspects, Gateway &To);
 
   EventQueue Queue_;
   LayeredModel Model_;
@@ -116,7 +139,9 @@
   /// Engines that are listed as leaving, with their run.
   std::map<EndpointId, Incarnation> LeavingEngines_;
   std::uint64_t NextId_ = 1;
-  std::uint64_t Resumes_ = 0;
+  LogCounts Counts_;
+  double DatagramLoss_ = 0;
+  std::mt19937 LossRandom_;
 };
 
 } // namespace rattancart
