--- a/Tests/Core/Recovery/PromptQuarantineTest.cpp
+++ b/Tests/Core/Recovery/PromptQuarantineTest.cpp
@@ -203,3 +203,76 @@
     }
   }
 }
+
+// An engine ends every 30 s while a request with the part begins at one gateway. A second later,
+// and from then on, another gateway answers such requests.
+BOOST_AUTO_TEST_CASE(APartThatIsAnsweredElsewhereAfterEachCrashIsRefused) {
+  PromptQuarantine Owner, Answering, Crashing;
+  TimePoint Now = Start;
+  Answering.onServed(SoundParts, Now);
+  Crashing.onServed(SoundParts, Now);
+  for (int I = 0; I < 5; ++I) {
+    Now += 1s;
+    crash(Crashing, SoundParts, I, Now - Start);
+    for (int Second = 0; Second < 30; ++Second) {
+      for (PromptQuarantine *Each : {&Answering, &Crashing})
+        Owner.merge(Each->takeReports(), Now);
+      for (PromptQuarantine *Each : {&Answering, &Crashing})
+        Each->merge(Owner.suspects(Now), Now);
+      Now += 1s;
+      Answering.onServed(SoundParts, Now);
+    }
+  }
+  BOOST_TEST(!Answering.find(SoundParts, Now));
+  BOOST_TEST(!Owner.find(SoundParts, Now));
+  BOOST_TEST(!Crashing.find(SoundParts, Now));
+}
+
+BOOST_AUTO_TEST_CASE(CrashesThatOtherGatewaysReportedAreNotForgotten) {
+  PromptQuarantine Quarantine;
+  for (const int I : {0, 1}) {
+    const TimePoint At = Start + I * 40min;
+    const EngineCrash Crash{EndpointId("engine-" + std::to_string(I)), Incarnation(1), At, false};
+    Quarantine.merge({{Poison, false, {Crash}}}, At);
+  }
+  BOOST_TEST(!Quarantine.find({Poison}, Start + 40min));
+}
+
+// The cause explains the crashes of a sound part only where all of them are known.
+BOOST_AUTO_TEST_CASE(ASoundPartIsRefusedWhereOnlyTheNewestCrashesOfTheCauseAreKnown) {
+  PromptQuarantine Owner;
+  PromptQuarantine Restarted;
+  for (int I = 0; I < 2; ++I)
+    crash(Owner, PoisonParts, I, I * 1s);
+  for (int I = 2; I < 7; ++I)
+    crash(Owner, {Poison}, I, I * 1s);
+  const TimePoint Now = Start + 8s;
+  BOOST_TEST(!Owner.find(SoundParts, Now));
+  Restarted.merge(Owner.suspects(Now), Now);
+  BOOST_TEST(!Restarted.find(SoundParts, Now));
+  BOOST_TEST(Restarted.find(PoisonParts, Now).has_value());
+}
+
+// The part was answered until a release. Each request with it has another part that is new.
+BOOST_AUTO_TEST_CASE(APartThatBecameBadIsNotFoundBesideNewParts) {
+  PromptQuarantine Quarantine;
+  Quarantine.onServed({Poison}, Start - 1min);
+  for (int I = 0; I < 40; ++I)
+    crash(Quarantine, {PromptPartId("new-" + std::to_string(I)), Poison}, I, I * 1s);
+  BOOST_TEST(Quarantine.find({PromptPartId("new-99"), Poison}, Start + 41s).has_value());
+}
+
+// The age of a crash is written when a datagram is sent; this one waits 200 ms in the queue of a
+// link.
+BOOST_AUTO_TEST_CASE(EnginesThatEndTogetherCountTwiceIfADatagramIsLate) {
+  PromptQuarantine Here;
+  PromptQuarantine There;
+  crash(Here, SoundParts, 0, 0ms);
+  crash(There, SoundParts, 1, 0ms);
+  auto Reports = There.takeReports();
+  for (PromptSuspect &Each : Reports)
+    for (EngineCrash &Crash : Each.Crashes_)
+      Crash.At_ += 200ms;
+  Here.merge(Reports, Start + 200ms);
+  BOOST_TEST(!Here.find(SoundParts, Start + 1s));
+}
