Calls take no retry budget without a further endpoint

A lookup that waited for its endpoint took a retry at each tick of 25 ms while there was no second endpoint to send it to, and so spent the budget that streams share. The endpoint is looked up first now. RetryBudgetIsSpentOnRequestsThatAreNotSentAgain failed before: 21 retries in half a second, no send.

--- a/Source/Gateway/CallExchange.cpp
+++ b/Source/Gateway/CallExchange.cpp
@@ -48,9 +48,13 @@
     giveUp();
 }
 
+bool CallExchange::canSendNext() const {
+  return chooseEndpoint() && Sends_ < MaxSends && timeLeft() > Duration{};
+}
+
 bool CallExchange::sendNext() {
   const EndpointRecord *Endpoint = chooseEndpoint();
-  if (!Endpoint || Sends_ >= MaxSends || timeLeft() <= Duration{})
+  if (!Endpoint || !canSendNext())
     return false;
   const EndpointId Id = Endpoint->Listing_.Id_;
   Tried_.insert(Id);
@@ -99,7 +103,7 @@
     return;
   const bool MaySend = NotRun || (isRetryable() && PossibleRuns_ < Routed_.Route_->MaxAttempts_);
   // A send that never got a connection puts no load on the service, so it takes no retry budget.
-  const bool InBudget = MaySend && (!Result.BytesHandedOver_ || tryTakeRetry());
+  const bool InBudget = MaySend && canSendNext() && (!Result.BytesHandedOver_ || tryTakeRetry());
   if (!InBudget || !sendNext())
     giveUp();
 }
@@ -129,7 +133,7 @@
     return;
   const auto Limit =
       std::chrono::duration_cast<Duration>(Routed_.Route_->Objective_ * SecondSendAfter);
-  if (Now - Pending_.front()->Attempt_->SentAt_ < Limit || !tryTakeRetry())
+  if (Now - Pending_.front()->Attempt_->SentAt_ < Limit || !canSendNext() || !tryTakeRetry())
     return;
   sendNext();
 }
--- a/Source/Gateway/CallExchange.h
+++ b/Source/Gateway/CallExchange.h
@@ -31,7 +31,9 @@
   using CallAttemptPtr = std::shared_ptr<CallAttempt>;
 
   const EndpointRecord *chooseEndpoint() const;
-  /// False if there is no further endpoint, or no more sends or time for the request.
+  /// Whether there is a further endpoint, and sends and time are left for the request.
+  bool canSendNext() const;
+  /// False if canSendNext is.
   bool sendNext();
   void onDone(const CallAttemptPtr &Item, const HttpResult &Result);
   void onFailure(const CallAttemptPtr &Item, const HttpResult &Result);
