Review: a case that takes too long ends its gateways

Cause: run.sh ends a case by SIGTERM, and the gateways that it had started stayed. Change: the case ends as one that could not run, and stops what it started.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -765,6 +765,9 @@
 
     async def run():
         site = Site(folder, **options)
+        # run.sh ends a case that takes too long; its gateways must end with it.
+        playing = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, playing.cancel)
         try:
             await asyncio.wait_for(site.start(), 60)
             broken = await asyncio.wait_for(play(site), 90)
@@ -772,7 +775,7 @@
                 site.record.add("BROKEN   " + line)
             print(f"{len(broken)} breaks" + "".join("\n  " + line for line in broken[:10]))
             return 1 if broken else 0
-        except (CannotRun, asyncio.TimeoutError) as reason:
+        except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError) as reason:
             site.record.add(f"the case could not run: {reason!r}")
             print(f"could not run: {reason!r}")
             return 2
