--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,8 @@
-"""The store turns one gateway away for three seconds. Soon after, a desk leaves as planned: its
-entry is removed, it serves for drain_ms and a little longer, and then exits."""
+"""The store turns one gateway away for three seconds. Three seconds later, a desk is replaced as
+planned: its entry is removed, it serves for drain_ms and a little longer, and then exits."""
 
 import asyncio
+import json
 import os
 import sys
 import time
@@ -10,19 +11,24 @@
 sys.path.insert(0, os.path.join(HERE, "..", "lib"))
 import standins as s  # noqa: E402
 
-ROUNDS = 4
+ROUNDS = 9
 AWAY_S = 3.0
-LEAVES_AFTER_S = 1.5
+# Longer than the stable window, so that the store counts as stable when it acknowledges the removal.
+LEAVES_AFTER_S = 3.05
 STABLE_WINDOW_S = 3.0
 DRAIN_S = s.BOUNDS["drain_ms"] / 1000
 # How much longer than drain_ms a desk serves after its entry was removed.
 LITTLE_LONGER_S = 0.4
+DESKS_AT_ONCE = 3
 CONSUMERS = 6
 PAUSE_S = 0.02
 
 
 async def play(site):
     gateway = site.gateways[0]
+    for desk in site.desks[DESKS_AT_ONCE:]:
+        desk.state = ""
+        await site.store.put("keyed.servers", desk.name, None)
     broken, lost = [], []
     arrivals = []
     stop = asyncio.Event()
@@ -60,7 +66,10 @@
         back = time.monotonic()
         site.record.add(f"the store answers {gateway.name} again")
         await asyncio.sleep(LEAVES_AFTER_S)
-        desk = site.desks[turn]
+        desk, successor = site.desks[turn], site.desks[turn + DESKS_AT_ONCE]
+        successor.state = "ready"
+        await site.store.put("keyed.servers", successor.name,
+                             json.dumps(successor.entry()).encode())
         desk.state = ""
         await site.store.put("keyed.servers", desk.name, None)
         gone = time.monotonic()
@@ -68,14 +77,12 @@
         await asyncio.sleep(DRAIN_S + LITTLE_LONGER_S)
         desk.close()
         site.record.add(f"{desk.name} exits")
-        await asyncio.sleep(1.5)
         for at, where, name in arrivals:
             # The gateway is in touch again once the store has answered it for stable_window_ms.
             in_touch = not s.trouble() or at > back + STABLE_WINDOW_S
             if where is desk and at > gone + DRAIN_S and in_touch:
                 broken.append(f"DRAIN: {name} reached {desk.name} {at - gone:.3f} s after the "
                               f"store had acknowledged that it is gone")
-        await asyncio.sleep(4)
     stop.set()
     await asyncio.gather(*consumers)
     site.record.add(f"{len(arrivals)} arrivals, {len(broken)} of them too late; {len(lost)} "
@@ -83,4 +90,4 @@
     return broken
 
 
-s.main(HERE, play, engines=0, desks=7, gateways=2)
+s.main(HERE, play, engines=0, desks=ROUNDS + DESKS_AT_ONCE, gateways=3)
