Missing entries are kept from the end of an outage on, not from their removal

Cause: an entry that disappears soon after an outage may have expired in it, and such entries are back within two seconds of the store's return. EndpointRoster kept them for two seconds from the moment at which the removal was read, and OutageDetector took each removal within 2.5 s of the first answered call for such an entry. An endpoint that left as planned was used for two seconds, one read of the list and one housekeeping interval. Ruled out: late reads of the list alone (EndpointMissing, not EndpointGone, precedes the late requests; without an outage there are none).

Change: OutageDetector states until when entries may reappear, from the end of the outage, which is the first answer but no later than 0.9 s after the store was last found out of reach. Calls of the outage that fail after its end no longer begin a new one. A missing endpoint takes no work once its time is over, also before the next housekeeping.

--- a/Source/Core/Recovery/StorePolling.cpp
+++ b/Source/Core/Recovery/StorePolling.cpp
@@ -1,6 +1,7 @@
 #include "Core/Recovery/StorePolling.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace rattancart {
 
@@ -14,8 +15,15 @@
 /// The number of consecutive failed calls that counts as an outage. A single failure does not,
 /// since single answers get lost.
 constexpr std::uint32_t OutageFailures = 2;
-/// Entries that expired during an outage reappear within about this time after its end.
-constexpr Duration RelistTime = std::chrono::milliseconds(2500);
+/// Entries that expired during an outage reappear within this time after its end if the endpoint is
+/// alive. This is a property of the platform.
+constexpr Duration ReappearTime = std::chrono::seconds(2);
+/// An outage counts as ended at the first answer, but no later than this after the store was last
+/// found out of reach. Without this limit, an endpoint that left as planned soon after the outage
+/// would be used for longer the later this process notices the end of the outage.
+constexpr Duration MaxReturnDelay = std::chrono::milliseconds(900);
+/// Minimum time between two reads of the list while entries may reappear.
+constexpr Duration ReappearInterval = std::chrono::milliseconds(300);
 /// How long the store holds a read of the list that finds no record.
 constexpr Duration ListWait = std::chrono::milliseconds(500);
 /// Time for a read that fails and the next one.
@@ -47,23 +55,33 @@
   return Base * std::uniform_int_distribution<int>(50, 100)(Random) / 100;
 }
 
-std::optional<bool> OutageDetector::onCallEnded(bool Answered, TimePoint Now) {
-  if (Answered) {
-    FailuresInRow_ = 0;
-    if (Reachable_)
-      return std::nullopt;
-    Reachable_ = true;
-    OutageEndedAt_ = Now;
-    return true;
-  }
-  if (++FailuresInRow_ < OutageFailures || !Reachable_)
+bool OutageDetector::onAnswered(TimePoint Now) {
+  FailuresInRow_ = 0;
+  AnsweredAt_ = Now;
+  if (std::exchange(Reachable_, true))
+    return false;
+  OutageEndedAt_ = std::min(Now, UnreachableAt_ + MaxReturnDelay);
+  return true;
+}
+
+bool OutageDetector::onFailed(TimePoint UnreachableAt) {
+  // A call that began in an outage may fail long after the outage ended.
+  if (UnreachableAt <= AnsweredAt_)
+    return false;
+  UnreachableAt_ = std::max(UnreachableAt_, UnreachableAt);
+  return ++FailuresInRow_ >= OutageFailures && std::exchange(Reachable_, false);
+}
+
+std::optional<TimePoint> OutageDetector::entriesMayReappearUntil(TimePoint Now) const {
+  if (!Reachable_)
+    return Now + ReappearTime;
+  if (!OutageEndedAt_ || Now >= *OutageEndedAt_ + ReappearTime)
     return std::nullopt;
-  Reachable_ = false;
-  return false;
+  return *OutageEndedAt_ + ReappearTime;
 }
 
-bool OutageDetector::entriesMayReappear(TimePoint Now) const {
-  return !Reachable_ || (OutageEndedAt_ && Now - *OutageEndedAt_ < RelistTime);
+Duration OutageDetector::listInterval(Duration Usual, TimePoint Now) const {
+  return entriesMayReappearUntil(Now) ? std::min(ReappearInterval, Usual) : Usual;
 }
 
 } // namespace rattancart
--- a/Source/Core/Recovery/StorePolling.h
+++ b/Source/Core/Recovery/StorePolling.h
@@ -47,18 +47,29 @@
   std::uint32_t Failures_ = 0;
 };
 
-/// Detects from the results of calls whether the store can be reached. Not thread-safe.
+/// Detects from the results of calls whether the store can be reached, and until when entries of
+/// the list that disappeared in an outage may reappear. Not thread-safe.
 class OutageDetector {
 public:
-  /// Reports the end of a call. Returns whether the store can be reached, if that has changed.
-  std::optional<bool> onCallEnded(bool Answered, TimePoint Now);
-  /// Whether entries that disappear now may reappear, since they may only have expired in an
-  /// outage.
-  bool entriesMayReappear(TimePoint Now) const;
+  /// Reports a call that was answered at Now. Returns whether that ended an outage.
+  bool onAnswered(TimePoint Now);
+  /// Reports a failed call. UnreachableAt: when the store is known to have been out of reach, which
+  /// is the start of a call without any answer and the end of a call that was refused. Returns
+  /// whether an outage has begun.
+  bool onFailed(TimePoint UnreachableAt);
+  /// The time until which an entry that is missing from the list now may reappear, since it may
+  /// only have expired in the last outage; nothing if a missing entry is gone.
+  std::optional<TimePoint> entriesMayReappearUntil(TimePoint Now) const;
+  /// The minimum time between two reads of the list, whose usual value is Usual. It is short while
+  /// entries may reappear.
+  Duration listInterval(Duration Usual, TimePoint Now) const;
 
 private:
   std::uint32_t FailuresInRow_ = 0;
   bool Reachable_ = true;
+  TimePoint AnsweredAt_{};
+  TimePoint UnreachableAt_{};
+  /// The latest time at which the last outage can have ended.
   std::optional<TimePoint> OutageEndedAt_;
 };
 
--- a/Source/Core/Serving/EndpointRoster.cpp
+++ b/Source/Core/Serving/EndpointRoster.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-/// Entries that expired during an outage reappear within this time after it if the endpoint is
-/// alive. This is a property of the platform.
-constexpr Duration ReappearTime = std::chrono::seconds(2);
 /// Silent endpoints are polled again every half second, so after this time at least two more polls
 /// have failed.
 constexpr Duration LostTimeout = std::chrono::milliseconds(1500);
@@ -84,7 +81,7 @@
     Record.DeclineBackoff_ = {};
     Record.Memory_ = {};
   }
-  Record.Missing_ = false;
+  Record.MissingUntil_.reset();
   Record.ListedAt_ = Now;
   Record.Listing_ = std::move(Listing);
   if (Restarted)
@@ -94,16 +91,17 @@
   return Moved ? Change::Moved : Change::None;
 }
 
-EndpointRoster::Change EndpointRoster::removeListing(const EndpointId &Id, bool AfterOutage,
+EndpointRoster::Change EndpointRoster::removeListing(const EndpointId &Id,
+                                                     std::optional<TimePoint> MayReappearUntil,
                                                      TimePoint Now) {
   const auto It = Records_.find(Id);
   if (It == Records_.end())
     return Change::None;
   EndpointRecord &Record = It->second;
-  if (AfterOutage && Record.Listing_.State_ == EndpointState::Live) {
-    if (!Record.Missing_)
-      Record.MissingSince_ = Now;
-    Record.Missing_ = true;
+  if (MayReappearUntil && Now < *MayReappearUntil &&
+      Record.Listing_.State_ == EndpointState::Live) {
+    if (!Record.MissingUntil_)
+      Record.MissingUntil_ = MayReappearUntil;
     return Change::Missing;
   }
   Records_.erase(It);
@@ -113,8 +111,7 @@
 std::vector<EndpointId> EndpointRoster::prune(TimePoint Now) {
   std::vector<EndpointId> Removed;
   for (auto It = Records_.begin(); It != Records_.end();) {
-    const EndpointRecord &Record = It->second;
-    if (!Record.Missing_ || Now - Record.MissingSince_ < ReappearTime) {
+    if (!It->second.gone(Now)) {
       ++It;
       continue;
     }
@@ -205,8 +202,8 @@
 }
 
 bool EndpointRoster::takesWork(const EndpointRecord &Record, TimePoint Now) const {
-  return Record.Listing_.State_ == EndpointState::Live && !Record.silent(Now) &&
-         !Record.declines(Now);
+  return Record.Listing_.State_ == EndpointState::Live && !Record.gone(Now) &&
+         !Record.silent(Now) && !Record.declines(Now);
 }
 
 const EndpointRecord *EndpointRoster::find(const EndpointId &Id) const {
--- a/Source/Core/Serving/EndpointRoster.h
+++ b/Source/Core/Serving/EndpointRoster.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,9 +52,9 @@
 struct EndpointRecord {
   EndpointListing Listing_;
   TimePoint ListedAt_{};
-  /// Set while the list lacks the endpoint, but its entry may only have expired and may reappear.
-  TimePoint MissingSince_{};
-  bool Missing_ = false;
+  /// Set while the list lacks the endpoint, but its entry may only have expired and may reappear
+  /// until then.
+  std::optional<TimePoint> MissingUntil_;
   EngineReport Report_;
   /// When the report was made; the epoch if there is none of this run.
   TimePoint ReportedAt_{};
@@ -86,6 +87,9 @@
   double freeSlotShare() const;
   /// The engine's memory that is probably in use, in tokens times layers.
   double usedTokenLayers(TimePoint Now) const;
+  /// Whether the endpoint has left: the list has lacked it for longer than an entry that expired
+  /// needs to reappear.
+  bool gone(TimePoint Now) const { return MissingUntil_ && Now >= *MissingUntil_; }
   /// Whether the endpoint recently failed to answer this process.
   bool silent(TimePoint Now) const { return Now < SilentUntil_; }
   /// Whether the endpoint has probably ended or is cut off: it has not answered for a while, and no
@@ -104,7 +108,7 @@
 /// silent, and the load of this process on each.
 ///
 /// The list lags by seconds and loses entries while the platform is unavailable, so an entry that
-/// disappears just after an outage is kept for a while. Not thread-safe.
+/// disappears during an outage or just after it is kept for a while. Not thread-safe.
 class EndpointRoster {
 public:
   /// The effect of a change of the list.
@@ -112,10 +116,12 @@
 
   /// Adds or updates an entry of the list.
   Change updateListing(EndpointListing Listing, TimePoint Now);
-  /// Removes an entry that is no longer in the list. A live entry that disappears just after an
-  /// outage is kept as missing; see prune.
-  Change removeListing(const EndpointId &Id, bool AfterOutage, TimePoint Now);
-  /// Removes missing entries that did not reappear in time, and returns their ids.
+  /// Removes an entry that is no longer in the list. If it may reappear and is live, it is kept as
+  /// missing until then; see prune.
+  Change removeListing(const EndpointId &Id, std::optional<TimePoint> MayReappearUntil,
+                       TimePoint Now);
+  /// Removes missing entries that did not reappear in time, and returns their ids. They get no new
+  /// work from that time on, even before this call.
   std::vector<EndpointId> prune(TimePoint Now);
 
   /// Takes an engine's report from the time TrueAt, unless a newer one is known. False if the
--- a/Source/Gateway/GatewayGauges.cpp
+++ b/Source/Gateway/GatewayGauges.cpp
@@ -14,7 +14,7 @@
 double seconds(Duration Time) { return std::chrono::duration<double>(Time).count(); }
 
 const char *stateName(const EndpointRecord &Record, TimePoint Now) {
-  if (Record.Missing_)
+  if (Record.MissingUntil_)
     return "missing";
   if (Record.Listing_.State_ != EndpointState::Live)
     return "leaving";
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -177,13 +177,16 @@
   Client_.closeIdle(Now.Address_);
 }
 
-void GatewayProcess::onUnlisted(const EndpointId &Id, bool AfterOutage) {
-  const EndpointRoster::Change Change = Roster_.removeListing(Id, AfterOutage, Time_.now());
+void GatewayProcess::onUnlisted(const EndpointId &Id, std::optional<TimePoint> MayReappearUntil) {
+  const TimePoint Now = Time_.now();
+  const EndpointRoster::Change Change = Roster_.removeListing(Id, MayReappearUntil, Now);
   if (Change == EndpointRoster::Change::None)
     return;
   const bool Missing = Change == EndpointRoster::Change::Missing;
   Log_.log(Missing ? LogEvent::EndpointMissing : LogEvent::EndpointGone,
-           {{"endpoint", Id.str()}, {"reason", "unlisted"}});
+           {{"endpoint", Id.str()},
+            {"reason", "unlisted"},
+            {"kept_ms", Missing ? (*MayReappearUntil - Now) / milliseconds(1) : 0}});
 }
 
 void GatewayProcess::onListComplete() { ListComplete_ = true; }
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -46,7 +46,7 @@
 private:
   void onConfig(ServingConfig Config) override;
   void onListed(EndpointListing Listing) override;
-  void onUnlisted(const EndpointId &Id, bool AfterOutage) override;
+  void onUnlisted(const EndpointId &Id, std::optional<TimePoint> MayReappearUntil) override;
   void onListComplete() override;
   void onStoreReachable(bool Reachable) override;
 
--- a/Source/Gateway/MetadataStore.h
+++ b/Source/Gateway/MetadataStore.h
@@ -17,9 +17,9 @@
   /// A configuration was read; it may be older than an earlier one.
   virtual void onConfig(ServingConfig Config) = 0;
   virtual void onListed(EndpointListing Listing) = 0;
-  /// An entry was removed from the list. AfterOutage: the store was unreachable shortly before, so
-  /// the entry may have expired although the endpoint still runs.
-  virtual void onUnlisted(const EndpointId &Id, bool AfterOutage) = 0;
+  /// An entry was removed from the list. MayReappearUntil is set if the store was out of reach
+  /// shortly before, so that the entry may have expired although the endpoint still runs.
+  virtual void onUnlisted(const EndpointId &Id, std::optional<TimePoint> MayReappearUntil) = 0;
   /// The whole list was read at least once.
   virtual void onListComplete() = 0;
   /// The store was lost or regained.
--- a/Source/SiteModel/SimulatedSite.cpp
+++ b/Source/SiteModel/SimulatedSite.cpp
@@ -377,7 +377,7 @@
   }
   UnlistedEngines_.insert(Engine);
   for (const auto &Each : Gateways_)
-    Each->Roster_.removeListing(Engine, /*AfterOutage=*/false, Queue_.now());
+    Each->Roster_.removeListing(Engine, /*MayReappearUntil=*/std::nullopt, Queue_.now());
 }
 
 void SimulatedSite::announceLeaving(const EndpointId &Engine) {
--- a/Source/StandIns/Site/Site.cpp
+++ b/Source/StandIns/Site/Site.cpp
@@ -136,7 +136,8 @@
   for (const auto &Engine : Engines_)
     writeEngineEntry(*Engine, Engine->runState() == FakeLayerEngine::RunState::Running);
   for (const auto &Desk : Desks_)
-    writeDeskEntry(*Desk);
+    if (!UnlistedDesks_.contains(Desk->id()))
+      writeDeskEntry(*Desk);
 }
 
 void Site::writeEngineEntry(const FakeLayerEngine &Engine, bool Listed) {
@@ -247,6 +248,13 @@
   });
 }
 
+void Site::unlistDesk(const std::string &Id) {
+  runOnLoop([&] {
+    UnlistedDesks_.insert(Id);
+    Store_.append(EndpointTopic, {Id, std::nullopt});
+  });
+}
+
 ActivityLog Site::activity() const {
   return runOnLoop([&] { return Activity_; });
 }
--- a/Source/StandIns/Site/Site.h
+++ b/Source/StandIns/Site/Site.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -73,6 +74,8 @@
   /// FakeLayerEngine::setCrashingPromptPart(). An empty part ends this.
   void setCrashingPromptPart(const std::string &Part);
   void setDeskFault(DeskFault Fault);
+  /// Removes the entry of a desk, which serves on.
+  void unlistDesk(const std::string &Id);
   /// Writes the next version of the configuration, with these API keys of customer "crew".
   void writeConfig(const std::vector<std::string> &Keys);
 
@@ -112,6 +115,7 @@
   NullLogger Log_;
   ActivityLog Activity_;
   EngineDirectory Peers_;
+  std::set<std::string> UnlistedDesks_;
   std::vector<std::unique_ptr<FakeLayerEngine>> Engines_;
   std::vector<std::unique_ptr<FakeDesk>> Desks_;
   FakeStoreHandler Store_;
--- a/Tests/Core/Layers/PlacementControllerTest.cpp
+++ b/Tests/Core/Layers/PlacementControllerTest.cpp
@@ -83,7 +83,7 @@
   void decline(std::size_t Index) { Declining_ = Engines_[Index].Listing_.Id_; }
 
   void lose(std::size_t Index) {
-    Roster_.removeListing(Engines_[Index].Listing_.Id_, false, Now_);
+    Roster_.removeListing(Engines_[Index].Listing_.Id_, std::nullopt, Now_);
     Engines_.erase(Engines_.begin() + static_cast<std::ptrdiff_t>(Index));
   }
 
--- a/Tests/Core/Recovery/StorePollingTest.cpp
+++ b/Tests/Core/Recovery/StorePollingTest.cpp
@@ -30,13 +30,14 @@
 
 struct OutageCase {
   const char *Name_;
-  /// Ends of calls, 100 ms apart: + for a call that was answered, - for one that was not.
+  /// Ends of calls, 100 ms apart: + for a call that was answered, - for one that was refused, = for
+  /// one that began before all others and got no answer.
   const char *Calls_;
   /// The change after each call: . for none, L if the store is lost, B if it is back.
   const char *Changes_;
-  /// Whether missing entries may reappear, two and three seconds after the last call.
-  bool MayReappearAfter2s_;
-  bool MayReappearAfter3s_;
+  /// Whether missing entries may reappear 1.9 s and 2.1 s after the last call.
+  bool MayReappearAfter1900ms_;
+  bool MayReappearAfter2100ms_;
 };
 
 std::ostream &operator<<(std::ostream &Out, const OutageCase &Case) { return Out << Case.Name_; }
@@ -48,6 +49,26 @@
     {"remains lost", "----", ".L..", true, true},
     {"back after an answer", "--+", ".LB", true, false},
     {"lost again", "--+--", ".LB.L", true, true},
+    {"calls of the outage fail after it", "--+==", ".LB..", false, false},
+    {"calls of no outage fail after an answer", "+==", "...", false, false},
+};
+
+/// When the store was last found out of reach and when it answered again, and how long after the
+/// answer missing entries may reappear.
+struct ReturnCase {
+  const char *Name_;
+  Duration FoundAfter_;
+  Duration MayReappearFor_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const ReturnCase &Case) { return Out << Case.Name_; }
+
+const ReturnCase ReturnCases[] = {
+    {"at once", 0ms, 2000ms},
+    {"after a retry", 900ms, 2000ms},
+    {"after a call that got no answer", 1900ms, 1000ms},
+    {"late", 2900ms, 0ms},
+    {"after a pause of the process", 60s, 0ms},
 };
 
 struct TimingCase {
@@ -95,10 +116,42 @@
   std::string Changes;
   for (const char Call : std::string(Case.Calls_)) {
     Now += 100ms;
-    const auto Change = Detector.onCallEnded(Call == '+', Now);
-    Changes += !Change ? '.' : *Change ? 'B' : 'L';
+    if (Call == '+')
+      Changes += Detector.onAnswered(Now) ? 'B' : '.';
+    else
+      Changes += Detector.onFailed(Call == '-' ? Now : Start) ? 'L' : '.';
   }
   BOOST_TEST(Changes == Case.Changes_);
-  BOOST_TEST(Detector.entriesMayReappear(Now + 2s) == Case.MayReappearAfter2s_);
-  BOOST_TEST(Detector.entriesMayReappear(Now + 3s) == Case.MayReappearAfter3s_);
+  BOOST_TEST(Detector.entriesMayReappearUntil(Now + 1900ms).has_value() ==
+             Case.MayReappearAfter1900ms_);
+  BOOST_TEST(Detector.entriesMayReappearUntil(Now + 2100ms).has_value() ==
+             Case.MayReappearAfter2100ms_);
+}
+
+// Guards against requests to endpoints that left as planned soon after an outage (review/1): a
+// process that notices the end of the outage late must not use missing entries for as long as one
+// that notices it at once.
+BOOST_DATA_TEST_CASE(MissingEntriesAreKeptFromTheEndOfTheOutageOn, ReturnCases, Case) {
+  OutageDetector Detector;
+  Detector.onFailed(Start - 1s);
+  BOOST_TEST(Detector.onFailed(Start));
+  const TimePoint Answered = Start + Case.FoundAfter_;
+  BOOST_TEST(Detector.onAnswered(Answered));
+  const TimePoint Until = Detector.entriesMayReappearUntil(Answered).value_or(Answered);
+  BOOST_TEST((Until - Answered == Case.MayReappearFor_));
+  // A later look doesn't move the end.
+  if (Case.MayReappearFor_ > 0ms)
+    BOOST_TEST((Detector.entriesMayReappearUntil(Until - 1ms) == Until));
+  BOOST_TEST(!Detector.entriesMayReappearUntil(Until).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(TheListIsReadOftenWhileEntriesMayReappear) {
+  OutageDetector Detector;
+  BOOST_TEST((Detector.listInterval(900ms, Start) == 900ms));
+  Detector.onFailed(Start);
+  Detector.onFailed(Start + 1ms);
+  Detector.onAnswered(Start + 2ms);
+  BOOST_TEST((Detector.listInterval(900ms, Start + 1s) == 300ms));
+  BOOST_TEST((Detector.listInterval(100ms, Start + 1s) == 100ms));
+  BOOST_TEST((Detector.listInterval(900ms, Start + 3s) == 900ms));
 }
--- a/Tests/Core/Serving/EndpointRosterTest.cpp
+++ b/Tests/Core/Serving/EndpointRosterTest.cpp
@@ -78,16 +78,29 @@
 BOOST_AUTO_TEST_CASE(EntriesThatExpiredInAnOutageMayReappear) {
   EndpointRoster Roster;
   Roster.updateListing(listing(1), Start);
-  BOOST_TEST((Roster.removeListing(Id, true, Start) == EndpointRoster::Change::Missing));
+  BOOST_TEST((Roster.removeListing(Id, Start + 2s, Start) == EndpointRoster::Change::Missing));
   BOOST_TEST(takesWork(Roster, Start + 1s));
   BOOST_TEST(Roster.prune(Start + 1s).empty());
   Roster.updateListing(listing(1), Start + 1s);
   BOOST_TEST(Roster.prune(Start + 5s).empty());
-  Roster.removeListing(Id, true, Start + 5s);
+  Roster.removeListing(Id, Start + 7s, Start + 5s);
+  // A second removal doesn't prolong the time.
+  Roster.removeListing(Id, Start + 9s, Start + 6s);
   BOOST_TEST(Roster.prune(Start + 7s).size() == 1U);
   BOOST_TEST(!Roster.find(Id));
   Roster.updateListing(listing(1, EndpointState::Leaving), Start);
-  BOOST_TEST((Roster.removeListing(Id, true, Start) == EndpointRoster::Change::Removed));
+  BOOST_TEST((Roster.removeListing(Id, Start + 2s, Start) == EndpointRoster::Change::Removed));
+}
+
+// Guards against requests to an endpoint that has left, between the end of its time and the next
+// call of prune (review/1).
+BOOST_AUTO_TEST_CASE(AMissingEndpointTakesNoWorkOnceItsTimeIsOver) {
+  EndpointRoster Roster;
+  Roster.updateListing(listing(1), Start);
+  Roster.removeListing(Id, Start + 2s, Start + 1900ms);
+  BOOST_TEST(takesWork(Roster, Start + 1999ms));
+  BOOST_TEST(!takesWork(Roster, Start + 2s));
+  BOOST_TEST((Roster.removeListing(Id, Start + 2s, Start + 2s) == EndpointRoster::Change::Removed));
 }
 
 BOOST_AUTO_TEST_CASE(ReportsOfAnEarlierRunAreIgnored) {
--- a/Tests/Gateway/GatewayGaugesTest.cpp
+++ b/Tests/Gateway/GatewayGaugesTest.cpp
@@ -75,7 +75,9 @@
      {"p_endpoints{data_center=\"east\",state=\"silent\"} 1\n",
       "p_holds_whole_model{service=\"brief\",data_center=\"east\"} 0\n"}},
     {"one missing",
-     [](GaugeInputs &In) { In.Roster_.removeListing(EndpointId("west-a"), true, Start); },
+     [](GaugeInputs &In) {
+       In.Roster_.removeListing(EndpointId("west-a"), Start + std::chrono::seconds(2), Start);
+     },
      {"p_endpoints{data_center=\"west\",state=\"missing\"} 1\n"}},
     {"one reported",
      [](GaugeInputs &In) { In.Roster_.updateReport(EndpointId("east-b"), {}, Start + 1500ms); },
--- a/Tests/platform/TopicFollowerTest.cpp
+++ b/Tests/platform/TopicFollowerTest.cpp
@@ -48,7 +48,9 @@
   TopicFollower Follower(Loop, Time, Calls, topic::Endpoints,
                          {std::chrono::milliseconds(100), std::chrono::milliseconds(100)},
                          {[&](const KeyedRecord &Record) { Seen.insert(Record.Key_); },
-                          [&] { Loop.stop(); }, [](std::error_code) {}});
+                          [&] { Loop.stop(); },
+                          [](std::error_code, TimePoint) {},
+                          {}});
   Follower.start();
   Loop.run_for(Limit);
   BOOST_TEST(Seen.size() == static_cast<std::size_t>(Records));
