An empty list of customers admits no key

Cause: requests need no key if the configuration has no list of customers, and the handler took an empty list for none. Ruled out: an older configuration that stays in force, since keys that were never held are served too.

Change: ServingConfig::Customers_ is unset only if the configuration has no list; the decision is ServingIndex::requiresKey.

--- a/Source/Core/Serving/ServingConfig.h
+++ b/Source/Core/Serving/ServingConfig.h
@@ -127,7 +127,9 @@
   ConfigRevision Revision_{0};
   std::vector<ServingRoute> Routes_;
   std::vector<ServingService> Services_;
-  std::vector<ServingCustomer> Customers_;
+  /// Unset if the operators list no customers, so that requests need no key. An empty list admits
+  /// no key at all.
+  std::optional<std::vector<ServingCustomer>> Customers_;
   CallerLimits Limits_;
 };
 
--- a/Source/Core/Serving/ServingIndex.cpp
+++ b/Source/Core/Serving/ServingIndex.cpp
@@ -19,9 +19,12 @@
 ServingIndex::ServingIndex(ServingConfig Config) : Config_(std::move(Config)) {
   for (const ServingRoute &Route : Config_.Routes_)
     Routes_.emplace(hostName(Route.Host_) + Route.PathPrefix_, &Route);
-  for (const ServingCustomer &Customer : Config_.Customers_)
-    for (const std::string &Key : Customer.Keys_)
-      Keys_.emplace(Key, &Customer);
+  if (Config_.Customers_)
+    for (const ServingCustomer &Customer : *Config_.Customers_)
+      for (const std::string &Key : Customer.Keys_)
+        Keys_.emplace(Key, &Customer);
+  // Requests without a key are looked up by the empty key.
+  Keys_.erase("");
   for (const ServingService &Service : Config_.Services_)
     Services_.emplace(Service.Id_, &Service);
 }
@@ -50,6 +53,10 @@
   return Found == Keys_.end() ? nullptr : Found->second;
 }
 
+bool ServingIndex::requiresKey(const ServingRoute &Route) const {
+  return !Route.Public_ && Config_.Customers_.has_value();
+}
+
 const ServingService *ServingIndex::service(const ServiceId &Id) const {
   const auto Found = Services_.find(Id);
   return Found == Services_.end() ? nullptr : Found->second;
--- a/Source/Core/Serving/ServingIndex.h
+++ b/Source/Core/Serving/ServingIndex.h
@@ -17,8 +17,10 @@
   /// The route of Host with the longest path prefix of Path, or null. The case of Host and a port
   /// in it are ignored.
   const ServingRoute *match(std::string_view Host, std::string_view Path) const;
-  /// The customer that a key belongs to, or null.
+  /// The customer that a key belongs to, or null. No customer has the empty key.
   const ServingCustomer *customer(const std::string &Key) const;
+  /// Whether requests of the route need the key of a customer.
+  bool requiresKey(const ServingRoute &Route) const;
   /// The service with that id, or null.
   const ServingService *service(const ServiceId &Id) const;
   /// Chooses the service of a request by the route's weights. Draw is a random number in [0, 1).
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -150,9 +150,12 @@
     return;
   }
   CallerServer_.setLimits(callerOptions(Limits));
-  Log_.log(LogEvent::ConfigInForce, {{"revision", Revision.value()},
-                                     {"routes", Config_.current()->config().Routes_.size()},
-                                     {"customers", Config_.current()->config().Customers_.size()}});
+  const ServingConfig &Current = Config_.current()->config();
+  Log_.log(LogEvent::ConfigInForce,
+           {{"revision", Revision.value()},
+            {"routes", Current.Routes_.size()},
+            {"customers", Current.Customers_ ? Current.Customers_->size() : 0},
+            {"keys_required", static_cast<int>(Current.Customers_.has_value())}});
 }
 
 void GatewayProcess::onListed(EndpointListing Listing) {
--- a/Source/Gateway/GatewayRequestHandler.cpp
+++ b/Source/Gateway/GatewayRequestHandler.cpp
@@ -51,7 +51,7 @@
   if (!Routed.Route_)
     return refuse(Routed, 404, ErrorCode::NoRoute, std::nullopt);
   Routed.Customer_ = Index.customer(Routed.Caller_.Key_);
-  if (!Routed.Customer_ && !Routed.Route_->Public_ && !Index.config().Customers_.empty())
+  if (!Routed.Customer_ && Index.requiresKey(*Routed.Route_))
     return refuse(Routed, 401, ErrorCode::Unauthenticated, std::nullopt);
   Routed.Service_ = Index.chooseService(*Routed.Route_, Context_.randomFraction());
   if (!Routed.Service_)
--- a/Source/StandIns/Site/Site.cpp
+++ b/Source/StandIns/Site/Site.cpp
@@ -176,23 +176,31 @@
 }
 
 void Site::writeConfig(const std::vector<std::string> &Keys) {
-  runOnLoop([&] {
-    Version_ += 3;
-    boost::json::array KeyList;
-    for (const std::string &Key : Keys)
-      KeyList.emplace_back(Key);
-    const boost::json::object Config{
-        {"version", Version_},
-        {"routes",
-         {route("brief", "/brief/", "streaming", "engines", 20'000, 500, 2),
-          route("book", "/book/", "non_idempotent", "desk", 3'000, 100, 1),
-          route("lookup", "/lookup/", "idempotent", "desk", 3'000, 100, 2)}},
-        {"services",
-         {{{"name", "engines"}, {"max_conns", 900}, {"engine", engineModel()}},
-          {{"name", "desk"}, {"max_conns", 100}}}},
-        {"tenants", {{{"name", site::Customer}, {"api_keys", KeyList}, {"priority", 1}}}}};
-    Store_.append(ConfigTopic, {"config", boost::json::serialize(Config)});
-  });
+  boost::json::array KeyList;
+  for (const std::string &Key : Keys)
+    KeyList.emplace_back(Key);
+  boost::json::array Customers;
+  Customers.push_back({{"name", site::Customer}, {"api_keys", KeyList}, {"priority", 1}});
+  runOnLoop([&] { writeConfigRecord(std::move(Customers)); });
+}
+
+void Site::writeConfigWithoutCustomers() {
+  runOnLoop([&] { writeConfigRecord({}); });
+}
+
+void Site::writeConfigRecord(boost::json::array Customers) {
+  Version_ += 3;
+  const boost::json::object Config{
+      {"version", Version_},
+      {"routes",
+       {route("brief", "/brief/", "streaming", "engines", 20'000, 500, 2),
+        route("book", "/book/", "non_idempotent", "desk", 3'000, 100, 1),
+        route("lookup", "/lookup/", "idempotent", "desk", 3'000, 100, 2)}},
+      {"services",
+       {{{"name", "engines"}, {"max_conns", 900}, {"engine", engineModel()}},
+        {{"name", "desk"}, {"max_conns", 100}}}},
+      {"tenants", std::move(Customers)}};
+  Store_.append(ConfigTopic, {"config", boost::json::serialize(Config)});
 }
 
 void Site::setStoreFault(StoreFault Fault) {
--- a/Source/StandIns/Site/Site.h
+++ b/Source/StandIns/Site/Site.h
@@ -9,6 +9,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/json/array.hpp>
 
 #include <functional>
 #include <future>
@@ -78,6 +79,8 @@
   void unlistDesk(const std::string &Id);
   /// Writes the next version of the configuration, with these API keys of customer "crew".
   void writeConfig(const std::vector<std::string> &Keys);
+  /// Writes the next version of the configuration, with an empty list of customers.
+  void writeConfigWithoutCustomers();
 
   ActivityLog activity() const;
   /// For each engine id, the number of streams that have it as their first engine and of which at
@@ -103,6 +106,8 @@
     return Result.get();
   }
 
+  /// Writes the next version of the configuration. Runs on the site's thread.
+  void writeConfigRecord(boost::json::array Customers);
   /// Starts the engines and desks of all data centres.
   void startEndpoints();
   void writeEndpointEntries();
--- a/Tests/Core/Serving/ServingIndexTest.cpp
+++ b/Tests/Core/Serving/ServingIndexTest.cpp
@@ -29,7 +29,7 @@
   Config.Services_ = {Service};
   Service.Id_ = ServiceId("t");
   Config.Services_.push_back(Service);
-  Config.Customers_ = {{CustomerId("c"), {"key-1", "key-2"}, 3}};
+  Config.Customers_ = {ServingCustomer{CustomerId("c"), {"key-1", "key-2"}, 3}};
   return Config;
 }
 
@@ -74,6 +74,42 @@
   BOOST_TEST(!Index.customer(""));
 }
 
+namespace {
+
+using Customers = std::vector<ServingCustomer>;
+
+struct KeyCase {
+  const char *Name_;
+  std::optional<Customers> Customers_;
+  bool Public_;
+  bool RequiresKey_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const KeyCase &Case) { return Out << Case.Name_; }
+
+const KeyCase KeyCases[] = {
+    {"no list of customers", std::nullopt, false, false},
+    {"an empty list", Customers{}, false, true},
+    {"a customer without keys", Customers{{CustomerId("c"), {}, {}}}, false, true},
+    {"a customer with an empty key", Customers{{CustomerId("c"), {""}, {}}}, false, true},
+    {"a customer with a key", Customers{{CustomerId("c"), {"k"}, {}}}, false, true},
+    {"a public route, no list of customers", std::nullopt, true, false},
+    {"a public route, an empty list", Customers{}, true, false},
+};
+
+} // namespace
+
+// Guards against requests that are served with any key once the last customer is removed
+// (review/2).
+BOOST_DATA_TEST_CASE(OnlyAMissingListOfCustomersAdmitsRequestsWithoutAKey, KeyCases, Case) {
+  ServingConfig Config = config(1);
+  Config.Customers_ = Case.Customers_;
+  Config.Routes_.front().Public_ = Case.Public_;
+  const ServingIndex Index(Config);
+  BOOST_TEST(Index.requiresKey(Index.config().Routes_.front()) == Case.RequiresKey_);
+  BOOST_TEST(!Index.customer(""));
+}
+
 BOOST_AUTO_TEST_CASE(SplitRoutesFollowTheirWeights) {
   const ServingIndex Index(config(1));
   ServingRoute Split = route("split", "a.example", "/s/");
--- a/Tests/Gateway/PlannedWorkExplorationTest.cpp
+++ b/Tests/Gateway/PlannedWorkExplorationTest.cpp
@@ -108,7 +108,7 @@
       Next.Services_.front().Model_->MeanAnswerTokens_ *= 4;
       break;
     case 4:
-      Next.Customers_.push_back({});
+      Next.Customers_ = {ServingCustomer()};
       Route.Public_ = false;
       break;
     default:
--- a/Tests/System/GatewayTest.cpp
+++ b/Tests/System/GatewayTest.cpp
@@ -366,6 +366,28 @@
   BOOST_TEST(statusOrZero(Deployment.call(0, "n", "GET", "/nowhere/1")) == 404U);
 }
 
+// Guards against a gateway that serves requests with any key, or with none, once the last customer
+// is removed (review/2).
+BOOST_AUTO_TEST_CASE(NoRequestIsServedOnceTheLastCustomerIsRemoved) {
+  GatewayDeployment Deployment({"east"}, {{{"east", {}}}});
+  const auto Status = [&](const char *Id, const char *Key) {
+    return statusOrZero(Deployment.call(0, Id, "POST", site::BookPath, 0, Key));
+  };
+  BOOST_TEST(Status("before", "key-1") == 200U);
+  Deployment.site().writeConfigWithoutCustomers();
+  GatewayDeployment::await(
+      [&] {
+        return Deployment.metrics(0).find("rattancart_gateway_config_revision 6") !=
+               std::string::npos;
+      },
+      "the configuration without customers");
+  for (const char *Key : {"key-1", "key-never-held", ""})
+    BOOST_TEST(Status("after", Key) == 401U, "key '" << Key << "'");
+  BOOST_TEST(!Deployment.site().activity().Executions_.contains("after"));
+  Deployment.site().writeConfig({"key-2"});
+  GatewayDeployment::await([&] { return Status("again", "key-2") == 200; }, "a customer again");
+}
+
 BOOST_AUTO_TEST_CASE(LeavingEngineGetsNoNewRequests) {
   GatewayDeployment Deployment({"east", "west"});
   BOOST_TEST(statusOrZero(Deployment.call(0, "a", "POST", site::BriefPath, 3)) == 200U);
--- a/Tests/platform/ConfigCodecTest.cpp
+++ b/Tests/platform/ConfigCodecTest.cpp
@@ -62,6 +62,30 @@
     {"layers that end before they begin", "layers", R"({"from":9,"target":3})", true},
 };
 
+struct CustomersCase {
+  const char *Name_;
+  /// The value of the field; null removes the field.
+  const char *Value_;
+  bool Accepted_;
+  /// The number of customers; nothing if requests need no key.
+  std::optional<std::size_t> Customers_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const CustomersCase &Case) { return Out << Case.Name_; }
+
+const CustomersCase CustomersCases[] = {
+    {"no list", nullptr, true, std::nullopt},
+    {"an empty list", "[]", true, 0},
+    {"one customer", R"([{"name":"c","api_keys":["k"]}])", true, 1},
+    {"a customer without keys", R"([{"name":"c"}])", true, 1},
+    {"a null", "null", false, std::nullopt},
+    {"an object", R"({"c":["k"]})", false, std::nullopt},
+    {"a text", R"("c")", false, std::nullopt},
+    {"an entry of another type", R"([7])", false, std::nullopt},
+    {"an entry without a name", R"([{"api_keys":["k"]}])", false, std::nullopt},
+    {"an entry with an empty name", R"([{"name":"","api_keys":["k"]}])", false, std::nullopt},
+};
+
 /// The text with some bytes changed, removed or repeated.
 std::string mangled(std::string Text, std::mt19937 &Random) {
   const unsigned Changes = 1 + Random() % 4;
@@ -117,12 +141,31 @@
   BOOST_TEST(Model.kind("h100")->MemoryMb_ == 72000);
   BOOST_TEST(!Model.kind("l4"));
   BOOST_TEST(!Config->Services_[1].Model_.has_value());
-  BOOST_TEST(Config->Customers_[0].Keys_.size() == 2U);
-  BOOST_TEST(Config->Customers_[0].Priority_.value_or(0) == 3U);
-  BOOST_TEST(!Config->Customers_[1].Priority_.has_value());
+  BOOST_REQUIRE(Config->Customers_.has_value());
+  const std::vector<ServingCustomer> &Customers = *Config->Customers_;
+  BOOST_TEST(Customers[0].Keys_.size() == 2U);
+  BOOST_TEST(Customers[0].Priority_.value_or(0) == 3U);
+  BOOST_TEST(!Customers[1].Priority_.has_value());
   BOOST_TEST((Config->Limits_.HeaderTimeout_ == 3s));
 }
 
+// Guards against a list of customers that is empty, or can't be read, being taken for a missing
+// one, with which requests need no key (review/2).
+BOOST_DATA_TEST_CASE(OnlyAMissingListOfCustomersMeansThatNoKeyIsNeeded, CustomersCases, Case) {
+  auto Object = boost::json::parse(ConfigText).as_object();
+  if (Case.Value_)
+    Object["tenants"] = boost::json::parse(Case.Value_);
+  else
+    Object.erase("tenants");
+  const auto Config = decodeConfig(boost::json::serialize(Object));
+  BOOST_REQUIRE(static_cast<bool>(Config) == Case.Accepted_);
+  if (!Config)
+    return;
+  BOOST_REQUIRE(Config->Customers_.has_value() == Case.Customers_.has_value());
+  if (Case.Customers_)
+    BOOST_TEST(Config->Customers_->size() == *Case.Customers_);
+}
+
 BOOST_DATA_TEST_CASE(RejectsEntriesWithoutAUsableEndpoint, ListingCases, Case) {
   auto Object = boost::json::parse(ListingText).as_object();
   if (Case.Value_)
