Layers that an engine can't hold are not believed

What callers would see: another writer's entry under the id of a known engine, with a number too large among its layers, ended the gateway that owns the placement, each time the list was read: all requests under way were lost.

Cause: the newer one of entry and report counted, whatever it claimed. LayerPlanner indexed its tables by the claimed layers and trimmed claims that were too large one layer at a time.

Change: EndpointRecord::layersOf ignores ranges beyond the model or beyond the memory of the engine's kind, and falls back to the engine's own report. Placement and path choice use it.

The engines of RequestsRunAtHomeAndElsewhereWhenALayerIsMissingThere held 40 layers of 1750 MB on 21.6 GB; they are of a kind now that has memory for them, and the checks are the same.

--- a/Source/Core/Layers/PathChooser.cpp
+++ b/Source/Core/Layers/PathChooser.cpp
@@ -33,7 +33,7 @@
                                                     Duration &OldestReport) const {
   std::vector<StageCandidate> Found;
   for (const auto &[Id, Record] : Roster_.all()) {
-    const LayerRange Layers = Record.layers();
+    const LayerRange Layers = Record.layersOf(Model);
     if (Record.Listing_.Service_ != Service || Record.Listing_.DataCenter_ != DataCenter ||
         Layers.Begin_ >= Layers.End_ || Limits.ExcludedEngines_.contains(Id) ||
         !Roster_.takesWork(Record, Now))
--- a/Source/Core/Layers/PlacementController.cpp
+++ b/Source/Core/Layers/PlacementController.cpp
@@ -77,7 +77,7 @@
   PlannedEngine Engine;
   Engine.Id_ = Record.Listing_.Id_;
   Engine.Kind_ = Model.kind(Record.Listing_.Kind_);
-  Engine.Layers_ = Record.layers();
+  Engine.Layers_ = Record.layersOf(Model);
   Engine.Movable_ = Record.reported() && !Record.Report_.Busy_;
   if (const auto Order = Pending_.find(Engine.Id_); Order != Pending_.end()) {
     Engine.Layers_ = Order->second.Target_;
--- a/Source/Core/Serving/EndpointRoster.cpp
+++ b/Source/Core/Serving/EndpointRoster.cpp
@@ -31,6 +31,18 @@
   return silent(Now) && Now - SilentSince_ >= LostTimeout && ReportedAt_ <= SilentSince_;
 }
 
+LayerRange EndpointRecord::layersOf(const LayeredModel &Model) const {
+  const EngineKind *Kind = Model.kind(Listing_.Kind_);
+  const auto IsPossible = [&](LayerRange Range) {
+    return Range.Begin_ <= Range.End_ && Range.End_ <= Model.Layers_ && Kind &&
+           (Range.End_ - Range.Begin_) * Model.LayerMb_ <= Kind->MemoryMb_;
+  };
+  const LayerRange Newest = layers();
+  if (IsPossible(Newest))
+    return Newest;
+  return reported() && IsPossible(Report_.Layers_) ? Report_.Layers_ : LayerRange{};
+}
+
 double EndpointRecord::freeSlotShare() const {
   if (Listing_.Slots_ == 0)
     return 1;
--- a/Source/Core/Serving/EndpointRoster.h
+++ b/Source/Core/Serving/EndpointRoster.h
@@ -3,6 +3,7 @@
 #include "Core/Common/Clock.h"
 #include "Core/Membership/Endpoint.h"
 #include "Core/Serving/EngineMemoryEstimate.h"
+#include "Core/Serving/ServingConfig.h"
 
 #include <cstdint>
 #include <functional>
@@ -82,6 +83,9 @@
   LayerRange layers() const {
     return reported() && ReportedAt_ >= ListedAt_ ? Report_.Layers_ : Listing_.Layers_;
   }
+  /// The same, without claims that can't be true: layers that the model doesn't have, or more than
+  /// the engine has memory for. Another writer's entry may name such layers.
+  LayerRange layersOf(const LayeredModel &Model) const;
   /// The part of the engine's slots that its last report and the requests of this process leave
   /// free; 1 if its slots are not known.
   double freeSlotShare() const;
--- a/Tests/Core/Layers/PathFinderTest.cpp
+++ b/Tests/Core/Layers/PathFinderTest.cpp
@@ -147,8 +147,8 @@
 BOOST_AUTO_TEST_CASE(RequestsRunAtHomeAndElsewhereWhenALayerIsMissingThere) {
   const LayeredModel Model = makeModel(80);
   EndpointRoster Roster;
-  Roster.updateListing(listing({"h1", "l4", {0, 40}, 0}, "home"), Start);
-  Roster.updateListing(listing({"h2", "l4", {40, 80}, 0}, "home"), Start);
+  Roster.updateListing(listing({"h1", "h100", {0, 40}, 0}, "home"), Start);
+  Roster.updateListing(listing({"h2", "h100", {40, 80}, 0}, "home"), Start);
   Roster.updateListing(listing({"x1", "huge", {0, 80}, 0}, "x"), Start);
   Roster.updateListing(listing({"y1", "huge", {0, 80}, 0}, "y"), Start);
   const PathChooser Chooser(Roster, DataCenterId("home"));
--- a/Tests/Core/Layers/PlacementControllerTest.cpp
+++ b/Tests/Core/Layers/PlacementControllerTest.cpp
@@ -66,6 +66,8 @@
     Now_ += 200ms;
     for (SimulatedEngine &Engine : Engines_)
       report(Engine);
+    if (FalseListing_)
+      Roster_.updateListing(*FalseListing_, Now_ + 1ms);
     Roster_.noteRefusal(Declining_, Now_);
     for (const PlacementOrder &Order :
          Owner.tick(Model_, Service, {Home, 3, OthersWithWholeModel_}, Roster_, Now_)) {
@@ -82,6 +84,12 @@
   /// From now on the engine refuses requests, while the list still shows it as live.
   void decline(std::size_t Index) { Declining_ = Engines_[Index].Listing_.Id_; }
 
+  /// From now on, another writer's entry for the engine names these layers.
+  void listFalseLayers(std::size_t Index, LayerRange Layers) {
+    FalseListing_ = Engines_[Index].Listing_;
+    FalseListing_->Layers_ = Layers;
+  }
+
   void lose(std::size_t Index) {
     Roster_.removeListing(Engines_[Index].Listing_.Id_, std::nullopt, Now_);
     Engines_.erase(Engines_.begin() + static_cast<std::ptrdiff_t>(Index));
@@ -157,6 +165,7 @@
 
   LayeredModel Model_;
   EndpointRoster Roster_;
+  std::optional<EndpointListing> FalseListing_;
   EndpointId Declining_;
   std::vector<SimulatedEngine> Engines_;
   std::deque<std::pair<TimePoint, PlacementOrder>> LateOrders_;
@@ -244,6 +253,31 @@
   }
 }
 
+namespace {
+
+const LayerRange FalseLayers[] = {
+    {0, 0xffffffff}, {79, 81}, {80, 81}, {0xfffffff0, 0xffffffff}, {0, 80}};
+
+} // namespace
+
+// Guards against an owner that ends, or orders more layers than an engine has memory for, because
+// another writer's entry names layers that the engine can't hold.
+BOOST_DATA_TEST_CASE(LayersThatAnEngineCannotHoldAreIgnored,
+                     boost::unit_test::data::xrange(std::size(FalseLayers)), Index) {
+  for (unsigned Seed = 1; Seed <= 5; ++Seed) {
+    PlacementSimulation Simulation(Seed, deployments().front());
+    PlacementController Owner;
+    Owner.setOwner(FencingNumber(1));
+    for (int Step = 0; Step < 40; ++Step)
+      Simulation.step(Owner, 0);
+    Simulation.listFalseLayers(1, FalseLayers[Index]);
+    Simulation.lose(0);
+    for (int Step = 0; Step < 40; ++Step)
+      Simulation.step(Owner, 0);
+    BOOST_TEST(Simulation.holdsModel());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AFencedOwnerSendsNoMoreOrders) {
   PlacementSimulation Simulation(7, deployments().front());
   PlacementController Old;
