--- a/Source/StandIns/Site/FakeStoreHandler.cpp
+++ b/Source/StandIns/Site/FakeStoreHandler.cpp
@@ -12,7 +12,9 @@
 
 #include <fmt/format.h>
 
+#include <charconv>
 #include <cstdlib>
+#include <optional>
 #include <utility>
 
 namespace rattancart {
@@ -42,6 +44,27 @@
   return std::strtoull(std::string(Request.query(Name)).c_str(), nullptr, 10);
 }
 
+/// The value of a query, decoded; nothing if it holds bytes that must be encoded.
+std::optional<std::string> decodedQuery(std::string_view Text) {
+  std::string Decoded;
+  for (std::size_t At = 0; At < Text.size(); ++At) {
+    const auto Byte = static_cast<unsigned char>(Text[At]);
+    if (Byte <= ' ' || Byte == '#' || Byte >= 0x7f)
+      return std::nullopt;
+    if (Byte != '%') {
+      Decoded += Text[At];
+      continue;
+    }
+    unsigned Value = 0;
+    const char *Begin = Text.data() + At + 1;
+    if (At + 2 >= Text.size() || std::from_chars(Begin, Begin + 2, Value, 16).ptr != Begin + 2)
+      return std::nullopt;
+    Decoded += static_cast<char>(Value);
+    At += 2;
+  }
+  return Decoded;
+}
+
 /// The body as a JSON object; an empty one if the body is no object.
 boost::json::object bodyOf(const HttpRequest &Request) {
   boost::json::value Value = parseObject(Request.Body_);
@@ -143,7 +166,10 @@
 
 void FakeStoreHandler::readNewest(const HttpRequest &Request, HttpResponder &Responder) {
   const KeyedTopic &Log = Topics_[std::string(Request.query("topic"))];
-  const std::string After(Request.query("after"));
+  const auto From = decodedQuery(Request.query("after"));
+  if (!From)
+    return Responder.send(jsonAnswer(400, "{}"));
+  const std::string &After = *From;
   // Small, so that tests make callers request more than one page.
   constexpr std::size_t PageRecords = 5;
   boost::json::array Items;
--- a/Tests/platform/TopicFollowerTest.cpp
+++ b/Tests/platform/TopicFollowerTest.cpp
@@ -27,6 +27,25 @@
 
 const StoreCase StoreCases[] = {{"calm", StoreFault::None}, {"crowded", StoreFault::RateLimited}};
 
+/// A key of another writer's entry, in the order of the list.
+struct KeyCase {
+  const char *Name_;
+  std::string Key_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const KeyCase &Case) { return Out << Case.Name_; }
+
+const KeyCase KeyCases[] = {
+    {"a space", "key 4"},
+    {"a hash sign", "key#4"},
+    {"a further parameter", "key&after=z"},
+    {"a percent sign", "k%y"},
+    {"the end of a line", "k\r\nX:"},
+    {"letters beyond ASCII", "k\xc3\xa9y"},
+    {"a plus sign", "k+y"},
+    {"a quote", "k\"y"},
+};
+
 } // namespace
 
 // A store that has reached its call limit refuses some of the calls. A listing that restarted after
@@ -57,3 +76,32 @@
   BOOST_TEST(Loop.stopped());
   Server.stop();
 }
+
+// Guards against a gateway that never gets past a page of the list whose last entry has an odd key.
+BOOST_DATA_TEST_CASE(AListingContinuesAfterAnyKey, KeyCases, Case) {
+  boost::asio::io_context Loop;
+  const SystemClock Time;
+  NullLogger Log;
+  MetricSet Metrics;
+  FakeStoreHandler Store(Loop, Time);
+  HttpServer Server(Loop, {}, Store, Log);
+  BOOST_REQUIRE(!Server.listen(NetAddress("127.0.0.1:0")));
+  // The odd key is the last one of the first page.
+  for (const char *Key : {"a", "b", "c", "d", "y", "z"})
+    Store.append(std::string(topic::Endpoints), {Key, "value"});
+  Store.append(std::string(topic::Endpoints), {Case.Key_, "value"});
+  HttpClient Client(Loop);
+  StoreClient Calls(Client, Metrics, Server.address());
+  std::set<std::string> Seen;
+  TopicFollower Follower(Loop, Time, Calls, topic::Endpoints,
+                         {std::chrono::milliseconds(100), std::chrono::milliseconds(100)},
+                         {[&](const KeyedRecord &Record) { Seen.insert(Record.Key_); },
+                          [&] { Loop.stop(); },
+                          [](std::error_code, TimePoint) {},
+                          {}});
+  Follower.start();
+  Loop.run_for(std::chrono::seconds(5));
+  BOOST_TEST(Loop.stopped());
+  BOOST_TEST(Seen.size() == 7U);
+  Server.stop();
+}
