Entries of the list are decoded strictly

What callers saw: entries of another writer with a port out of range, letters behind the port, or a number too large were taken for ready endpoints.

Cause: decodeListing read the address as any text, and took numbers of another type for missing ones.

ForeignEntriesAreNoDesks: nine such entries beside two desks, a restart, and a desk that leaves; 90 bookings served.

--- a/Source/StandIns/Site/Site.cpp
+++ b/Source/StandIns/Site/Site.cpp
@@ -169,8 +169,10 @@
       {Desk.id(), boost::json::serialize(boost::json::object{{"service", "desk"},
                                                              {"address", Desk.address().str()},
                                                              {"zone", Desk.dataCenter()},
+                                                             {"version", "v1"},
                                                              {"slots", 6},
                                                              {"state", "ready"},
+                                                             {"cold_left_ms", 0},
                                                              {"born", 1},
                                                              {"sequence", HeartbeatCount_}})});
 }
@@ -263,6 +265,10 @@
   });
 }
 
+void Site::writeForeignEntry(const std::string &Id, const std::string &Value) {
+  runOnLoop([&] { Store_.append(EndpointTopic, {Id, Value}); });
+}
+
 ActivityLog Site::activity() const {
   return runOnLoop([&] { return Activity_; });
 }
--- a/Source/StandIns/Site/Site.h
+++ b/Source/StandIns/Site/Site.h
@@ -77,6 +77,8 @@
   void setDeskFault(DeskFault Fault);
   /// Removes the entry of a desk, which serves on.
   void unlistDesk(const std::string &Id);
+  /// Writes an entry of the list as another writer does that doesn't belong to the platform.
+  void writeForeignEntry(const std::string &Id, const std::string &Value);
   /// Writes the next version of the configuration, with these API keys of customer "crew".
   void writeConfig(const std::vector<std::string> &Keys);
   /// Writes the next version of the configuration, with an empty list of customers.
--- a/Tests/System/GatewayListTest.cpp
+++ b/Tests/System/GatewayListTest.cpp
@@ -32,6 +32,22 @@
     {"the store was always there", StoreFault::None},
 };
 
+/// The fields of another writer's entries that are as the platform writes them, and the others.
+const std::string UsualFields =
+    R"({"service":"desk","zone":"east","version":"v1","state":"ready","cold_left_ms":0,)";
+const std::string OddFields[] = {
+    R"("slots":6,"sequence":1,"address":"127.0.0.9:99999"})",
+    R"("slots":6,"sequence":1,"address":"127.0.0.9:0"})",
+    R"("slots":6,"sequence":1,"address":"127.0.0.9:80x"})",
+    R"("slots":6,"sequence":1,"address":"[::1"})",
+    R"("slots":6,"sequence":1,"address":":"})",
+    R"("slots":1e308,"sequence":1,"address":"127.0.0.9:9"})",
+    R"("slots":18446744073709551616,"sequence":1,"address":"127.0.0.9:9"})",
+    R"("slots":6,"sequence":1e999,"address":"127.0.0.9:9"})",
+    R"("slots":6,"sequence":1,"address":"127.0.0.9:9","extra":)" + std::string(100'000, '[') +
+        std::string(100'000, ']') + "}",
+};
+
 } // namespace
 
 // Guards against bookings that reach a desk which left as planned soon after the gateway had lost
@@ -62,3 +78,38 @@
   }
   BOOST_TEST(Late == 0);
 }
+
+// Guards against entries of another writer that end the gateway, that it takes for desks, or after
+// which it follows the list no more.
+BOOST_AUTO_TEST_CASE(ForeignEntriesAreNoDesks) {
+  GatewayDeployment Deployment({"east"}, DesksOnly);
+  int Number = 0;
+  for (const std::string &Fields : OddFields)
+    Deployment.site().writeForeignEntry("foreign#" + std::to_string(Number++),
+                                        UsualFields + Fields);
+  const auto BookEach = [&](const std::string &Round) {
+    for (int Call = 0; Call < 30; ++Call)
+      BOOST_TEST(Deployment.call(0, Round + std::to_string(Call), "POST", site::BookPath)
+                     .Response_.Status_ == 200U);
+  };
+  const auto Rejected = [&] {
+    const std::string Text = Deployment.metrics(0);
+    const std::string Name = "store_records_rejected_total{kind=\"endpoint\"} ";
+    const std::size_t At = Text.find(Name);
+    return At == std::string::npos ? 0 : std::stoul(Text.substr(At + Name.size()));
+  };
+  GatewayDeployment::await([&] { return Rejected() >= std::size(OddFields); },
+                           "the gateway to read the entries");
+  BookEach("running-");
+  Deployment.gateway(0).kill();
+  Deployment.restart(0);
+  GatewayDeployment::await([&] { return Rejected() >= std::size(OddFields); },
+                           "the gateway to read the entries again");
+  BookEach("restarted-");
+  // The gateway still follows the list.
+  Deployment.site().unlistDesk("desk-east");
+  GatewayDeployment::await(
+      [&] { return Deployment.metrics(0).find("state=\"live\"} 1\n") != std::string::npos; },
+      "the gateway to know that a desk has left");
+  BookEach("left-");
+}
--- a/Tests/platform/ConfigCodecTest.cpp
+++ b/Tests/platform/ConfigCodecTest.cpp
@@ -59,6 +59,38 @@
     {"state of another type", "state", "1", false},
     {"leaving", "state", "\"draining\"", true},
     {"layers of another type", "layers", "\"all\"", true},
+    {"no version", "version", nullptr, false},
+    {"version of another type", "version", "1", false},
+    {"no slots", "slots", nullptr, false},
+    {"slots of another type", "slots", "\"192\"", false},
+    {"a fraction of a slot", "slots", "0.5", false},
+    {"negative slots", "slots", "-1", false},
+    {"slots that are too large", "slots", "4294967296", false},
+    {"slots beyond all integers", "slots", "18446744073709551616", false},
+    {"slots beyond all numbers", "slots", "1e308", false},
+    {"no sequence", "sequence", nullptr, false},
+    {"sequence beyond all integers", "sequence", "99999999999999999999", false},
+    {"the largest sequence", "sequence", "18446744073709551615", true},
+    {"no time to warm up", "cold_left_ms", nullptr, false},
+    {"a negative time to warm up", "cold_left_ms", "-1", false},
+    {"a fraction of a ms to warm up", "cold_left_ms", "0.5", true},
+    {"start time of another type", "born", "\"today\"", false},
+    {"start time beyond all integers", "born", "1e308", false},
+    {"no start time", "born", nullptr, true},
+    {"port out of range", "address", "\"10.0.0.9:99999\"", false},
+    {"port of 0", "address", "\"10.0.0.9:0\"", false},
+    {"negative port", "address", "\"10.0.0.9:-1\"", false},
+    {"letters after the port", "address", "\"10.0.0.9:80x\"", false},
+    {"no port", "address", "\"10.0.0.9\"", false},
+    {"an empty port", "address", "\"10.0.0.9:\"", false},
+    {"no host", "address", "\":80\"", false},
+    {"an empty address", "address", "\"\"", false},
+    {"a name in place of an address", "address", "\"desk.example:80\"", false},
+    {"half a bracket", "address", "\"[::1\"", false},
+    {"an address of version 6", "address", "\"[fd00::9]:80\"", true},
+    {"the unspecified address", "address", "\"0.0.0.0:80\"", false},
+    {"a multicast address", "address", "\"224.0.0.1:80\"", false},
+    {"layers out of range", "layers", R"({"from":0,"target":99999999999})", true},
     {"layers that end before they begin", "layers", R"({"from":9,"target":3})", true},
 };
 
@@ -176,6 +208,18 @@
              Case.Usable_);
 }
 
+// Guards against an entry whose nesting ends the process that reads it.
+BOOST_DATA_TEST_CASE(DeeplyNestedEntriesAreRejected,
+                     boost::unit_test::data::make({100, 10'000, 1'000'000}), Depth) {
+  const auto Levels = static_cast<std::size_t>(Depth);
+  const std::string Array = std::string(Levels, '[') + std::string(Levels, ']');
+  const std::string Entry = ListingText;
+  BOOST_TEST(!decodeListing("i", Array));
+  BOOST_TEST(!decodeListing("i", Entry.substr(0, Entry.size() - 1) + ",\"extra\":" + Array + "}"));
+  BOOST_TEST(!decodeReport("{\"stalled\":" + Array + "}"));
+  BOOST_TEST(!decodeConfig("{\"routes\":" + Array + "}"));
+}
+
 BOOST_AUTO_TEST_CASE(DecodesAnEntry) {
   const auto Listing = decodeListing("i-1", ListingText);
   BOOST_REQUIRE(Listing);
