The text of an error never becomes part of a stream

What callers saw: a stream had begun and broke off; where the next engine answered 200 with the text of an error, an object or an event without an id, that text stood in the middle of the stream, which then ended as complete. Failures with another status were handled before.

Cause: each block of bytes up to a blank line of a 200 counted as an event, with or without an id.

Change: EventSplitter tells blocks that are no events of a numbered stream, by a line that is neither field nor comment, or fields without an id. They end the attempt with MalformedResponse, and the stream goes on at another engine, or is cut. A 200 whose media type is another one is a failure.

--- a/Source/Core/Serving/EventSplitter.cpp
+++ b/Source/Core/Serving/EventSplitter.cpp
@@ -19,6 +19,31 @@
   return std::string_view::npos;
 }
 
+/// The name of the field in a line, empty for a comment; nothing if the line is neither.
+std::optional<std::string_view> fieldName(std::string_view Line) {
+  const std::string_view Name = Line.substr(0, Line.find(':'));
+  const bool IsName = std::all_of(Name.begin(), Name.end(), [](char Letter) {
+    return (Letter >= 'a' && Letter <= 'z') || (Letter >= '0' && Letter <= '9') || Letter == '-';
+  });
+  return IsName ? std::optional(Name) : std::nullopt;
+}
+
+/// Whether the text has a line that is neither a field nor a comment, or, if it has no id, a field
+/// that belongs to an event.
+bool isMalformed(std::string_view Text, bool HasId) {
+  for (std::size_t Begin = 0; Begin < Text.size();) {
+    const std::size_t End = std::min(Text.find('\n', Begin), Text.size());
+    std::string_view Line = Text.substr(Begin, End - Begin);
+    Begin = End + 1;
+    if (Line.ends_with('\r'))
+      Line.remove_suffix(1);
+    const auto Name = fieldName(Line);
+    if (!Name || (!HasId && !Name->empty() && *Name != "retry"))
+      return true;
+  }
+  return false;
+}
+
 std::optional<std::uint64_t> eventId(std::string_view Text) {
   static constexpr std::string_view Field = "id:";
   for (std::size_t Line = 0; Line < Text.size();) {
@@ -46,7 +71,8 @@
     return std::nullopt;
   Consumed_ = End;
   const std::string_view Text = std::string_view(Pending_).substr(0, End);
-  return StreamEvent{Text, eventId(Text)};
+  const std::optional<std::uint64_t> Id = eventId(Text);
+  return StreamEvent{Text, Id, isMalformed(Text, Id.has_value())};
 }
 
 void EventSplitter::reset() {
--- a/Source/Core/Serving/EventSplitter.h
+++ b/Source/Core/Serving/EventSplitter.h
@@ -12,6 +12,9 @@
   std::string_view Text_;
   /// The event's id, if it has a numeric one.
   std::optional<std::uint64_t> Id_;
+  /// Whether this is no event of a numbered stream: it has fields but no id, or a line that is
+  /// neither a field nor a comment. Such text is not part of the engine's answer.
+  bool Malformed_ = false;
 };
 
 /// Splits the bytes of an event stream into complete events, so that the caller never gets part of
--- a/Source/Gateway/EndpointProtocol.h
+++ b/Source/Gateway/EndpointProtocol.h
@@ -63,6 +63,8 @@
   bool Signed_ = false;
   /// The body has a content encoding, which something between gateway and endpoint applied.
   bool Encoded_ = false;
+  /// Whether the body may be a stream of events: its media type is that, or is not stated.
+  bool EventStream_ = true;
   /// The engine of the path that caused the failure.
   std::optional<NetAddress> FaultyEngine_;
 };
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -101,7 +101,11 @@
       Http, [Self = shared_from_this(), Sent, Done = std::move(Done)](const HttpResult &Result) {
         if (!std::exchange(Sent->Live_, false))
           return;
-        Done(Sent, Result);
+        if (!Sent->MalformedBody_)
+          return Done(Sent, Result);
+        HttpResult Rejected = Result;
+        Rejected.Error_ = ErrorCode::MalformedResponse;
+        Done(Sent, Rejected);
       });
   return Sent;
 }
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -38,12 +38,14 @@
   HttpResponse Head_;
   ResponseInfo Info_;
   bool HeadSeen_ = false;
+  /// Set by the body handler if the body is not what the head announces.
+  bool MalformedBody_ = false;
   /// False once the attempt has ended or the exchange has cancelled it.
   bool Live_ = true;
   RequestId Expected_;
   const EndpointProtocol *Protocol_ = nullptr;
   std::function<void()> HeadHandler_;
-  /// Returns false if the response exceeds a limit.
+  /// Returns false if the response exceeds a limit or is malformed.
   std::function<bool(std::string_view)> BodyHandler_;
 };
 
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -199,10 +199,14 @@
 
 void StreamExchange::onHead() { Monitor_.recordHead(Context_.Time_.now()); }
 
+bool StreamExchange::carriesEvents(const Attempt &Sent) {
+  return Sent.Head_.Status_ == 200 && Sent.Info_.EventStream_;
+}
+
 bool StreamExchange::onBody(const Attempt &From, std::string_view Data) {
   if (&From != Attempt_.get())
     return onKeptBody(Data);
-  if (Attempt_->Head_.Status_ != 200) {
+  if (!carriesEvents(*Attempt_)) {
     FailureBody_ += Data;
     return FailureBody_.size() <= Context_.ResponseLimits_.MaxBodyBytes_;
   }
@@ -212,13 +216,17 @@
 }
 
 bool StreamExchange::onKeptBody(std::string_view Data) {
-  if (Kept_->Attempt_->Head_.Status_ != 200) {
+  if (!carriesEvents(*Kept_->Attempt_)) {
     Kept_->FailureBody_ += Data;
     return Kept_->FailureBody_.size() <= Context_.ResponseLimits_.MaxBodyBytes_;
   }
   Kept_->BytesSinceEvent_ += Data.size();
   Kept_->Events_.feed(Data);
   while (const auto Event = Kept_->Events_.next()) {
+    if (Event->Malformed_) {
+      Kept_->Attempt_->MalformedBody_ = true;
+      return false;
+    }
     // A stalled engine may send bytes, or comments, without making progress.
     if (!Event->Id_)
       continue;
@@ -234,6 +242,10 @@
 
 bool StreamExchange::forwardEvents() {
   while (const auto Event = Events_.next()) {
+    if (Event->Malformed_) {
+      Attempt_->MalformedBody_ = true;
+      return false;
+    }
     const bool Numbered = forwardEvent(*Event);
     if (ended())
       return true;
@@ -307,7 +319,7 @@
 
 bool StreamExchange::isComplete(const Attempt &Sent, const EventSplitter &Events,
                                 const HttpResult &Result) const {
-  return !Result.Error_ && Sent.HeadSeen_ && Sent.Head_.Status_ == 200 && Sent.Info_.Signed_ &&
+  return !Result.Error_ && Sent.HeadSeen_ && carriesEvents(Sent) && Sent.Info_.Signed_ &&
          Events.pendingBytes() == 0 && (Started_ || Routed_.Caller_.LastEvent_);
 }
 
--- a/Source/Gateway/StreamExchange.h
+++ b/Source/Gateway/StreamExchange.h
@@ -44,11 +44,15 @@
   void leaveQueue();
   void refuseWithoutPath();
   void onHead();
-  /// False if the response exceeds a limit, such as the size of one event.
+  /// Whether the response of the attempt, whose head has arrived, is a stream of events that may be
+  /// passed on. The text of an error must not reach the caller as part of the stream.
+  static bool carriesEvents(const Attempt &Sent);
+  /// False if the response is malformed, or exceeds a limit, such as the size of one event.
   bool onBody(const Attempt &From, std::string_view Data);
   /// The same for the kept attempt, which goes on if it delivers an event.
   bool onKeptBody(std::string_view Data);
-  /// Passes on the complete events of the newest attempt. False if the response exceeds a limit.
+  /// Passes on the complete events of the newest attempt. False if the response is malformed or
+  /// exceeds a limit.
   bool forwardEvents();
   /// Passes an event on to the caller, unless the caller already has it. False if the event has no
   /// number, or one that the caller already has.
--- a/Tests/Gateway/StreamExchangeTest.cpp
+++ b/Tests/Gateway/StreamExchangeTest.cpp
@@ -36,18 +36,27 @@
   bool isLive(std::size_t Number) const {
     return !Calls_.at(Number).Cancelled_ && !Calls_.at(Number).Ended_;
   }
-  void head(std::size_t Number, std::uint32_t Status, bool NotRun = false) {
+  void head(std::size_t Number, std::uint32_t Status, bool NotRun = false,
+            bool OtherMediaType = false) {
     HttpResponse Head;
     Head.Status_ = Status;
     Head.Headers_.add("id", "r");
+    if (OtherMediaType)
+      Head.Headers_.add("other-media-type", "1");
     if (NotRun)
       Head.Headers_.add("not-run", "1");
     BOOST_REQUIRE(isLive(Number));
     Calls_[Number].Sink_->onHead(Head);
   }
+  /// Ends the call if the body is not accepted.
   void body(std::size_t Number, std::string_view Data) {
     BOOST_REQUIRE(isLive(Number));
-    Calls_[Number].Sink_->onBody(Data);
+    if (!Calls_[Number].Sink_->onBody(Data) && isLive(Number))
+      end(Number, ErrorCode::ResponseTooLarge);
+  }
+  void endIfLive(std::size_t Number) {
+    if (isLive(Number))
+      end(Number);
   }
   /// States that the request did not run.
   void refuse(std::size_t Number) {
@@ -512,3 +521,118 @@
   BOOST_TEST(Each.Caller_->Text_ == events(1, 4));
   BOOST_TEST(Each.Caller_->Complete_);
 }
+
+namespace {
+
+const std::string ErrorText = "Internal error: no memory\n\nretry later\n\n";
+const std::string ErrorHead =
+    "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\n";
+
+/// How the engine answers that shall go on with a stream after event 2, or what the first engine
+/// itself sends after that event.
+struct ErrorCase {
+  const char *Name_;
+  std::uint32_t Status_;
+  bool OtherMediaType_;
+  std::string Body_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const ErrorCase &Case) { return Out << Case.Name_; }
+
+const ErrorCase ErrorCases[] = {
+    {"a failure", 500, true, ErrorText},
+    {"a failure that looks like a stream", 500, false, events(3, 4)},
+    {"unavailable", 503, true, ErrorText},
+    {"no content", 204, true, ""},
+    {"part of the content", 206, false, events(3, 4)},
+    {"a redirection", 302, true, ErrorText},
+    {"success with a text", 200, true, ErrorText},
+    {"success with a text that looks like a stream", 200, true, events(3, 4)},
+    {"a text for a stream", 200, false, ErrorText},
+    {"an object", 200, false, "{\"error\":\"no memory\"}\n\n"},
+    {"an event without an id", 200, false, "event: error\ndata: no memory\n\n"},
+    {"data without an id", 200, false, "data: no memory\n\n"},
+    {"a whole answer", 200, false, ErrorHead + ErrorText},
+    {"a whole answer inside an event", 200, false, "id: 3\ndata: x" + ErrorHead + ErrorText},
+    {"a text inside an event", 200, false, "id: 3\nInternal error\ndata: x\n\n"},
+};
+
+/// Lets a request whose attempts have all ended run until it ends.
+void runToEnd(OneRequest &Each) {
+  for (int Round = 0; Round < 200; ++Round) {
+    Each.Engines_.refuseAll();
+    Each.Time_.advance(25ms);
+    Each.Handler_.tick();
+  }
+}
+
+} // namespace
+
+// Guards against the text of an error, or its whole head, in the middle of a stream, and against a
+// stream that ends as complete with it.
+BOOST_DATA_TEST_CASE(AnErrorOfTheNextEngineReachesTheStream, ErrorCases, Case) {
+  OneRequest Each;
+  Each.Engines_.head(0, 200);
+  Each.Engines_.body(0, events(1, 2));
+  Each.Engines_.end(0, ErrorCode::ConnectionClosed);
+  BOOST_REQUIRE(Each.Engines_.sends() == 2U);
+  Each.Engines_.head(1, Case.Status_, /*NotRun=*/false, Case.OtherMediaType_);
+  Each.Engines_.body(1, Case.Body_);
+  Each.Engines_.endIfLive(1);
+  BOOST_TEST(!Each.Caller_->Complete_);
+  runToEnd(Each);
+  BOOST_TEST(Each.Caller_->Text_ == events(1, 2));
+  BOOST_TEST(!Each.Caller_->Complete_);
+  BOOST_TEST(Each.Caller_->Aborted_);
+  BOOST_TEST(Each.Handler_.inFlight() == 0U);
+  BOOST_TEST(Each.reserved() == 0);
+}
+
+// The same text at the end of a stream without a length: the stream goes on at another engine.
+BOOST_DATA_TEST_CASE(AnErrorInsideAStreamReachesTheCaller, ErrorCases, Case) {
+  if (Case.Status_ != 200 || Case.OtherMediaType_)
+    return;
+  OneRequest Each;
+  Each.Engines_.head(0, 200);
+  Each.Engines_.body(0, events(1, 2) + Case.Body_);
+  BOOST_REQUIRE(Each.Engines_.sends() == 2U);
+  BOOST_TEST(!Each.Engines_.isLive(0));
+  Each.Engines_.head(1, 200);
+  Each.Engines_.body(1, events(3, 4));
+  Each.Engines_.end(1);
+  BOOST_TEST(Each.Caller_->Text_ == events(1, 4));
+  BOOST_TEST(Each.Caller_->Complete_);
+}
+
+// The same from an attempt that is kept while a second path is tried.
+BOOST_DATA_TEST_CASE(AnErrorOfAKeptAttemptReachesTheStream, ErrorCases, Case) {
+  if (Case.Status_ != 200 || Case.OtherMediaType_)
+    return;
+  OneRequest Each;
+  Each.Engines_.head(0, 200);
+  Each.Engines_.body(0, events(1, 2));
+  Each.alarm();
+  BOOST_REQUIRE(Each.Engines_.sends() == 2U);
+  Each.Engines_.body(0, Case.Body_);
+  BOOST_TEST(!Each.Engines_.isLive(0));
+  Each.Engines_.head(1, 200);
+  Each.Engines_.body(1, events(3, 4));
+  Each.Engines_.end(1);
+  BOOST_TEST(Each.Caller_->Text_ == events(1, 4));
+  BOOST_TEST(Each.Caller_->Complete_);
+}
+
+// An error in place of the first event: the caller gets a failure, never the text as a stream.
+BOOST_DATA_TEST_CASE(AnErrorInPlaceOfAStreamIsASuccess, ErrorCases, Case) {
+  OneRequest Each;
+  for (std::size_t Number = 0; Number < Each.Engines_.sends() && Number < 2; ++Number) {
+    Each.Engines_.head(Number, Case.Status_, /*NotRun=*/false, Case.OtherMediaType_);
+    Each.Engines_.body(Number, Case.Body_);
+    Each.Engines_.endIfLive(Number);
+  }
+  runToEnd(Each);
+  BOOST_TEST((Each.Caller_->Status_ == 500U || Each.Caller_->Status_ == 502U));
+  if (Each.Caller_->Status_ == 502U)
+    BOOST_TEST(Each.Caller_->Text_.find("Internal error: no memory") == std::string::npos);
+  BOOST_TEST(Each.Handler_.inFlight() == 0U);
+}
