Tests: a refusal that an engine writes once more is not taken for an answer

It can't be taken for the answer to the next request: answers are matched by id, and what must not run twice is sent again on new connections alone, but for the first send of a stream, whose id no engine has seen. Both are tables of 7 cases now, which hold on the code as it was.

--- a/Tests/Gateway/StreamExchangeTest.cpp
+++ b/Tests/Gateway/StreamExchangeTest.cpp
@@ -26,7 +26,7 @@
 public:
   HttpCallId send(const NetAddress & /*Address*/, HttpRequest /*Request*/, HttpSendOptions Options,
                   HttpCallback Done) override {
-    Calls_.push_back({Options.Sink_, std::move(Done)});
+    Calls_.push_back({Options.Sink_, std::move(Done), Options.Use_});
     return HttpCallId(static_cast<std::int64_t>(Calls_.size()));
   }
   void cancel(HttpCallId Id) override { Calls_.at(index(Id)).Cancelled_ = true; }
@@ -48,6 +48,17 @@
     BOOST_REQUIRE(isLive(Number));
     Calls_[Number].Sink_->onHead(Head);
   }
+  /// An answer to another request arrives where the answer to this one is due. Returns whether it
+  /// is skipped.
+  bool skipsAnswer(std::size_t Number, std::uint32_t Status, const std::string &Id) {
+    HttpResponse Head;
+    Head.Status_ = Status;
+    if (!Id.empty())
+      Head.Headers_.add("id", Id);
+    Head.Headers_.add("not-run", "1");
+    return Calls_.at(Number).Sink_->onHead(Head) == HeadDecision::Skip;
+  }
+  ConnectionUse connectionUse(std::size_t Number) const { return Calls_.at(Number).Use_; }
   /// Ends the call if the body is not accepted.
   void body(std::size_t Number, std::string_view Data) {
     BOOST_REQUIRE(isLive(Number));
@@ -82,6 +93,7 @@
   struct Call {
     HttpResponseSink *Sink_ = nullptr;
     HttpCallback Done_;
+    ConnectionUse Use_ = ConnectionUse::Pooled;
     bool Cancelled_ = false;
     bool Ended_ = false;
   };
@@ -636,3 +648,53 @@
     BOOST_TEST(Each.Caller_->Text_.find("Internal error: no memory") == std::string::npos);
   BOOST_TEST(Each.Handler_.inFlight() == 0U);
 }
+
+namespace {
+
+/// A refusal that a faulty engine writes once more.
+struct RepeatedRefusalCase {
+  const char *Name_;
+  RequestKind Kind_;
+  std::uint32_t Status_;
+  /// The request that it refused; empty if the engine doesn't name it.
+  const char *Id_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const RepeatedRefusalCase &Case) {
+  return Out << Case.Name_;
+}
+
+const RepeatedRefusalCase RepeatedRefusalCases[] = {
+    {"a stream, full", RequestKind::Stream, 503, "earlier"},
+    {"a stream, misdirected", RequestKind::Stream, 421, "earlier"},
+    {"a stream, no id", RequestKind::Stream, 400, ""},
+    {"a booking, full", RequestKind::OnceOnly, 503, "earlier"},
+    {"a booking, too many", RequestKind::OnceOnly, 429, "earlier"},
+    {"a booking, no id", RequestKind::OnceOnly, 400, ""},
+    {"a lookup, full", RequestKind::Idempotent, 503, "earlier"},
+};
+
+} // namespace
+
+// A refusal of an earlier request on the same connection must not count as the answer to this one:
+// the engine runs it, and the caller would be told that it did not run.
+BOOST_DATA_TEST_CASE(ARepeatedRefusalIsTakenForTheAnswer, RepeatedRefusalCases, Case) {
+  OneRequest Each({}, Case.Kind_);
+  for (int Copy = 0; Copy < 3; ++Copy)
+    BOOST_TEST(Each.Engines_.skipsAnswer(0, Case.Status_, Case.Id_));
+  BOOST_TEST(Each.Engines_.sends() == 1U);
+  BOOST_TEST(Each.Engines_.isLive(0));
+  BOOST_TEST(!Each.Caller_->Complete_);
+}
+
+// A second send of a request must not meet the refusal of its first one, which has the same id.
+// Requests that must not run twice are never sent on a connection that was used before, but for the
+// first send of a stream, whose id no engine has seen.
+BOOST_DATA_TEST_CASE(ARequestIsSentAgainOnAUsedConnection, RepeatedRefusalCases, Case) {
+  OneRequest Each({}, Case.Kind_);
+  runToEnd(Each);
+  BOOST_TEST(Each.Engines_.sends() > 1U);
+  for (std::size_t Number = 0; Number < Each.Engines_.sends(); ++Number)
+    if (Case.Kind_ == RequestKind::OnceOnly || (Case.Kind_ == RequestKind::Stream && Number > 0))
+      BOOST_TEST((Each.Engines_.connectionUse(Number) == ConnectionUse::Fresh));
+}
