--- a/Tests/Core/Recovery/ListOutageTest.cpp
+++ b/Tests/Core/Recovery/ListOutageTest.cpp
@@ -44,6 +44,11 @@
   bool Listed_ = false;
 };
 
+Duration draw(std::mt19937 &Random, Duration Least, Duration Most) {
+  return Duration(
+      std::uniform_int_distribution<Duration::rep>(Least.count(), Most.count())(Random));
+}
+
 /// One process that follows the list and the configuration of a simulated store.
 class FollowerSimulation {
 public:
@@ -56,8 +61,8 @@
     const FreshnessBounds Bounds;
     List_ = {.Usual_ = listPollTiming(Bounds), .ReadsList_ = true};
     Config_ = {.Usual_ = configPollTiming(Bounds), .ReadsList_ = false};
-    List_.NextAt_ = Start + random(900ms);
-    Config_.NextAt_ = Start + random(900ms);
+    List_.NextAt_ = Start + draw(Random_, 0ms, 900ms);
+    Config_.NextAt_ = Start + draw(Random_, 0ms, 900ms);
   }
 
   /// Moves on to Now; times must not decrease.
@@ -91,10 +96,6 @@
     return Listing;
   }
 
-  Duration random(Duration Most) {
-    return Duration(std::uniform_int_distribution<Duration::rep>(0, Most.count())(Random_));
-  }
-
   bool away(TimePoint At) const { return At >= OutageBegin_ && At < OutageEnd_; }
 
   void begin(Reader &Each, TimePoint Now) {
@@ -165,10 +166,7 @@
   const EndpointId Left("left");
   for (unsigned Seed = 1; Seed <= schedules(); ++Seed) {
     std::mt19937 Random(Seed);
-    const auto Within = [&](Duration Least, Duration Most) {
-      return Duration(
-          std::uniform_int_distribution<Duration::rep>(Least.count(), Most.count())(Random));
-    };
+    const auto Within = [&](Duration Least, Duration Most) { return draw(Random, Least, Most); };
     const TimePoint Begin = Start + Within(3s, 5s);
     const TimePoint End = Begin + Within(500ms, 9s);
     const TimePoint LeftAt =
@@ -191,10 +189,7 @@
   const EndpointId Expired("expired");
   for (unsigned Seed = 1; Seed <= schedules(); ++Seed) {
     std::mt19937 Random(Seed);
-    const auto Within = [&](Duration Least, Duration Most) {
-      return Duration(
-          std::uniform_int_distribution<Duration::rep>(Least.count(), Most.count())(Random));
-    };
+    const auto Within = [&](Duration Least, Duration Most) { return draw(Random, Least, Most); };
     const TimePoint Begin = Start + Within(3s, 5s);
     const TimePoint End = Begin + Within(4s, 9s);
     const TimePoint Back = End + Within(0s, 1500ms);
--- a/Tests/platform/TopicFollowerTest.cpp
+++ b/Tests/platform/TopicFollowerTest.cpp
@@ -46,62 +46,59 @@
     {"a quote", "k\"y"},
 };
 
+/// A simulated store and a follower of its list of endpoints, on one event loop.
+struct ListFixture {
+  ListFixture() { BOOST_REQUIRE(!Server_.listen(NetAddress("127.0.0.1:0"))); }
+  ~ListFixture() { Server_.stop(); }
+
+  void append(const std::string &Key) {
+    Store_.append(std::string(topic::Endpoints), {Key, "value"});
+  }
+  /// Returns whether the whole list was read within the limit.
+  bool readList(Duration TimeLimit) {
+    HttpClient Client(Loop_);
+    StoreClient Calls(Client, Metrics_, Server_.address());
+    TopicFollower Follower(Loop_, Time_, Calls, topic::Endpoints,
+                           {std::chrono::milliseconds(100), std::chrono::milliseconds(100)},
+                           {[this](const KeyedRecord &Record) { Seen_.insert(Record.Key_); },
+                            [this] { Loop_.stop(); },
+                            [](std::error_code, TimePoint) {},
+                            {}});
+    Follower.start();
+    Loop_.run_for(TimeLimit);
+    return Loop_.stopped();
+  }
+
+  boost::asio::io_context Loop_;
+  const SystemClock Time_;
+  NullLogger Log_;
+  MetricSet Metrics_;
+  FakeStoreHandler Store_{Loop_, Time_};
+  HttpServer Server_{Loop_, {}, Store_, Log_};
+  /// The keys that the follower has read.
+  std::set<std::string> Seen_;
+};
+
 } // namespace
 
 // A store that has reached its call limit refuses some of the calls. A listing that restarted after
 // each refusal would never end if it has more pages than the store grants calls in a row.
 BOOST_DATA_TEST_CASE(AListingEndsThoughTheStoreRefusesSomeCalls, StoreCases, Case) {
-  boost::asio::io_context Loop;
-  const SystemClock Time;
-  NullLogger Log;
-  MetricSet Metrics;
-  FakeStoreHandler Store(Loop, Time);
-  HttpServer Server(Loop, {}, Store, Log);
-  BOOST_REQUIRE(!Server.listen(NetAddress("127.0.0.1:0")));
+  ListFixture List;
   for (int I = 0; I < Records; ++I)
-    Store.append(std::string(topic::Endpoints), {"key-" + std::to_string(I), "value"});
-  Store.setFault(Case.Fault_);
-  HttpClient Client(Loop);
-  StoreClient Calls(Client, Metrics, Server.address());
-  std::set<std::string> Seen;
-  TopicFollower Follower(Loop, Time, Calls, topic::Endpoints,
-                         {std::chrono::milliseconds(100), std::chrono::milliseconds(100)},
-                         {[&](const KeyedRecord &Record) { Seen.insert(Record.Key_); },
-                          [&] { Loop.stop(); },
-                          [](std::error_code, TimePoint) {},
-                          {}});
-  Follower.start();
-  Loop.run_for(Limit);
-  BOOST_TEST(Seen.size() == static_cast<std::size_t>(Records));
-  BOOST_TEST(Loop.stopped());
-  Server.stop();
+    List.append("key-" + std::to_string(I));
+  List.Store_.setFault(Case.Fault_);
+  BOOST_TEST(List.readList(Limit));
+  BOOST_TEST(List.Seen_.size() == static_cast<std::size_t>(Records));
 }
 
 // Guards against a gateway that never gets past a page of the list whose last entry has an odd key.
 BOOST_DATA_TEST_CASE(AListingContinuesAfterAnyKey, KeyCases, Case) {
-  boost::asio::io_context Loop;
-  const SystemClock Time;
-  NullLogger Log;
-  MetricSet Metrics;
-  FakeStoreHandler Store(Loop, Time);
-  HttpServer Server(Loop, {}, Store, Log);
-  BOOST_REQUIRE(!Server.listen(NetAddress("127.0.0.1:0")));
+  ListFixture List;
   // The odd key is the last one of the first page.
   for (const char *Key : {"a", "b", "c", "d", "y", "z"})
-    Store.append(std::string(topic::Endpoints), {Key, "value"});
-  Store.append(std::string(topic::Endpoints), {Case.Key_, "value"});
-  HttpClient Client(Loop);
-  StoreClient Calls(Client, Metrics, Server.address());
-  std::set<std::string> Seen;
-  TopicFollower Follower(Loop, Time, Calls, topic::Endpoints,
-                         {std::chrono::milliseconds(100), std::chrono::milliseconds(100)},
-                         {[&](const KeyedRecord &Record) { Seen.insert(Record.Key_); },
-                          [&] { Loop.stop(); },
-                          [](std::error_code, TimePoint) {},
-                          {}});
-  Follower.start();
-  Loop.run_for(std::chrono::seconds(5));
-  BOOST_TEST(Loop.stopped());
-  BOOST_TEST(Seen.size() == 7U);
-  Server.stop();
+    List.append(Key);
+  List.append(Case.Key_);
+  BOOST_TEST(List.readList(std::chrono::seconds(5)));
+  BOOST_TEST(List.Seen_.size() == 7U);
 }
