Repeats beyond the common budget are shown, with logs that tell their causes apart

What callers saw: none; the users counted more repeats at their engines than the budget allows.

Logs: RepeatAllowed and RepeatDenied have a cause, RepeatHandedOver tells when a repeat was handed to its connection. A cancelled attempt is no longer handed to a connection that opens afterwards. The stand-ins record all arrivals, and ArrivalWindow checks them with windows that slide.

--- a/Source/Gateway/CallExchange.cpp
+++ b/Source/Gateway/CallExchange.cpp
@@ -103,7 +103,8 @@
     return;
   const bool MaySend = NotRun || (isRetryable() && PossibleRuns_ < Routed_.Route_->MaxAttempts_);
   // A send that never got a connection puts no load on the service, so it takes no retry budget.
-  const bool InBudget = MaySend && canSendNext() && (!Result.BytesHandedOver_ || tryTakeRetry());
+  const bool InBudget = MaySend && canSendNext() &&
+                        (!Result.BytesHandedOver_ || tryTakeRetry(NotRun ? "not_run" : "failed"));
   if (!InBudget || !sendNext())
     giveUp();
 }
@@ -133,7 +134,7 @@
     return;
   const auto Limit =
       std::chrono::duration_cast<Duration>(Routed_.Route_->Objective_ * SecondSendAfter);
-  if (Now - Pending_.front()->Attempt_->SentAt_ < Limit || !canSendNext() || !tryTakeRetry())
+  if (Now - Pending_.front()->Attempt_->SentAt_ < Limit || !canSendNext() || !tryTakeRetry("slow"))
     return;
   sendNext();
 }
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -86,6 +86,7 @@
   Sent->Endpoint_ = Endpoint.Listing_.Id_;
   Sent->SentAt_ = Context_.Time_.now();
   Sent->Expected_ = Routed_.Caller_.Id_;
+  Sent->RetryTakenAt_ = RetryTakenAt_;
   Sent->Protocol_ = &Context_.Protocol_;
   Sent->BodyHandler_ = [](std::string_view) { return true; };
   ++Sends_;
@@ -96,6 +97,10 @@
   Http.ResponseTimeout_ = std::max<Duration>(timeLeft(), milliseconds(1));
   Http.Sink_ = Sent.get();
   Http.KeepHost_ = true;
+  Http.BeforeSend_ = [this, Raw = Sent.get()] {
+    onConnected(*Raw);
+    return Raw->Live_;
+  };
   Sent->Call_ = Context_.Client_.send(
       Endpoint.Listing_.Address_, Context_.Protocol_.requestForEndpoint(Routed_.Request_, Options),
       Http, [Self = shared_from_this(), Sent, Done = std::move(Done)](const HttpResult &Result) {
@@ -149,21 +154,33 @@
     OnEnded_(Self);
 }
 
-bool Exchange::tryTakeRetry() {
+void Exchange::onConnected(const Attempt &Sent) {
+  if (!Sent.RetryTakenAt_)
+    return;
+  const Duration Age = Context_.Time_.now() - *Sent.RetryTakenAt_;
+  Context_.Log_.log(LogEvent::RepeatHandedOver, {{"id", Routed_.Caller_.Id_.str()},
+                                                 {"endpoint", Sent.Endpoint_.str()},
+                                                 {"age_ms", millis(Age)}});
+  Context_.Metrics_.observe("repeat_delay_seconds", Routed_.Service_->Id_.str(), Age);
+}
+
+bool Exchange::tryTakeRetry(std::string_view Cause) {
   const TimePoint Now = Context_.Time_.now();
   if (Context_.Retries_.tryRetry(Routed_.Service_->Id_, Now)) {
-    logRetry(LogEvent::RepeatAllowed, Now);
+    RetryTakenAt_ = Now;
+    logRetry(LogEvent::RepeatAllowed, Cause, Now);
     Context_.Metrics_.count("repeats_total", "allowed");
     return true;
   }
-  logRetry(LogEvent::RepeatDenied, Now);
+  logRetry(LogEvent::RepeatDenied, Cause, Now);
   Context_.Metrics_.count("repeats_total", "denied");
   return false;
 }
 
-void Exchange::logRetry(LogEvent Outcome, TimePoint Now) {
+void Exchange::logRetry(LogEvent Outcome, std::string_view Cause, TimePoint Now) {
   const ServiceId &Service = Routed_.Service_->Id_;
   Context_.Log_.log(Outcome, {{"id", Routed_.Caller_.Id_.str()},
+                              {"cause", Cause},
                               {"budget_left", Context_.Retries_.left(Service, Now)},
                               {"spent", Context_.Retries_.spent(Service, Now)},
                               {"gateways", Context_.Retries_.processes().value_or(0)},
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -35,6 +35,8 @@
   EndpointId Endpoint_;
   HttpCallId Call_;
   TimePoint SentAt_{};
+  /// When the retry budget allowed the send; nothing for the first send of a request.
+  std::optional<TimePoint> RetryTakenAt_;
   HttpResponse Head_;
   ResponseInfo Info_;
   bool HeadSeen_ = false;
@@ -96,10 +98,11 @@
   std::uint32_t priority() const;
   /// Time until the deadline of the request.
   Duration timeLeft() const;
-  /// Takes one retry from the retry budget of the service; false if the budget is spent.
-  bool tryTakeRetry();
+  /// Takes one retry from the retry budget of the service; false if the budget is spent. Cause is
+  /// written to the log.
+  bool tryTakeRetry(std::string_view Cause);
   ForwardOptions forwardOptions() const;
-  void logRetry(LogEvent Outcome, TimePoint Now);
+  void logRetry(LogEvent Outcome, std::string_view Cause, TimePoint Now);
   void logSend(const EndpointId &Endpoint, std::string_view Detail);
   void logFailure(const Attempt &Sent, const HttpResult &Result);
   /// A random duration from Least to Most, so that callers refused together don't retry together.
@@ -111,6 +114,11 @@
   std::uint32_t Sends_ = 0;
 
 private:
+  /// Called when the connection of an attempt is open, before any byte is handed to it.
+  void onConnected(const Attempt &Sent);
+
+  /// The last retry that was taken from the retry budget.
+  std::optional<TimePoint> RetryTakenAt_;
   Timer DeadlineTimer_;
   Ended OnEnded_;
   bool Ended_ = false;
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -95,7 +95,7 @@
     Context_.OnNoPathAtHome_();
   if (!Choice.Path_)
     return false;
-  if (Again && !tryTakeRetry()) {
+  if (Again && !tryTakeRetry(ResumeCause_.empty() ? "not_run" : ResumeCause_)) {
     BudgetSpent_ = true;
     return false;
   }
--- a/Source/StandIns/Site/ActivityLog.h
+++ b/Source/StandIns/Site/ActivityLog.h
@@ -16,10 +16,10 @@
 /// Answers without an end stop once the endpoints of a site have sent this many bytes of them.
 inline constexpr std::size_t MaxEndlessBytes = 64 * 1024 * 1024;
 
-/// A request that an engine received.
+/// A request that an endpoint received, whether it ran or refused it.
 struct ReceivedRequest {
   std::string Id_;
-  std::string Engine_;
+  std::string Endpoint_;
   TimePoint At_;
 };
 
@@ -31,6 +31,8 @@
 
 /// What the endpoints of a site executed, refused and found wrong, for tests to check.
 struct ActivityLog {
+  /// All requests of callers that endpoints received, in order.
+  std::vector<ReceivedRequest> Arrivals_;
   /// The ids of the endpoints that executed each request id, in order.
   std::map<std::string, std::vector<std::string>> Executions_;
   /// Number of refused requests, by the id of the engine that could not take them.
--- a/Source/StandIns/Site/FakeDesk.cpp
+++ b/Source/StandIns/Site/FakeDesk.cpp
@@ -10,14 +10,16 @@
 
 namespace rattancart {
 
-FakeDesk::FakeDesk(boost::asio::io_context &Loop, Logger &Log, std::string Id,
+FakeDesk::FakeDesk(boost::asio::io_context &Loop, const Clock &Time, Logger &Log, std::string Id,
                    std::string DataCenter, ActivityLog &Activity)
-    : Loop_(Loop), Id_(std::move(Id)), DataCenter_(std::move(DataCenter)), Activity_(Activity),
+    : Loop_(Loop), Time_(Time), Id_(std::move(Id)), DataCenter_(std::move(DataCenter)),
+      Activity_(Activity),
       Server_(std::make_unique<HttpServer>(Loop, HttpServerOptions{}, *this, Log)) {}
 
 void FakeDesk::handle(HttpRequest Request, HttpResponderPtr Responder) {
   const std::string Id(Request.Headers_.get("X-Attempt-Id"));
   const bool Booking = Request.Method_ == "POST";
+  Activity_.Arrivals_.push_back({Id, Id_, Time_.now()});
   HttpResponse Answer;
   Answer.Headers_.add("X-Attempt-Id", Id);
   Answer.Headers_.add("Content-Type", "application/json");
--- a/Source/StandIns/Site/FakeDesk.h
+++ b/Source/StandIns/Site/FakeDesk.h
@@ -39,9 +39,9 @@
 /// one activity log. Not thread-safe.
 class FakeDesk final : public HttpHandler {
 public:
-  /// Precondition: Loop, Log and Activity outlive the desk.
-  FakeDesk(boost::asio::io_context &Loop, Logger &Log, std::string Id, std::string DataCenter,
-           ActivityLog &Activity);
+  /// Precondition: Loop, Time, Log and Activity outlive the desk.
+  FakeDesk(boost::asio::io_context &Loop, const Clock &Time, Logger &Log, std::string Id,
+           std::string DataCenter, ActivityLog &Activity);
 
   std::error_code listen() { return Server_->listen(NetAddress("127.0.0.1:0")); }
   NetAddress address() const { return Server_->address(); }
@@ -60,6 +60,7 @@
   void sendEndlessBody(const HttpResponderPtr &Responder);
 
   boost::asio::io_context &Loop_;
+  const Clock &Time_;
   std::string Id_;
   std::string DataCenter_;
   ActivityLog &Activity_;
--- a/Source/StandIns/Site/FakeLayerEngine.cpp
+++ b/Source/StandIns/Site/FakeLayerEngine.cpp
@@ -196,6 +196,7 @@
 
 void FakeLayerEngine::startStream(const HttpRequest &Request, const HttpResponderPtr &Responder) {
   const std::string Id(Request.Headers_.get("X-Attempt-Id"));
+  Activity_.Arrivals_.push_back({Id, Options_.Id_, Time_.now()});
   const bool Crashes = !CrashingPromptPart_.empty() &&
                        isSharedPart(Request.Headers_.get("X-Prompt-Prefix"), CrashingPromptPart_);
   if (Crashes)
--- a/Source/StandIns/Site/Site.cpp
+++ b/Source/StandIns/Site/Site.cpp
@@ -97,7 +97,7 @@
         if (Engines_.back()->listen())
           throw std::runtime_error("an engine stand-in cannot listen");
       }
-    Desks_.push_back(std::make_unique<FakeDesk>(Loop_, Log_, "desk-" + Group.DataCenter_,
+    Desks_.push_back(std::make_unique<FakeDesk>(Loop_, Time_, Log_, "desk-" + Group.DataCenter_,
                                                 Group.DataCenter_, Activity_));
     if (Desks_.back()->listen())
       throw std::runtime_error("a desk stand-in cannot listen");
--- a/Tests/System/GatewayBudgetTest.cpp
+++ b/Tests/System/GatewayBudgetTest.cpp
@@ -1,9 +1,14 @@
+#include "History/ArrivalWindow.h"
 #include "Tests/System/GatewayDeployment.h"
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
+#include <mutex>
 #include <ostream>
+#include <sstream>
+#include <thread>
 
 using namespace rattancart;
 using namespace std::chrono_literals;
@@ -39,6 +44,79 @@
      }},
 };
 
+/// Callers that send lookups to gateways at a steady rate, each on a thread of its own.
+class LookupCallers {
+public:
+  /// Precondition: Deployment outlives the callers.
+  LookupCallers(GatewayDeployment &Deployment, std::size_t Callers, Duration Interval)
+      : Deployment_(Deployment), Interval_(Interval), Gateways_(Callers) {
+    for (std::size_t I = 0; I < Callers; ++I) {
+      Gateways_[I] = I % Deployment.size();
+      Threads_.emplace_back([this, I] { sendLookups(I); });
+    }
+  }
+  ~LookupCallers() { stop(); }
+  LookupCallers(const LookupCallers &) = delete;
+  LookupCallers &operator=(const LookupCallers &) = delete;
+
+  void moveAllTo(std::size_t Gateway) {
+    for (auto &Each : Gateways_)
+      Each = Gateway;
+  }
+  /// Ends the callers and returns the times at which they sent requests.
+  std::vector<TimePoint> stop() {
+    Stopping_ = true;
+    for (std::thread &Each : Threads_)
+      if (Each.joinable())
+        Each.join();
+    return SentAt_;
+  }
+
+private:
+  void sendLookups(std::size_t Caller) {
+    TimePoint Due =
+        Time_.now() + Interval_ * static_cast<int>(Caller) / static_cast<int>(Gateways_.size());
+    for (int I = 0; !Stopping_; ++I) {
+      std::this_thread::sleep_until(Due);
+      Due += Interval_;
+      {
+        const std::lock_guard Lock(Mutex_);
+        SentAt_.push_back(Time_.now());
+      }
+      Deployment_.call(Gateways_[Caller],
+                       "caller-" + std::to_string(Caller) + "-" + std::to_string(I), "GET",
+                       site::LookupPath);
+    }
+  }
+
+  GatewayDeployment &Deployment_;
+  Duration Interval_;
+  SystemClock Time_;
+  std::atomic<bool> Stopping_ = false;
+  std::vector<std::atomic<std::size_t>> Gateways_;
+  std::mutex Mutex_;
+  std::vector<TimePoint> SentAt_;
+  std::vector<std::thread> Threads_;
+};
+
+std::vector<history::Arrival> arrivalsOf(const ActivityLog &Activity) {
+  std::vector<history::Arrival> Arrivals;
+  for (const ReceivedRequest &Each : Activity.Arrivals_)
+    Arrivals.push_back({RequestId(Each.Id_), Each.At_});
+  return Arrivals;
+}
+
+/// The lines of a gateway's metrics that tell how long after their grant repeats were sent.
+std::string repeatDelayMetrics(GatewayDeployment &Deployment, std::size_t Index) {
+  std::istringstream Metrics(Deployment.metrics(Index));
+  std::string Found;
+  for (std::string Line; std::getline(Metrics, Line);)
+    if (Line.find("repeat_delay_seconds_sum") != std::string::npos ||
+        Line.find("repeat_delay_seconds_count") != std::string::npos)
+      Found += Line + "; ";
+  return Found;
+}
+
 std::size_t countRepeats(const ActivityLog &Ledger) {
   std::size_t Count = 0;
   for (const auto &[Id, Runs] : Ledger.Executions_)
@@ -81,3 +159,32 @@
         },
         "a gateway to know how many there are");
 }
+
+BOOST_AUTO_TEST_CASE(RepeatsExceedTheCommonBudgetWhenCallersMoveAfterALoss) {
+  SiteOptions Options{{{"east", {}}, {"west", {}}}};
+  Options.Retries_ = {.Ratio_ = 0.2, .Extra_ = 30, .Window_ = 2s};
+  GatewayDeployment Deployment({"east", "east", "west"}, Options);
+  for (std::size_t I = 0; I < Deployment.size(); ++I)
+    GatewayDeployment::await(
+        [&] {
+          return Deployment.metrics(I).find("rattancart_gateway_retry_budget_gateways 3\n") !=
+                 std::string::npos;
+        },
+        "a gateway to know how many there are");
+  LookupCallers Callers(Deployment, 9, 20ms);
+  std::this_thread::sleep_for(2500ms);
+  Deployment.site().setDeskFault(DeskFault::Refuses);
+  std::this_thread::sleep_for(450ms);
+  Callers.moveAllTo(0);
+  std::this_thread::sleep_for(2s);
+  const std::vector<TimePoint> Requests = Callers.stop();
+  for (std::size_t I = 0; I < Deployment.size(); ++I)
+    BOOST_TEST_MESSAGE("gateway " << I << ": " << repeatDelayMetrics(Deployment, I));
+  const history::WorstWindow Worst = history::findWorstRepeatWindow(
+      Requests, arrivalsOf(Deployment.site().activity()),
+      {Options.Retries_.Ratio_, Options.Retries_.Extra_, Options.Retries_.Window_});
+  BOOST_TEST(Worst.Arrivals_ > 0U);
+  BOOST_TEST(Worst.excess() <= 0, Worst.Arrivals_ << " repeats where " << Worst.Allowed_
+                                                  << " are allowed, of " << Requests.size()
+                                                  << " requests in all");
+}
--- a/Tests/System/GatewayDeployment.h
+++ b/Tests/System/GatewayDeployment.h
@@ -33,6 +33,7 @@
   GatewayDeployment &operator=(const GatewayDeployment &) = delete;
 
   Site &site() { return Site_; }
+  std::size_t size() const { return Gateways_.size(); }
   ChildProcess &gateway(std::size_t Index) { return *Gateways_[Index]; }
   /// The address at which a gateway takes requests.
   const NetAddress &address(std::size_t Index) const { return Addresses_[Index]; }
