A repeat that leaves long after its grant needs the budget again

What callers saw: nothing; a gateway that was paused between the grant of a repeat and its send handed it over afterwards, beside the repeats of that time.

Cause: a grant had no end. The send of a stream or call waits for a connection, and the process may be paused meanwhile. Class: a permission is used after it has run out.

Change: a send that needed the budget is handed to its connection within 500 ms of the grant, else it takes from the budget again or is given up as not sent. No engine is blamed for that.

Evidence: LateSendTest, red in 4 checks before (two kinds of request, with and without budget).

--- a/Source/Gateway/CallExchange.cpp
+++ b/Source/Gateway/CallExchange.cpp
@@ -101,6 +101,9 @@
     OutcomeUnknown_ = true;
   if (!Pending_.empty())
     return;
+  // The retry budget no longer allowed the send.
+  if (Result.Error_ == ErrorCode::Cancelled)
+    return giveUp();
   const bool MaySend = NotRun || (isRetryable() && PossibleRuns_ < Routed_.Route_->MaxAttempts_);
   // A send that never got a connection puts no load on the service, so it takes no retry budget.
   const bool InBudget = MaySend && canSendNext() &&
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -9,6 +9,10 @@
 
 using std::chrono::milliseconds;
 
+/// A send that needed a permission is not handed to its connection later than this: after a pause
+/// of the process, the permission may have run out. Connections open sooner.
+constexpr Duration PermissionLifetime = milliseconds(500);
+
 std::int64_t millis(Duration Time) { return Time / milliseconds(1); }
 
 } // namespace
@@ -97,10 +101,7 @@
   Http.ResponseTimeout_ = std::max<Duration>(timeLeft(), milliseconds(1));
   Http.Sink_ = Sent.get();
   Http.KeepHost_ = true;
-  Http.BeforeSend_ = [this, Raw = Sent.get()] {
-    onConnected(*Raw);
-    return Raw->Live_;
-  };
+  Http.BeforeSend_ = [this, Raw = Sent.get()] { return mayHandOver(*Raw); };
   Sent->Call_ = Context_.Client_.send(
       Endpoint.Listing_.Address_, Context_.Protocol_.requestForEndpoint(Routed_.Request_, Options),
       Http, [Self = shared_from_this(), Sent, Done = std::move(Done)](const HttpResult &Result) {
@@ -154,14 +155,19 @@
     OnEnded_(Self);
 }
 
-void Exchange::onConnected(const Attempt &Sent) {
+bool Exchange::mayHandOver(Attempt &Sent) {
+  if (!Sent.Live_)
+    return false;
   if (!Sent.RetryTakenAt_)
-    return;
+    return true;
   const Duration Age = Context_.Time_.now() - *Sent.RetryTakenAt_;
+  if (Age > PermissionLifetime && !tryTakeRetry("late"))
+    return false;
   Context_.Log_.log(LogEvent::RepeatHandedOver, {{"id", Routed_.Caller_.Id_.str()},
                                                  {"endpoint", Sent.Endpoint_.str()},
                                                  {"age_ms", millis(Age)}});
   Context_.Metrics_.observe("repeat_delay_seconds", Routed_.Service_->Id_.str(), Age);
+  return true;
 }
 
 bool Exchange::tryTakeRetry(std::string_view Cause) {
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -114,8 +114,9 @@
   std::uint32_t Sends_ = 0;
 
 private:
-  /// Called when the connection of an attempt is open, before any byte is handed to it.
-  void onConnected(const Attempt &Sent);
+  /// Called when the connection of an attempt is open, before any byte is handed to it. Returns
+  /// whether the request may be handed over.
+  bool mayHandOver(Attempt &Sent);
 
   /// The last retry that was taken from the retry budget.
   std::optional<TimePoint> RetryTakenAt_;
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -358,6 +358,9 @@
 }
 
 void StreamExchange::noteFailure(const HttpResult &Result) {
+  // The retry budget no longer allowed the send, so no engine is at fault.
+  if (Result.Error_ == ErrorCode::Cancelled)
+    return;
   const EndpointId First = Attempt_->Endpoint_;
   if (Attempt_->Info_.FaultyEngine_) {
     // The named engine may be lost, short of memory, or about to leave; its report shows which.
--- /dev/null
+++ b/Tests/Gateway/LateSendTest.cpp
@@ -0,0 +1,64 @@
+#include "Tests/Gateway/ScriptedRequest.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+
+using namespace rattancart;
+using namespace rattancart::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// When the connection of a repeat opens, and whether the repeat is handed to it.
+struct LateRepeatCase {
+  const char *Name_;
+  Duration Delay_;
+  /// Whether others have spent the retry budget meanwhile.
+  bool BudgetSpent_ = false;
+  bool HandedOver_ = false;
+  /// The repeats that count in the window.
+  std::uint32_t Counted_ = 0;
+};
+
+std::ostream &operator<<(std::ostream &Out, const LateRepeatCase &Case) {
+  return Out << Case.Name_;
+}
+
+const LateRepeatCase LateRepeatCases[] = {
+    {"in time", 200ms, false, true, 1},
+    {"in time, budget spent", 200ms, true, true, 1},
+    {"after a pause", 2s, false, true, 2},
+    {"after a pause, budget spent", 2s, true, false, 1},
+};
+
+} // namespace
+
+// The process was paused between the grant of a repeat and its send.
+BOOST_DATA_TEST_CASE(ARepeatIsSentLongAfterItsGrant, LateRepeatCases, Case) {
+  for (const RequestKind Kind : {RequestKind::Stream, RequestKind::Idempotent}) {
+    OneRequest Each({}, Kind);
+    BOOST_TEST(Each.Engines_.connect(0));
+    Each.Engines_.refuse(0);
+    BOOST_REQUIRE(Each.Engines_.sends() == 2U);
+    std::uint32_t Others = 0;
+    while (Case.BudgetSpent_ && Each.Retries_.tryRetry(Brief, Each.Time_.now()))
+      ++Others;
+    Each.Time_.advance(Case.Delay_);
+    BOOST_TEST(Each.Engines_.connect(1) == Case.HandedOver_);
+    BOOST_TEST(Each.Retries_.spent(Brief, Each.Time_.now()) - Others == Case.Counted_);
+    // A further send would need the budget as well.
+    BOOST_TEST(Each.Engines_.sends() == 2U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ACancelledRequestIsHandedToAConnectionThatOpensLater) {
+  OneRequest Each;
+  Each.alarm();
+  BOOST_REQUIRE(Each.Engines_.sends() == 2U);
+  Each.Engines_.head(0, 200);
+  Each.Engines_.body(0, events(1, 1));
+  BOOST_REQUIRE(!Each.Engines_.isLive(1));
+  BOOST_TEST(!Each.Engines_.wouldSend(1));
+}
