Repeats saved up over a window are kept as far as the load is steady

Change: 0.6 of the ratio of the least first sends in any half of the last two windows may be spent at once, so callers that move raise it only after two windows; 0.3 of the ratio is credit for a third of a window. Both together are the ratio of one window.

The figures of RetryShareTest follow.

--- a/Source/Core/Recovery/RetryShare.cpp
+++ b/Source/Core/Recovery/RetryShare.cpp
@@ -6,10 +6,13 @@
 
 namespace {
 
-/// Part of the ratio that first sends earn as credit. The retries in one window are paid by the
+/// Part of the ratio that is the steady allowance.
+constexpr double SteadyPart = 0.6;
+/// Part of the ratio that first sends earn as credit. The credit in one window is spent by the
 /// first sends of that window and of the time before it until which credit lasts; while requests
-/// arrive steadily, these are 4/3 of those in one window.
-constexpr double CreditPart = 0.75;
+/// arrive steadily, these are 4/3 of those in one window. So both parts together spend the whole
+/// ratio.
+constexpr double CreditPart = 0.3;
 /// Part of the extra retries that is used. The rest makes up for requests that arrive unsteadily.
 constexpr double ExtraPart = 0.9;
 
@@ -43,40 +46,65 @@
 RetryShare::Slot &RetryShare::currentSlot(Ring &Known, TimePoint Now) const {
   const std::int64_t Index = indexOf(Now);
   Slot &Current = Known[static_cast<std::size_t>(Index) % Known.size()];
-  if (Current.Index_ != Index)
-    Current = {Index, 0, 0, 0};
+  if (Current.Index_ != Index) {
+    Current = {};
+    Current.Index_ = Index;
+  }
   return Current;
 }
 
 void RetryShare::onFirstSend(const ServiceId &Service, TimePoint Now) {
-  currentSlot(Rings_[Service], Now).Credit_ += CreditPart * Options_.Ratio_;
+  Slot &Current = currentSlot(Rings_[Service], Now);
+  ++Current.FirstSends_;
+  Current.Credit_ += CreditPart * Options_.Ratio_;
+}
+
+template <typename Function>
+void RetryShare::visitLast(const Ring &Known, std::size_t Count, TimePoint Now,
+                           Function Visit) const {
+  const std::int64_t Index = indexOf(Now);
+  for (const Slot &Each : Known)
+    if (Each.Index_ >= 0 && Index - Each.Index_ < static_cast<std::int64_t>(Count))
+      Visit(Each, static_cast<std::size_t>(Index - Each.Index_));
+}
+
+double RetryShare::steadyShare(const Ring &Known, TimePoint Now) const {
+  std::array<std::uint32_t, Spans> FirstSends{};
+  visitLast(Known, Spans * SpanSlots, Now, [&](const Slot &Each, std::size_t Age) {
+    FirstSends[Age / SpanSlots] += Each.FirstSends_;
+  });
+  const std::uint32_t Least = *std::min_element(FirstSends.begin(), FirstSends.end());
+  return SteadyPart * Options_.Ratio_ * Least * Slots / SpanSlots;
 }
 
 double RetryShare::creditLeft(const Ring &Known, TimePoint Now) const {
   double Credit = 0;
-  for (const Slot &Each : Known)
-    if (Each.Index_ >= 0 && indexOf(Now) - Each.Index_ < static_cast<std::int64_t>(CreditSlots))
-      Credit += Each.Credit_;
+  visitLast(Known, CreditSlots, Now,
+            [&](const Slot &Each, std::size_t) { Credit += Each.Credit_; });
   return Credit;
 }
 
+// Windows slide: retries are counted over one slot more than a window has.
+double RetryShare::steadyLeft(const Ring &Known, TimePoint Now) const {
+  double Taken = 0;
+  visitLast(Known, Slots + 1, Now,
+            [&](const Slot &Each, std::size_t) { Taken += Each.SteadyTaken_; });
+  return std::max(0.0, steadyShare(Known, Now) - Taken);
+}
+
 double RetryShare::extraLeft(const Ring &Known, TimePoint Now) const {
   double Taken = 0;
-  // Windows slide: retries are counted over one slot more than a window has.
-  for (const Slot &Each : Known)
-    if (Each.Index_ >= 0 && indexOf(Now) - Each.Index_ < static_cast<std::int64_t>(Known.size()))
-      Taken += Each.ExtraTaken_;
+  visitLast(Known, Slots + 1, Now,
+            [&](const Slot &Each, std::size_t) { Taken += Each.ExtraTaken_; });
   return std::max(0.0, extraShare(Now) - Taken);
 }
 
 std::uint32_t RetryShare::spent(const ServiceId &Service, TimePoint Now) const {
   const auto Found = Rings_.find(Service);
-  if (Found == Rings_.end())
-    return 0;
   std::uint32_t Retries = 0;
-  for (const Slot &Each : Found->second)
-    if (Each.Index_ >= 0 && indexOf(Now) - Each.Index_ <= static_cast<std::int64_t>(Slots))
-      Retries += Each.Retries_;
+  if (Found != Rings_.end())
+    visitLast(Found->second, Slots + 1, Now,
+              [&](const Slot &Each, std::size_t) { Retries += Each.Retries_; });
   return Retries;
 }
 
@@ -84,7 +112,8 @@
   const auto Found = Rings_.find(Service);
   if (Found == Rings_.end())
     return extraShare(Now);
-  return creditLeft(Found->second, Now) + extraLeft(Found->second, Now);
+  return creditLeft(Found->second, Now) + steadyLeft(Found->second, Now) +
+         extraLeft(Found->second, Now);
 }
 
 bool RetryShare::tryRetry(const ServiceId &Service, TimePoint Now) {
@@ -104,7 +133,9 @@
     Each.Credit_ -= Taken;
     Due -= Taken;
   }
-  Current.ExtraTaken_ += Due;
+  const double Steady = std::min(Due, steadyLeft(Known, Now));
+  Current.SteadyTaken_ += Steady;
+  Current.ExtraTaken_ += Due - Steady;
   return true;
 }
 
--- a/Source/Core/Recovery/RetryShare.h
+++ b/Source/Core/Recovery/RetryShare.h
@@ -18,13 +18,18 @@
   Duration Window_ = std::chrono::seconds(10);
 };
 
-/// Keeps the retries of all processes within a common budget without communication between them:
-/// each has an equal part of the extra retries, and its first sends earn it credit for a part of a
-/// retry each.
+/// Keeps the retries of all processes within a common budget without communication between them.
+/// What a process may retry comes from three sources:
 ///
-/// Credit expires after a third of a window. It would otherwise be saved up until many requests
-/// fail at once, and be spent in the same window as the credit that the same callers earn at
-/// another process after they have moved to it.
+/// - Steady allowance: a part of the ratio of the least first sends that it had in any half of the
+///   last two windows, per window. It may be spent at once, such as when many streams lose an
+///   engine.
+/// - Credit: another part of the ratio of each first send, which expires after a third of a window.
+/// - An equal part of the extra retries.
+///
+/// When callers move to another process, their requests raise its steady allowance only after two
+/// windows. It would otherwise be spent in the same window as the one that these callers had earned
+/// before at the process that they have left, or at the predecessor of a restarted process.
 ///
 /// The extra retries are used only while the number of processes is known, and not in the first
 /// window of a process: the retries of the process that it replaces are not known, but count too.
@@ -55,21 +60,33 @@
   static constexpr std::size_t Slots = 30;
   /// The number of slots after which credit expires.
   static constexpr std::size_t CreditSlots = Slots / 3;
+  /// Slots over which first sends are counted for the steady allowance, and how many such spans.
+  static constexpr std::size_t SpanSlots = Slots / 2;
+  static constexpr std::size_t Spans = 4;
   struct Slot {
     std::int64_t Index_ = -1;
+    std::uint32_t FirstSends_ = 0;
     /// What is left of the credit that first sends in this slot earned.
     double Credit_ = 0;
     std::uint32_t Retries_ = 0;
-    /// The part of the retries in this slot that was taken from the extra retries.
+    /// The parts of the retries in this slot that were taken from the steady allowance and from the
+    /// extra retries.
+    double SteadyTaken_ = 0;
     double ExtraTaken_ = 0;
   };
-  using Ring = std::array<Slot, Slots + 1>;
+  using Ring = std::array<Slot, Spans * SpanSlots + 1>;
 
   Duration slotTime() const { return Options_.Window_ / static_cast<std::int64_t>(Slots); }
   bool inFirstWindow(TimePoint Now) const;
   /// The number of extra retries that this process may take in one window.
   double extraShare(TimePoint Now) const;
+  /// The steady allowance in one window.
+  double steadyShare(const Ring &Known, TimePoint Now) const;
+  /// Calls Visit with each slot of the last Count slots.
+  template <typename Function>
+  void visitLast(const Ring &Known, std::size_t Count, TimePoint Now, Function Visit) const;
   double creditLeft(const Ring &Known, TimePoint Now) const;
+  double steadyLeft(const Ring &Known, TimePoint Now) const;
   double extraLeft(const Ring &Known, TimePoint Now) const;
   Slot &currentSlot(Ring &Known, TimePoint Now) const;
   std::int64_t indexOf(TimePoint Now) const;
--- a/Tests/Core/Recovery/RetryShareTest.cpp
+++ b/Tests/Core/Recovery/RetryShareTest.cpp
@@ -31,10 +31,10 @@
 std::ostream &operator<<(std::ostream &Out, const ShareCase &Case) { return Out << Case.Name_; }
 
 const ShareCase ShareCases[] = {
-    {"spends its credit and its part", LongAgo, 9, 16},
-    {"does not know how many others there are", LongAgo, std::nullopt, 7},
-    {"does not know what was spent before it started", Start - 10s, 9, 7},
-    {"is alone", LongAgo, 1, 88},
+    {"spends its credit and its part", LongAgo, 9, 12},
+    {"does not know how many others there are", LongAgo, std::nullopt, 3},
+    {"does not know what was spent before it started", Start - 10s, 9, 3},
+    {"is alone", LongAgo, 1, 84},
 };
 
 int retryAll(RetryShare &Share, TimePoint Now) {
@@ -56,15 +56,51 @@
 
 BOOST_AUTO_TEST_CASE(CreditExpiresAfterAThirdOfTheWindow) {
   RetryShare Share({0.5, 0, 9s}, LongAgo);
-  for (int I = 0; I < 48; ++I)
+  for (int I = 0; I < 50; ++I)
     Share.onFirstSend(Service, Start);
-  BOOST_TEST(Share.left(Service, Start + 2700ms) == 18);
+  BOOST_TEST(Share.left(Service, Start + 2700ms) == 7.5, boost::test_tools::tolerance(1e-9));
   BOOST_TEST(Share.tryRetry(Service, Start + 2700ms));
   BOOST_TEST(Share.left(Service, Start + 3s) == 0);
   BOOST_TEST(!Share.tryRetry(Service, Start + 3s));
   BOOST_TEST(Share.spent(Service, Start + 11s) == 1U);
 }
 
+namespace {
+
+/// The first sends of each half of a window, and the retries that are left after four of them,
+/// without credit.
+struct SteadyCase {
+  const char *Name_;
+  std::vector<int> FirstSends_;
+  double Left_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const SteadyCase &Case) { return Out << Case.Name_; }
+
+const SteadyCase SteadyCases[] = {
+    {"steady", {50, 50, 50, 50}, 0.6 * 0.2 * 100},   {"rises", {50, 50, 50, 500}, 0.6 * 0.2 * 100},
+    {"falls", {500, 500, 500, 50}, 0.6 * 0.2 * 100}, {"a pause", {500, 0, 500, 500}, 0},
+    {"has just started", {500, 500, 500}, 0},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(SteadyAllowanceFollowsTheLeastFirstSendsOfTwoWindows, SteadyCases, Case) {
+  RetryShare Share({0.2, 0, 9s}, LongAgo);
+  TimePoint Now = TimePoint{} + 90min;
+  for (const int FirstSends : Case.FirstSends_) {
+    for (int I = 0; I < FirstSends; ++I)
+      Share.onFirstSend(Service, Now);
+    Now += 4500ms;
+  }
+  // Credit expires within this time, and no first send has left the two windows yet.
+  Now -= 1ms;
+  BOOST_TEST(Share.left(Service, Now) == Case.Left_, boost::test_tools::tolerance(1e-9));
+  const auto Allowed = static_cast<int>(Case.Left_ + 1e-9);
+  BOOST_TEST(retryAll(Share, Now) == Allowed);
+  BOOST_TEST(Share.left(Service, Now + 9s) < 1);
+}
+
 BOOST_AUTO_TEST_CASE(NewLimitsDoNotForgetWhatWasSpent) {
   RetryShare Share({0.2, 90, 10s}, LongAgo);
   Share.setProcesses(9);
@@ -85,7 +121,7 @@
   int Allowed = 0;
   while (Share.tryRetry(Service, Start))
     ++Allowed;
-  BOOST_TEST(Allowed == 16);
+  BOOST_TEST(Allowed == 12);
   BOOST_TEST(!Share.tryRetry(Service, Start + 5s));
   BOOST_TEST(Share.tryRetry(ServiceId("other"), Start));
   BOOST_TEST(Share.left(Service, Start + 30s) == 9);
