--- a/Schemas/Gateway_generated.h
+++ b/Schemas/Gateway_generated.h
@@ -16,6 +16,10 @@
 namespace rattancart {
 namespace wire {
 
+struct EndpointLimit;
+struct EndpointLimitBuilder;
+struct EndpointLimitT;
+
 struct EngineSubscribe;
 struct EngineSubscribeBuilder;
 struct EngineSubscribeT;
@@ -194,11 +198,169 @@
 bool VerifyGatewayPayload(flatbuffers::Verifier &verifier, const void *obj, GatewayPayload type);
 bool VerifyGatewayPayloadVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<GatewayPayload> *types);
 
+struct EndpointLimitT : public flatbuffers::NativeTable {
+  typedef EndpointLimit TableType;
+  std::string endpoint{};
+  uint64_t run = 0;
+  bool limited = false;
+  double per_second = 0.0;
+  uint32_t age_ms = 0;
+  double wanted = 0.0;
+  uint32_t sent = 0;
+  uint32_t gateways = 0;
+};
+
+struct EndpointLimit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EndpointLimitT NativeTableType;
+  typedef EndpointLimitBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENDPOINT = 4,
+    VT_RUN = 6,
+    VT_LIMITED = 8,
+    VT_PER_SECOND = 10,
+    VT_AGE_MS = 12,
+    VT_WANTED = 14,
+    VT_SENT = 16,
+    VT_GATEWAYS = 18
+  };
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  uint64_t run() const {
+    return GetField<uint64_t>(VT_RUN, 0);
+  }
+  bool limited() const {
+    return GetField<uint8_t>(VT_LIMITED, 0) != 0;
+  }
+  double per_second() const {
+    return GetField<double>(VT_PER_SECOND, 0.0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  double wanted() const {
+    return GetField<double>(VT_WANTED, 0.0);
+  }
+  uint32_t sent() const {
+    return GetField<uint32_t>(VT_SENT, 0);
+  }
+  uint32_t gateways() const {
+    return GetField<uint32_t>(VT_GATEWAYS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
+           VerifyField<uint8_t>(verifier, VT_LIMITED, 1) &&
+           VerifyField<double>(verifier, VT_PER_SECOND, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyField<double>(verifier, VT_WANTED, 8) &&
+           VerifyField<uint32_t>(verifier, VT_SENT, 4) &&
+           VerifyField<uint32_t>(verifier, VT_GATEWAYS, 4) &&
+           verifier.EndTable();
+  }
+  EndpointLimitT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EndpointLimitT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EndpointLimit> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndpointLimitT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EndpointLimitBuilder {
+  typedef EndpointLimit Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(EndpointLimit::VT_ENDPOINT, endpoint);
+  }
+  void add_run(uint64_t run) {
+    fbb_.AddElement<uint64_t>(EndpointLimit::VT_RUN, run, 0);
+  }
+  void add_limited(bool limited) {
+    fbb_.AddElement<uint8_t>(EndpointLimit::VT_LIMITED, static_cast<uint8_t>(limited), 0);
+  }
+  void add_per_second(double per_second) {
+    fbb_.AddElement<double>(EndpointLimit::VT_PER_SECOND, per_second, 0.0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(EndpointLimit::VT_AGE_MS, age_ms, 0);
+  }
+  void add_wanted(double wanted) {
+    fbb_.AddElement<double>(EndpointLimit::VT_WANTED, wanted, 0.0);
+  }
+  void add_sent(uint32_t sent) {
+    fbb_.AddElement<uint32_t>(EndpointLimit::VT_SENT, sent, 0);
+  }
+  void add_gateways(uint32_t gateways) {
+    fbb_.AddElement<uint32_t>(EndpointLimit::VT_GATEWAYS, gateways, 0);
+  }
+  explicit EndpointLimitBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EndpointLimit> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EndpointLimit>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EndpointLimit> CreateEndpointLimit(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    uint64_t run = 0,
+    bool limited = false,
+    double per_second = 0.0,
+    uint32_t age_ms = 0,
+    double wanted = 0.0,
+    uint32_t sent = 0,
+    uint32_t gateways = 0) {
+  EndpointLimitBuilder builder_(_fbb);
+  builder_.add_wanted(wanted);
+  builder_.add_per_second(per_second);
+  builder_.add_run(run);
+  builder_.add_gateways(gateways);
+  builder_.add_sent(sent);
+  builder_.add_age_ms(age_ms);
+  builder_.add_endpoint(endpoint);
+  builder_.add_limited(limited);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<EndpointLimit> CreateEndpointLimitDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *endpoint = nullptr,
+    uint64_t run = 0,
+    bool limited = false,
+    double per_second = 0.0,
+    uint32_t age_ms = 0,
+    double wanted = 0.0,
+    uint32_t sent = 0,
+    uint32_t gateways = 0) {
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return rattancart::wire::CreateEndpointLimit(
+      _fbb,
+      endpoint__,
+      run,
+      limited,
+      per_second,
+      age_ms,
+      wanted,
+      sent,
+      gateways);
+}
+
+flatbuffers::Offset<EndpointLimit> CreateEndpointLimit(flatbuffers::FlatBufferBuilder &_fbb, const EndpointLimitT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EngineSubscribeT : public flatbuffers::NativeTable {
   typedef EngineSubscribe TableType;
   std::string data_center{};
   std::string home{};
   bool in_use = false;
+  std::vector<std::unique_ptr<rattancart::wire::EndpointLimitT>> limits{};
+  EngineSubscribeT() = default;
+  EngineSubscribeT(const EngineSubscribeT &o);
+  EngineSubscribeT(EngineSubscribeT&&) FLATBUFFERS_NOEXCEPT = default;
+  EngineSubscribeT &operator=(EngineSubscribeT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct EngineSubscribe FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -207,7 +369,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_DATA_CENTER = 4,
     VT_HOME = 6,
-    VT_IN_USE = 8
+    VT_IN_USE = 8,
+    VT_LIMITS = 10
   };
   const flatbuffers::String *data_center() const {
     return GetPointer<const flatbuffers::String *>(VT_DATA_CENTER);
@@ -218,6 +381,9 @@
   bool in_use() const {
     return GetField<uint8_t>(VT_IN_USE, 0) != 0;
   }
+  const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EndpointLimit>> *limits() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EndpointLimit>> *>(VT_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_DATA_CENTER) &&
@@ -225,6 +391,9 @@
            VerifyOffset(verifier, VT_HOME) &&
            verifier.VerifyString(home()) &&
            VerifyField<uint8_t>(verifier, VT_IN_USE, 1) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
+           verifier.VerifyVectorOfTables(limits()) &&
            verifier.EndTable();
   }
   EngineSubscribeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -245,6 +414,9 @@
   void add_in_use(bool in_use) {
     fbb_.AddElement<uint8_t>(EngineSubscribe::VT_IN_USE, static_cast<uint8_t>(in_use), 0);
   }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EndpointLimit>>> limits) {
+    fbb_.AddOffset(EngineSubscribe::VT_LIMITS, limits);
+  }
   explicit EngineSubscribeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -260,8 +432,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> data_center = 0,
     flatbuffers::Offset<flatbuffers::String> home = 0,
-    bool in_use = false) {
+    bool in_use = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EndpointLimit>>> limits = 0) {
   EngineSubscribeBuilder builder_(_fbb);
+  builder_.add_limits(limits);
   builder_.add_home(home);
   builder_.add_data_center(data_center);
   builder_.add_in_use(in_use);
@@ -272,14 +446,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *data_center = nullptr,
     const char *home = nullptr,
-    bool in_use = false) {
+    bool in_use = false,
+    const std::vector<flatbuffers::Offset<rattancart::wire::EndpointLimit>> *limits = nullptr) {
   auto data_center__ = data_center ? _fbb.CreateString(data_center) : 0;
   auto home__ = home ? _fbb.CreateString(home) : 0;
+  auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::EndpointLimit>>(*limits) : 0;
   return rattancart::wire::CreateEngineSubscribe(
       _fbb,
       data_center__,
       home__,
-      in_use);
+      in_use,
+      limits__);
 }
 
 flatbuffers::Offset<EngineSubscribe> CreateEngineSubscribe(flatbuffers::FlatBufferBuilder &_fbb, const EngineSubscribeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -787,6 +964,7 @@
   std::vector<std::unique_ptr<rattancart::wire::EngineStateT>> engines{};
   std::vector<std::string> pass_to{};
   std::vector<std::unique_ptr<rattancart::wire::PromptSuspectT>> suspects{};
+  std::vector<std::unique_ptr<rattancart::wire::EndpointLimitT>> limits{};
   EngineStatesT() = default;
   EngineStatesT(const EngineStatesT &o);
   EngineStatesT(EngineStatesT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -803,7 +981,8 @@
     VT_MEMBERS = 10,
     VT_ENGINES = 12,
     VT_PASS_TO = 14,
-    VT_SUSPECTS = 16
+    VT_SUSPECTS = 16,
+    VT_LIMITS = 18
   };
   const flatbuffers::String *data_center() const {
     return GetPointer<const flatbuffers::String *>(VT_DATA_CENTER);
@@ -826,6 +1005,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::PromptSuspect>> *suspects() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::PromptSuspect>> *>(VT_SUSPECTS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EndpointLimit>> *limits() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EndpointLimit>> *>(VT_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_DATA_CENTER) &&
@@ -844,6 +1026,9 @@
            VerifyOffset(verifier, VT_SUSPECTS) &&
            verifier.VerifyVector(suspects()) &&
            verifier.VerifyVectorOfTables(suspects()) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
+           verifier.VerifyVectorOfTables(limits()) &&
            verifier.EndTable();
   }
   EngineStatesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -876,6 +1061,9 @@
   void add_suspects(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::PromptSuspect>>> suspects) {
     fbb_.AddOffset(EngineStates::VT_SUSPECTS, suspects);
   }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EndpointLimit>>> limits) {
+    fbb_.AddOffset(EngineStates::VT_LIMITS, limits);
+  }
   explicit EngineStatesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -895,9 +1083,11 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> members = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EngineState>>> engines = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> pass_to = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::PromptSuspect>>> suspects = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::PromptSuspect>>> suspects = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EndpointLimit>>> limits = 0) {
   EngineStatesBuilder builder_(_fbb);
   builder_.add_fence(fence);
+  builder_.add_limits(limits);
   builder_.add_suspects(suspects);
   builder_.add_pass_to(pass_to);
   builder_.add_engines(engines);
@@ -915,12 +1105,14 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *members = nullptr,
     const std::vector<flatbuffers::Offset<rattancart::wire::EngineState>> *engines = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *pass_to = nullptr,
-    const std::vector<flatbuffers::Offset<rattancart::wire::PromptSuspect>> *suspects = nullptr) {
+    const std::vector<flatbuffers::Offset<rattancart::wire::PromptSuspect>> *suspects = nullptr,
+    const std::vector<flatbuffers::Offset<rattancart::wire::EndpointLimit>> *limits = nullptr) {
   auto data_center__ = data_center ? _fbb.CreateString(data_center) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*members) : 0;
   auto engines__ = engines ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::EngineState>>(*engines) : 0;
   auto pass_to__ = pass_to ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*pass_to) : 0;
   auto suspects__ = suspects ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::PromptSuspect>>(*suspects) : 0;
+  auto limits__ = limits ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::EndpointLimit>>(*limits) : 0;
   return rattancart::wire::CreateEngineStates(
       _fbb,
       data_center__,
@@ -929,7 +1121,8 @@
       members__,
       engines__,
       pass_to__,
-      suspects__);
+      suspects__,
+      limits__);
 }
 
 flatbuffers::Offset<EngineStates> CreateEngineStates(flatbuffers::FlatBufferBuilder &_fbb, const EngineStatesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1103,6 +1296,69 @@
 
 flatbuffers::Offset<GatewayDatagram> CreateGatewayDatagram(flatbuffers::FlatBufferBuilder &_fbb, const GatewayDatagramT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+inline EndpointLimitT *EndpointLimit::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<EndpointLimitT>(new EndpointLimitT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EndpointLimit::UnPackTo(EndpointLimitT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = endpoint(); if (_e) _o->endpoint = _e->str(); }
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = limited(); _o->limited = _e; }
+  { auto _e = per_second(); _o->per_second = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+  { auto _e = wanted(); _o->wanted = _e; }
+  { auto _e = sent(); _o->sent = _e; }
+  { auto _e = gateways(); _o->gateways = _e; }
+}
+
+inline flatbuffers::Offset<EndpointLimit> EndpointLimit::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EndpointLimitT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEndpointLimit(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EndpointLimit> CreateEndpointLimit(flatbuffers::FlatBufferBuilder &_fbb, const EndpointLimitT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EndpointLimitT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _endpoint = _o->endpoint.empty() ? 0 : _fbb.CreateString(_o->endpoint);
+  auto _run = _o->run;
+  auto _limited = _o->limited;
+  auto _per_second = _o->per_second;
+  auto _age_ms = _o->age_ms;
+  auto _wanted = _o->wanted;
+  auto _sent = _o->sent;
+  auto _gateways = _o->gateways;
+  return rattancart::wire::CreateEndpointLimit(
+      _fbb,
+      _endpoint,
+      _run,
+      _limited,
+      _per_second,
+      _age_ms,
+      _wanted,
+      _sent,
+      _gateways);
+}
+
+inline EngineSubscribeT::EngineSubscribeT(const EngineSubscribeT &o)
+      : data_center(o.data_center),
+        home(o.home),
+        in_use(o.in_use) {
+  limits.reserve(o.limits.size());
+  for (const auto &limits_ : o.limits) { limits.emplace_back((limits_) ? new rattancart::wire::EndpointLimitT(*limits_) : nullptr); }
+}
+
+inline EngineSubscribeT &EngineSubscribeT::operator=(EngineSubscribeT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(data_center, o.data_center);
+  std::swap(home, o.home);
+  std::swap(in_use, o.in_use);
+  std::swap(limits, o.limits);
+  return *this;
+}
+
 inline EngineSubscribeT *EngineSubscribe::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<EngineSubscribeT>(new EngineSubscribeT());
   UnPackTo(_o.get(), _resolver);
@@ -1115,6 +1371,7 @@
   { auto _e = data_center(); if (_e) _o->data_center = _e->str(); }
   { auto _e = home(); if (_e) _o->home = _e->str(); }
   { auto _e = in_use(); _o->in_use = _e; }
+  { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = std::unique_ptr<rattancart::wire::EndpointLimitT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<EngineSubscribe> EngineSubscribe::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineSubscribeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1128,11 +1385,13 @@
   auto _data_center = _o->data_center.empty() ? 0 : _fbb.CreateString(_o->data_center);
   auto _home = _o->home.empty() ? 0 : _fbb.CreateString(_o->home);
   auto _in_use = _o->in_use;
+  auto _limits = _o->limits.size() ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::EndpointLimit>> (_o->limits.size(), [](size_t i, _VectorArgs *__va) { return CreateEndpointLimit(*__va->__fbb, __va->__o->limits[i].get(), __va->__rehasher); }, &_va ) : 0;
   return rattancart::wire::CreateEngineSubscribe(
       _fbb,
       _data_center,
       _home,
-      _in_use);
+      _in_use,
+      _limits);
 }
 
 inline EngineStateT *EngineState::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1327,6 +1586,8 @@
   for (const auto &engines_ : o.engines) { engines.emplace_back((engines_) ? new rattancart::wire::EngineStateT(*engines_) : nullptr); }
   suspects.reserve(o.suspects.size());
   for (const auto &suspects_ : o.suspects) { suspects.emplace_back((suspects_) ? new rattancart::wire::PromptSuspectT(*suspects_) : nullptr); }
+  limits.reserve(o.limits.size());
+  for (const auto &limits_ : o.limits) { limits.emplace_back((limits_) ? new rattancart::wire::EndpointLimitT(*limits_) : nullptr); }
 }
 
 inline EngineStatesT &EngineStatesT::operator=(EngineStatesT o) FLATBUFFERS_NOEXCEPT {
@@ -1337,6 +1598,7 @@
   std::swap(engines, o.engines);
   std::swap(pass_to, o.pass_to);
   std::swap(suspects, o.suspects);
+  std::swap(limits, o.limits);
   return *this;
 }
 
@@ -1356,6 +1618,7 @@
   { auto _e = engines(); if (_e) { _o->engines.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->engines[_i] = std::unique_ptr<rattancart::wire::EngineStateT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = pass_to(); if (_e) { _o->pass_to.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pass_to[_i] = _e->Get(_i)->str(); } } }
   { auto _e = suspects(); if (_e) { _o->suspects.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->suspects[_i] = std::unique_ptr<rattancart::wire::PromptSuspectT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = std::unique_ptr<rattancart::wire::EndpointLimitT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<EngineStates> EngineStates::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineStatesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1373,6 +1636,7 @@
   auto _engines = _o->engines.size() ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::EngineState>> (_o->engines.size(), [](size_t i, _VectorArgs *__va) { return CreateEngineState(*__va->__fbb, __va->__o->engines[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _pass_to = _o->pass_to.size() ? _fbb.CreateVectorOfStrings(_o->pass_to) : 0;
   auto _suspects = _o->suspects.size() ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::PromptSuspect>> (_o->suspects.size(), [](size_t i, _VectorArgs *__va) { return CreatePromptSuspect(*__va->__fbb, __va->__o->suspects[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _limits = _o->limits.size() ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::EndpointLimit>> (_o->limits.size(), [](size_t i, _VectorArgs *__va) { return CreateEndpointLimit(*__va->__fbb, __va->__o->limits[i].get(), __va->__rehasher); }, &_va ) : 0;
   return rattancart::wire::CreateEngineStates(
       _fbb,
       _data_center,
@@ -1381,7 +1645,8 @@
       _members,
       _engines,
       _pass_to,
-      _suspects);
+      _suspects,
+      _limits);
 }
 
 inline EngineSilentT *EngineSilent::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Core/Layers/PathChooser.cpp
+++ b/Source/Core/Layers/PathChooser.cpp
@@ -12,6 +12,13 @@
 /// Copies of a layer whose costs differ by less than this factor share the requests.
 constexpr double MaxRandomFactor = 1.5;
 
+/// Whether an engine with the first layer may be the first of a path.
+bool canBegin(const std::vector<StageCandidate> &Candidates) {
+  return std::any_of(Candidates.begin(), Candidates.end(), [](const StageCandidate &Each) {
+    return Each.MayBeFirst_ && Each.Layers_.Begin_ == 0;
+  });
+}
+
 } // namespace
 
 std::vector<DataCenterId> PathChooser::dataCenters(const ServiceId &Service) const {
@@ -45,7 +52,8 @@
       continue;
     Candidate.Layers_ = Layers;
     Candidate.MayBeFirst_ =
-        Limits.AllowedFirstEngines_.empty() || Limits.AllowedFirstEngines_.contains(Id);
+        (Limits.AllowedFirstEngines_.empty() || Limits.AllowedFirstEngines_.contains(Id)) &&
+        !Limits.LimitedFirstEngines_.contains(Id);
     Candidate.UsedTokenLayers_ = Record.usedTokenLayers(Now);
     if (Record.reported()) {
       Candidate.Slowdown_ = Record.Report_.Slowdown_;
@@ -73,11 +81,17 @@
     if (!holdWholeModel(Model, Candidates))
       continue;
     Here.Path_ = findPath(Model, Candidates, Demand);
-    if (!Here.Path_ && None.Shortage_ != PathShortage::NoFreeMemory)
-      None.Bottleneck_ = findBottleneckLayer(Model, Candidates);
-    None.Shortage_ = PathShortage::NoFreeMemory;
-    if (!Here.Path_)
+    if (!Here.Path_) {
+      if (!Limits.LimitedFirstEngines_.empty() && !canBegin(Candidates)) {
+        if (None.Shortage_ == PathShortage::NoWholeModel)
+          None.Shortage_ = PathShortage::LimitReached;
+        continue;
+      }
+      if (None.Shortage_ != PathShortage::NoFreeMemory)
+        None.Bottleneck_ = findBottleneckLayer(Model, Candidates);
+      None.Shortage_ = PathShortage::NoFreeMemory;
       continue;
+    }
     const double FreeShare = Here.Path_->FreeShare_;
     if (DataCenter == Home_ &&
         FreeShare >= std::uniform_real_distribution<double>(0, HomeFreeShare)(Random))
--- a/Source/Core/Layers/PathChooser.h
+++ b/Source/Core/Layers/PathChooser.h
@@ -17,6 +17,8 @@
   NoWholeModel,
   /// All layers are held, but some only by engines without memory for the request.
   NoFreeMemory,
+  /// The limits that the first engines name leave no room for the request.
+  LimitReached,
 };
 
 /// The path that was chosen for a request, or why there is none.
@@ -37,6 +39,9 @@
   std::set<EndpointId> ExcludedEngines_;
   /// The only engines that the request may still be sent to; empty if there is no such limit.
   std::set<EndpointId> AllowedFirstEngines_;
+  /// Engines whose limit leaves no room for the request, so that it can't be sent to them. They may
+  /// be later stages.
+  std::set<EndpointId> LimitedFirstEngines_;
 };
 
 /// Chooses the engines of a request: a path within one data centre, preferably the home one.
--- a/Source/Core/Serving/EndpointRoster.h
+++ b/Source/Core/Serving/EndpointRoster.h
@@ -5,6 +5,7 @@
 #include "Core/Serving/EngineMemoryEstimate.h"
 #include "Core/Serving/ServingConfig.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -77,6 +78,8 @@
   double OwnTokenLayers_ = 0;
   EngineMemoryEstimate Memory_;
 
+  /// The newest run that is known.
+  Incarnation run() const { return std::max(Listing_.Run_, Report_.Run_); }
   /// Whether a report of this run is known.
   bool reported() const { return ReportedAt_ != TimePoint{}; }
   /// The layers that the engine holds, according to the newer of the list and the report.
--- a/Source/Gateway/CallExchange.cpp
+++ b/Source/Gateway/CallExchange.cpp
@@ -16,6 +16,9 @@
 /// Range of the Retry-After for a caller that was refused because there is no endpoint.
 constexpr Duration MinRetryAfter = milliseconds(50);
 constexpr Duration MaxRetryAfter = milliseconds(150);
+/// The same when the limits of the endpoints leave no room.
+constexpr Duration MinLimitRetryAfter = milliseconds(150);
+constexpr Duration MaxLimitRetryAfter = milliseconds(450);
 /// An idempotent request that is not answered within this part of its objective is also sent to a
 /// second endpoint.
 constexpr double SecondSendAfter = 0.5;
@@ -43,6 +46,19 @@
   return Best;
 }
 
+const EndpointRecord *CallExchange::admitToEndpoint() {
+  while (const EndpointRecord *Endpoint = chooseEndpoint()) {
+    if (Endpoint->Listing_.DataCenter_ != Context_.Home_ && Context_.OnRemoteLimit_ &&
+        Context_.Limiter_.isLimited(Endpoint->Listing_.Id_, Endpoint->run()))
+      Context_.OnRemoteLimit_();
+    if (tryAdmit(*Endpoint, priority()))
+      return Endpoint;
+    LimitReached_ = true;
+    Tried_.insert(Endpoint->Listing_.Id_);
+  }
+  return nullptr;
+}
+
 void CallExchange::begin() {
   if (!sendNext())
     giveUp();
@@ -53,8 +69,10 @@
 }
 
 bool CallExchange::sendNext() {
-  const EndpointRecord *Endpoint = chooseEndpoint();
-  if (!Endpoint || !canSendNext())
+  if (!canSendNext())
+    return false;
+  const EndpointRecord *Endpoint = admitToEndpoint();
+  if (!Endpoint)
     return false;
   const EndpointId Id = Endpoint->Listing_.Id_;
   Tried_.insert(Id);
@@ -101,7 +119,7 @@
     OutcomeUnknown_ = true;
   if (!Pending_.empty())
     return;
-  // The retry budget no longer allowed the send.
+  // The retry budget or the limit of the endpoint no longer allowed the send.
   if (Result.Error_ == ErrorCode::Cancelled)
     return giveUp();
   const bool MaySend = NotRun || (isRetryable() && PossibleRuns_ < Routed_.Route_->MaxAttempts_);
@@ -128,6 +146,9 @@
     return sendResponse(*Failure_);
   if (OutcomeUnknown_ || Failure_)
     return refuse(502, ErrorCode::OutcomeUnknown, std::nullopt);
+  if (LimitReached_)
+    return refuse(503, ErrorCode::EndpointsLimited,
+                  randomDuration(MinLimitRetryAfter, MaxLimitRetryAfter));
   refuse(503, ErrorCode::NoEndpoint, randomDuration(MinRetryAfter, MaxRetryAfter));
 }
 
--- a/Source/Gateway/CallExchange.h
+++ b/Source/Gateway/CallExchange.h
@@ -31,6 +31,8 @@
   using CallAttemptPtr = std::shared_ptr<CallAttempt>;
 
   const EndpointRecord *chooseEndpoint() const;
+  /// Chooses an endpoint whose limit leaves room for the request; null if there is none.
+  const EndpointRecord *admitToEndpoint();
   /// Whether there is a further endpoint, and sends and time are left for the request.
   bool canSendNext() const;
   /// False if canSendNext is.
@@ -43,7 +45,10 @@
   void giveUp();
 
   std::vector<CallAttemptPtr> Pending_;
+  /// Endpoints that the request was sent to, or whose limit leaves no room for it.
   std::set<EndpointId> Tried_;
+  /// The limit of an endpoint left no room for the request.
+  bool LimitReached_ = false;
   /// Number of sends that an endpoint runs or may have run.
   std::uint32_t PossibleRuns_ = 0;
   /// A complete error response of an endpoint, passed on if no other endpoint succeeds.
--- a/Source/Gateway/EndpointProtocol.h
+++ b/Source/Gateway/EndpointProtocol.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/Admission/EndpointLimiter.h"
 #include "Core/Common/ErrorCode.h"
 #include "Core/Common/Result.h"
 #include "Core/Layers/PlacementController.h"
@@ -65,6 +66,8 @@
   bool Encoded_ = false;
   /// Whether the body may be a stream of events: its media type is that, or is not stated.
   bool EventStream_ = true;
+  /// What the endpoint says about the requests that it takes.
+  AnnouncedLimit Limit_;
   /// The engine of the path that caused the failure.
   std::optional<NetAddress> FaultyEngine_;
 };
--- a/Source/Gateway/EngineStateBroadcast.cpp
+++ b/Source/Gateway/EngineStateBroadcast.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace rattancart {
@@ -32,6 +33,7 @@
 constexpr Duration LookupInterval = milliseconds(2000);
 /// Maximum number of engines in one datagram, so that it fits into one packet.
 constexpr std::size_t EnginesPerDatagram = 10;
+constexpr std::size_t LimitsPerDatagram = 15;
 /// A silent engine gets no work for this long after the owner has reported it.
 constexpr Duration SilentHold = milliseconds(1500);
 
@@ -96,17 +98,39 @@
   return Suspects;
 }
 
+std::unique_ptr<wire::EndpointLimitT> toWire(const LimitState &State, TimePoint Now) {
+  const EndpointLimit &Limit = State.Limit_;
+  auto Encoded = std::make_unique<wire::EndpointLimitT>();
+  Encoded->endpoint = Limit.Endpoint_.str();
+  Encoded->run = Limit.Run_.value();
+  Encoded->limited = Limit.Rate_.has_value();
+  Encoded->per_second = Limit.Rate_.value_or(RequestRate{}).PerSecond_;
+  Encoded->age_ms = static_cast<std::uint32_t>((Now - Limit.KnownAt_) / milliseconds(1));
+  Encoded->wanted = State.Wanted_.PerSecond_;
+  Encoded->sent = State.Sent_;
+  Encoded->gateways = State.Gateways_;
+  return Encoded;
+}
+
+EndpointLimit limitFromWire(const wire::EndpointLimitT &Encoded, TimePoint Now) {
+  EndpointLimit Limit{EndpointId(Encoded.endpoint), Incarnation(Encoded.run), std::nullopt,
+                      Now - milliseconds(Encoded.age_ms)};
+  if (Encoded.limited)
+    Limit.Rate_ = RequestRate{Encoded.per_second};
+  return Limit;
+}
+
 } // namespace
 
 EngineStateBroadcast::EngineStateBroadcast(boost::asio::io_context &Loop, const Clock &Time,
                                            Logger &Log, MetricSet &Metrics, MetadataStore &Store,
                                            EndpointRoster &Roster,
                                            GatewayCountEstimator &CountEstimator,
-                                           PromptQuarantine &Quarantine, DataCenterId Home,
-                                           std::vector<DataCenterId> DataCenters)
+                                           PromptQuarantine &Quarantine, EndpointLimiter &Limiter,
+                                           DataCenterId Home, std::vector<DataCenterId> DataCenters)
     : Time_(Time), Log_(Log), Metrics_(Metrics), Store_(Store), Roster_(Roster),
-      CountEstimator_(CountEstimator), Quarantine_(Quarantine), Home_(std::move(Home)),
-      Socket_(Loop), Timer_(Loop) {
+      CountEstimator_(CountEstimator), Quarantine_(Quarantine), Limiter_(Limiter),
+      Home_(std::move(Home)), Socket_(Loop), Timer_(Loop) {
   for (DataCenterId &DataCenter : DataCenters)
     Subscriptions_.emplace(std::move(DataCenter), OwnerSubscription{});
 }
@@ -161,12 +185,21 @@
   if (const auto *Report = Content.payload.AsPromptReport())
     return Quarantine_.merge(fromWire(Report->suspects, Time_.now()), Time_.now());
   if (const auto *Request = Content.payload.AsEngineSubscribe())
-    if (Request->data_center == Home_.str()) {
-      Subscriber &Known = Subscribers_[Sender_];
-      Known.ExpiresAt_ = Time_.now() + SubscriptionLifetime;
-      Known.Home_ = DataCenterId(Request->home);
-      Known.InUse_ = Request->in_use;
-    }
+    onSubscribe(*Request);
+}
+
+void EngineStateBroadcast::onSubscribe(const wire::EngineSubscribeT &Request) {
+  if (Request.data_center != Home_.str())
+    return;
+  const TimePoint Now = Time_.now();
+  Subscriber &Known = Subscribers_[Sender_];
+  Known.ExpiresAt_ = Now + SubscriptionLifetime;
+  Known.Home_ = DataCenterId(Request.home);
+  Known.InUse_ = Request.in_use;
+  const std::string Gateway = addressText(Sender_);
+  for (const auto &Each : Request.limits)
+    if (Each)
+      Limiter_.onDemand(Gateway, {limitFromWire(*Each, Now), {Each->wanted}, Each->sent}, Now);
 }
 
 void EngineStateBroadcast::onStates(const wire::EngineStatesT &States) {
@@ -181,6 +214,10 @@
     return;
   }
   const TimePoint Now = Time_.now();
+  for (const auto &Each : States.limits)
+    if (Each)
+      Limiter_.onState({limitFromWire(*Each, Now), {Each->wanted}, Each->sent, Each->gateways},
+                       Now);
   Subscription->second.HeardAt_ = Now;
   Subscription->second.SilenceLogged_ = false;
   CountEstimator_.onCountReported(Subscription->first, States.gateways, Now);
@@ -214,6 +251,7 @@
   if (!Fence_)
     return;
   CountEstimator_.onCountReported(Home_, countHomeGateways(), Now);
+  std::vector<wire::EngineStatesT> Limits = limitDatagrams();
   std::map<DataCenterId, std::vector<std::string>> Receivers;
   for (auto &[To, Each] : Subscribers_) {
     if (Each.Home_ != Home_ && !Each.InUse_ && Now < Each.NextSendAt_)
@@ -224,6 +262,8 @@
   if (Receivers.empty())
     return;
   std::vector<wire::EngineStatesT> Datagrams = stateDatagrams();
+  std::move(Limits.begin(), Limits.end(), std::back_inserter(Datagrams));
+  describeSender(Datagrams);
   for (const RelayGroup &Group : planRelays(Receivers, Random_))
     sendDatagrams(Datagrams, Group);
 }
@@ -279,14 +319,52 @@
   if (auto Suspects = suspectsDatagram())
     Datagrams.push_back(std::move(*Suspects));
   Datagrams.front().members = standIns();
+  return Datagrams;
+}
+
+void EngineStateBroadcast::describeSender(std::vector<wire::EngineStatesT> &Datagrams) const {
   for (wire::EngineStatesT &Datagram : Datagrams) {
     Datagram.data_center = Home_.str();
     Datagram.fence = Fence_->value();
     Datagram.gateways = countHomeGateways();
   }
+}
+
+bool EngineStateBroadcast::isIn(const DataCenterId &DataCenter, const EndpointId &Endpoint) const {
+  const EndpointRecord *Record = Roster_.find(Endpoint);
+  return Record && Record->Listing_.DataCenter_ == DataCenter;
+}
+
+std::vector<LimitDemand> EngineStateBroadcast::demandsAt(const DataCenterId &DataCenter) {
+  return Limiter_.takeDemands(
+      [&](const EndpointId &Endpoint) { return isIn(DataCenter, Endpoint); }, Time_.now());
+}
+
+std::vector<wire::EngineStatesT> EngineStateBroadcast::limitDatagrams() {
+  const TimePoint Now = Time_.now();
+  for (const LimitDemand &Own : demandsAt(Home_))
+    Limiter_.onDemand(Member_, Own, Now);
+  std::vector<wire::EngineStatesT> Datagrams;
+  for (const LimitState &State : Limiter_.states(Now)) {
+    if (!isIn(Home_, State.Limit_.Endpoint_))
+      continue;
+    Limiter_.onState(State, Now);
+    if (Datagrams.empty() || Datagrams.back().limits.size() == LimitsPerDatagram)
+      Datagrams.emplace_back();
+    Datagrams.back().limits.push_back(toWire(State, Now));
+  }
   return Datagrams;
 }
 
+void EngineStateBroadcast::reportLimit(const EndpointId &Endpoint) {
+  const EndpointRecord *Record = Roster_.find(Endpoint);
+  if (!Record || (Fence_ && Record->Listing_.DataCenter_ == Home_))
+    return;
+  const auto Subscription = Subscriptions_.find(Record->Listing_.DataCenter_);
+  if (Subscription != Subscriptions_.end())
+    sendSubscriptions(Subscription->first, Subscription->second.Owner_);
+}
+
 std::optional<wire::EngineStatesT> EngineStateBroadcast::suspectsDatagram() const {
   const TimePoint Now = Time_.now();
   wire::EngineStatesT Datagram;
@@ -397,18 +475,29 @@
   if (Stale && !Subscription.Members_.empty())
     Subscription.Owner_ =
         Subscription.Members_[Subscription.NextMember_++ % Subscription.Members_.size()];
-  if (Subscription.Owner_.empty())
-    return;
-  const auto To = parseAddress(NetAddress(Subscription.Owner_));
+  sendSubscriptions(DataCenter, Subscription.Owner_);
+}
+
+void EngineStateBroadcast::sendSubscriptions(const DataCenterId &DataCenter,
+                                             const std::string &Owner) {
+  const auto To = parseAddress(NetAddress(Owner));
   if (!To)
     return;
-  wire::EngineSubscribeT Request;
-  Request.data_center = DataCenter.str();
-  Request.home = Home_.str();
-  Request.in_use = Now < RemoteInUseUntil_;
-  wire::GatewayDatagramT Content;
-  Content.payload.Set(std::move(Request));
-  send({To->address(), To->port()}, pack(Content));
+  const TimePoint Now = Time_.now();
+  const std::vector<LimitDemand> Demands = demandsAt(DataCenter);
+  std::size_t Next = 0;
+  do {
+    wire::EngineSubscribeT Request;
+    Request.data_center = DataCenter.str();
+    Request.home = Home_.str();
+    Request.in_use = Now < RemoteInUseUntil_;
+    for (; Next < Demands.size() && Request.limits.size() < LimitsPerDatagram; ++Next)
+      Request.limits.push_back(toWire(
+          LimitState{Demands[Next].Limit_, Demands[Next].Wanted_, Demands[Next].Sent_, 0}, Now));
+    wire::GatewayDatagramT Content;
+    Content.payload.Set(std::move(Request));
+    send({To->address(), To->port()}, pack(Content));
+  } while (Next < Demands.size());
 }
 
 void EngineStateBroadcast::findOwner(const DataCenterId &DataCenter,
--- a/Source/Gateway/EngineStateBroadcast.h
+++ b/Source/Gateway/EngineStateBroadcast.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/Admission/EndpointLimiter.h"
 #include "Core/Common/Logger.h"
 #include "Core/Membership/GatewayCountEstimator.h"
 #include "Core/Membership/RelayPlan.h"
@@ -27,7 +28,7 @@
 namespace rattancart {
 
 /// Distributes engine states over UDP, so that engines are polled by one gateway and not by all,
-/// and what gateways saw of prompt parts that crash engines.
+/// what gateways saw of prompt parts that crash engines, and the limits that endpoints name.
 ///
 /// In each data centre one gateway, the owner of the placement, polls the engines and sends their
 /// states to its subscribers, the other gateways. They look the owner up in the store. A lost
@@ -38,7 +39,8 @@
   EngineStateBroadcast(boost::asio::io_context &Loop, const Clock &Time, Logger &Log,
                        MetricSet &Metrics, MetadataStore &Store, EndpointRoster &Roster,
                        GatewayCountEstimator &CountEstimator, PromptQuarantine &Quarantine,
-                       DataCenterId Home, std::vector<DataCenterId> DataCenters);
+                       EndpointLimiter &Limiter, DataCenterId Home,
+                       std::vector<DataCenterId> DataCenters);
 
   /// Errors: BadAddress, BindFailed.
   std::error_code listen(const NetAddress &Address);
@@ -58,6 +60,8 @@
   /// Sends what this process has newly seen of prompt parts that may crash engines to the owners of
   /// all data centres, which pass it on.
   void reportPromptSuspects();
+  /// Tells the owner of the endpoint's data centre what this process learned of its limit.
+  void reportLimit(const EndpointId &Endpoint);
   /// Sets the handler for engines that another gateway found silent.
   void onSilent(std::function<void(const EndpointId &)> Handler) {
     SilentHandler_ = std::move(Handler);
@@ -101,6 +105,7 @@
   void receive();
   void onDatagram(std::size_t Size);
   void onStates(const wire::EngineStatesT &States);
+  void onSubscribe(const wire::EngineSubscribeT &Request);
   void onEngineSilent(const wire::EngineSilentT &Message);
   /// The states of the home data centre's engines, split so that each datagram fits into a packet.
   std::vector<wire::EngineStatesT> stateDatagrams() const;
@@ -108,8 +113,15 @@
   void sendDatagrams(std::vector<wire::EngineStatesT> &Datagrams, const RelayGroup &Group);
   /// Forwards the datagram to the receivers that it lists.
   void relay(wire::EngineStatesT &States);
+  /// Sets the fields that all datagrams of the owner have.
+  void describeSender(std::vector<wire::EngineStatesT> &Datagrams) const;
   /// A datagram with the prompt parts that may crash engines; nothing if there are none.
   std::optional<wire::EngineStatesT> suspectsDatagram() const;
+  /// Datagrams with the limits of the home data centre's endpoints.
+  std::vector<wire::EngineStatesT> limitDatagrams();
+  /// This process's demand for the endpoints of a data centre whose limits are known.
+  std::vector<LimitDemand> demandsAt(const DataCenterId &DataCenter);
+  bool isIn(const DataCenterId &DataCenter, const EndpointId &Endpoint) const;
   /// Addresses of the gateways that take over, in this order, when the owner is lost.
   std::vector<std::string> standIns() const;
   /// Number of gateways of the home data centre that subscribe here, this one included.
@@ -118,6 +130,8 @@
   Duration silenceLimit(const DataCenterId &DataCenter) const;
   void subscribe();
   void subscribeAt(const DataCenterId &DataCenter, OwnerSubscription &Subscription);
+  /// Renews the subscription at the owner, with this process's demand for endpoints with a limit.
+  void sendSubscriptions(const DataCenterId &DataCenter, const std::string &Owner);
   void findOwner(const DataCenterId &DataCenter, OwnerSubscription &Subscription);
   static Bytes packStates(const wire::EngineStatesT &States);
   static Bytes pack(const wire::GatewayDatagramT &Content);
@@ -135,6 +149,7 @@
   EndpointRoster &Roster_;
   GatewayCountEstimator &CountEstimator_;
   PromptQuarantine &Quarantine_;
+  EndpointLimiter &Limiter_;
   DataCenterId Home_;
   Udp::socket Socket_;
   Udp::endpoint Sender_;
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -27,6 +27,8 @@
   Head_ = Head;
   Info_ = std::move(Info);
   HeadSeen_ = true;
+  if (InfoHandler_)
+    InfoHandler_(Info_);
   if (HeadHandler_)
     HeadHandler_();
   return Live_ ? HeadDecision::Accept : HeadDecision::Abort;
@@ -92,6 +94,11 @@
   Sent->Expected_ = Routed_.Caller_.Id_;
   Sent->RetryTakenAt_ = RetryTakenAt_;
   Sent->Protocol_ = &Context_.Protocol_;
+  // With 421, another endpoint answers that took over the address.
+  Sent->InfoHandler_ = [this, Raw = Sent.get(), Run = Endpoint.run()](const ResponseInfo &Info) {
+    if (Raw->Head_.Status_ != 421)
+      Context_.Limiter_.onAnswer(Raw->Endpoint_, Run, Info.Limit_, Context_.Time_.now());
+  };
   Sent->BodyHandler_ = [](std::string_view) { return true; };
   ++Sends_;
   Options.Expected_ = Sent->Endpoint_;
@@ -155,9 +162,25 @@
     OnEnded_(Self);
 }
 
-bool Exchange::mayHandOver(Attempt &Sent) {
+bool Exchange::tryAdmit(const EndpointRecord &Endpoint, std::uint32_t Priority) {
+  if (Context_.Limiter_.tryAdmit(Endpoint.Listing_.Id_, Endpoint.run(), Priority,
+                                 Context_.Time_.now()))
+    return true;
+  Context_.Metrics_.count("limited_total", Endpoint.Listing_.DataCenter_.str());
+  return false;
+}
+
+bool Exchange::mayHandOverLate(const Attempt &Sent) {
+  const EndpointRecord *Endpoint = Context_.Roster_.find(Sent.Endpoint_);
+  return !Endpoint || !Context_.Limiter_.isLimited(Sent.Endpoint_, Endpoint->run()) ||
+         tryAdmit(*Endpoint, priority());
+}
+
+bool Exchange::mayHandOver(const Attempt &Sent) {
   if (!Sent.Live_)
     return false;
+  if (Context_.Time_.now() - Sent.SentAt_ > PermissionLifetime && !mayHandOverLate(Sent))
+    return false;
   if (!Sent.RetryTakenAt_)
     return true;
   const Duration Age = Context_.Time_.now() - *Sent.RetryTakenAt_;
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -46,6 +46,8 @@
   bool Live_ = true;
   RequestId Expected_;
   const EndpointProtocol *Protocol_ = nullptr;
+  /// Called with the head of the response, before HeadHandler_.
+  std::function<void(const ResponseInfo &)> InfoHandler_;
   std::function<void()> HeadHandler_;
   /// Returns false if the response exceeds a limit or is malformed.
   std::function<bool(std::string_view)> BodyHandler_;
@@ -98,6 +100,9 @@
   std::uint32_t priority() const;
   /// Time until the deadline of the request.
   Duration timeLeft() const;
+  /// Whether the limit that the endpoint names lets the request be sent to it. Call it once for
+  /// each endpoint that the request would be sent to. A lower priority value is preferred.
+  bool tryAdmit(const EndpointRecord &Endpoint, std::uint32_t Priority);
   /// Takes one retry from the retry budget of the service; false if the budget is spent. Cause is
   /// written to the log.
   bool tryTakeRetry(std::string_view Cause);
@@ -116,7 +121,9 @@
 private:
   /// Called when the connection of an attempt is open, before any byte is handed to it. Returns
   /// whether the request may be handed over.
-  bool mayHandOver(Attempt &Sent);
+  bool mayHandOver(const Attempt &Sent);
+  /// Whether the endpoint's limit still lets an attempt be handed over that was admitted long ago.
+  bool mayHandOverLate(const Attempt &Sent);
 
   /// The last retry that was taken from the retry budget.
   std::optional<TimePoint> RetryTakenAt_;
--- a/Source/Gateway/GatewayContext.h
+++ b/Source/Gateway/GatewayContext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/Admission/EndpointLimiter.h"
 #include "Core/Admission/EngineMemoryQueue.h"
 #include "Core/Common/Logger.h"
 #include "Core/Layers/PathChooser.h"
@@ -34,6 +35,7 @@
   EngineHealthMonitor &Health_;
   EngineMemoryQueue &AdmissionQueue_;
   PromptQuarantine &Quarantine_;
+  EndpointLimiter &Limiter_;
   std::mt19937 &Random_;
   DataCenterId Home_;
   ResponseLimits ResponseLimits_;
@@ -44,6 +46,10 @@
   /// centres are needed.
   std::function<void()> OnNoPathAtHome_;
 
+  /// Called when a request would use an endpoint of another data centre that limits its requests,
+  /// so that the demand of all gateways there is needed.
+  std::function<void()> OnRemoteLimit_;
+
   /// A random number in [0, 1).
   double randomFraction() { return std::uniform_real_distribution<double>(0, 1)(Random_); }
 };
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -66,8 +66,9 @@
       Paths_(Roster_, Settings_.Process_.DataCenter_), Retries_(Settings_.Retries_, Time.now()),
       CountEstimator_(Settings_.DataCenters_, Settings_.Process_.DataCenter_,
                       GatewayCountOptions::forWindow(Settings_.Retries_.Window_)),
+      Limiter_(Random_),
       StateBroadcast_(Loop_, Time, Log, Metrics_, *Store_, Roster_, CountEstimator_, Quarantine_,
-                      Settings_.Process_.DataCenter_, Settings_.DataCenters_),
+                      Limiter_, Settings_.Process_.DataCenter_, Settings_.DataCenters_),
       PlacementCoordinator_({Loop_, Time, Log, Metrics_, Client_, Platform.Protocol_, *Store_,
                              Roster_, Config_, Paths_, Prober_, StateBroadcast_},
                             Settings_.Process_.DataCenter_, Settings_.DataCenters_.size()),
@@ -83,6 +84,7 @@
                Prober_,
                AdmissionQueue_,
                Quarantine_,
+               Limiter_,
                Random_,
                Settings_.Process_.DataCenter_,
                Settings_.ResponseLimits_},
@@ -121,6 +123,14 @@
 
 void GatewayProcess::subscribeToEngineEvents() {
   Context_.OnNoPathAtHome_ = [this] { StateBroadcast_.noteRemoteUse(); };
+  Context_.OnRemoteLimit_ = [this] { StateBroadcast_.noteRemoteUse(); };
+  Limiter_.onChange([this](const EndpointLimit &Limit) {
+    Log_.log(LogEvent::EndpointLimited,
+             {{"endpoint", Limit.Endpoint_.str()},
+              {"run", Limit.Run_.value()},
+              {"per_second", Limit.Rate_ ? Limit.Rate_->PerSecond_ : -1}});
+    StateBroadcast_.reportLimit(Limit.Endpoint_);
+  });
   Client_.onIdleClosed([this](const NetAddress &Address) {
     const EndpointRecord *Record = Roster_.findByAddress(Address);
     if (Record && Record->reported())
@@ -186,6 +196,8 @@
   if (Change == EndpointRoster::Change::None)
     return;
   const bool Missing = Change == EndpointRoster::Change::Missing;
+  if (!Missing)
+    Limiter_.remove(Id);
   Log_.log(Missing ? LogEvent::EndpointMissing : LogEvent::EndpointGone,
            {{"endpoint", Id.str()},
             {"reason", "unlisted"},
@@ -202,8 +214,10 @@
 }
 
 void GatewayProcess::updateReadiness() {
-  for (const EndpointId &Id : Roster_.prune(Time_.now()))
+  for (const EndpointId &Id : Roster_.prune(Time_.now())) {
+    Limiter_.remove(Id);
     Log_.log(LogEvent::EndpointGone, {{"endpoint", Id.str()}, {"reason", "did not come back"}});
+  }
   countGateways();
   const std::string Reason = notReadyReason();
   if (Reason.empty() == WasReady_)
@@ -225,6 +239,7 @@
             {"before", Retries_.processes().value_or(0)},
             {"doubt", Count.UnknownReason_.empty() ? "-" : Count.UnknownReason_}});
   Retries_.setProcesses(Count.Gateways_);
+  Limiter_.setGateways(Count.Gateways_);
 }
 
 void GatewayProcess::measureLoopDelay() {
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -87,6 +87,7 @@
   GatewayCountEstimator CountEstimator_;
   EngineMemoryQueue AdmissionQueue_;
   PromptQuarantine Quarantine_;
+  EndpointLimiter Limiter_;
   EngineStateBroadcast StateBroadcast_;
   PlacementCoordinator PlacementCoordinator_;
   GatewayContext Context_;
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -34,9 +34,24 @@
 /// Range of the Retry-After when the engines lack free memory, which ending streams release.
 constexpr Duration MinMemoryRetryAfter = milliseconds(400);
 constexpr Duration MaxMemoryRetryAfter = milliseconds(1500);
+/// A request that waits for a path is not offered again for this long to an engine whose limit left
+/// no room for it. Each offer counts as demand there.
+constexpr Duration LimitRetryInterval = milliseconds(400);
 /// A request after which this many engines ended as they began to answer it is not sent again.
 constexpr std::uint32_t MaxEngineEndsAtStart = 2;
 
+const char *shortageName(PathShortage Shortage) {
+  switch (Shortage) {
+  case PathShortage::NoFreeMemory:
+    return "room";
+  case PathShortage::LimitReached:
+    return "limit";
+  case PathShortage::NoWholeModel:
+    break;
+  }
+  return "layers";
+}
+
 std::string pathText(const LayerPath &Path) {
   std::string Text;
   for (const PathStage &Stage : Path.Stages_)
@@ -81,13 +96,28 @@
   Limits_.AllowedFirstEngines_ = Limited ? RanAt_ : std::set<EndpointId>();
 }
 
+PathChoice StreamExchange::chooseAdmittedPath(const PathDemand &Demand, TimePoint Now) {
+  if (Now >= LimitedUntil_)
+    Limits_.LimitedFirstEngines_.clear();
+  while (true) {
+    PathChoice Choice = Context_.Paths_.choose(*Routed_.Service_->Model_, Routed_.Service_->Id_,
+                                               Demand, Limits_, Context_.Random_, Now);
+    if (!Choice.Path_)
+      return Choice;
+    const EndpointRecord *First = Context_.Roster_.find(Choice.Path_->Stages_.front().Engine_);
+    // A stream that has begun goes first.
+    if (tryAdmit(*First, Started_ ? 0 : priority()))
+      return Choice;
+    Limits_.LimitedFirstEngines_.insert(First->Listing_.Id_);
+    LimitedUntil_ = Now + LimitRetryInterval;
+  }
+}
+
 bool StreamExchange::sendOnPath(bool Again) {
   limitFirstEngines();
   const TimePoint Now = Context_.Time_.now();
-  const LayeredModel &Model = *Routed_.Service_->Model_;
   const PathDemand Demand = demand();
-  PathChoice Choice =
-      Context_.Paths_.choose(Model, Routed_.Service_->Id_, Demand, Limits_, Context_.Random_, Now);
+  PathChoice Choice = chooseAdmittedPath(Demand, Now);
   Shortage_ = Choice.Shortage_;
   Bottleneck_ = Choice.Bottleneck_;
   BudgetSpent_ = false;
@@ -135,17 +165,16 @@
 
 void StreamExchange::logShortage(std::string_view Outcome) {
   const PathDemand Demand = demand();
-  Context_.Log_.log(LogEvent::NoPath,
-                    {{"id", Routed_.Caller_.Id_.str()},
-                     {"shortage", Shortage_ == PathShortage::NoFreeMemory ? "room" : "layers"},
-                     {"tokens", Demand.PromptTokens_ + Demand.AnswerTokens_},
-                     {"layer", Bottleneck_.Layer_},
-                     {"engine", Bottleneck_.Engine_.str()},
-                     {"free", Bottleneck_.FreeTokens_},
-                     {"used", Bottleneck_.UsedTokens_},
-                     {"avoided", Limits_.ExcludedEngines_.size()},
-                     {"waiting", Context_.AdmissionQueue_.size()},
-                     {"outcome", Outcome}});
+  Context_.Log_.log(LogEvent::NoPath, {{"id", Routed_.Caller_.Id_.str()},
+                                       {"shortage", shortageName(Shortage_)},
+                                       {"tokens", Demand.PromptTokens_ + Demand.AnswerTokens_},
+                                       {"layer", Bottleneck_.Layer_},
+                                       {"engine", Bottleneck_.Engine_.str()},
+                                       {"free", Bottleneck_.FreeTokens_},
+                                       {"used", Bottleneck_.UsedTokens_},
+                                       {"avoided", Limits_.ExcludedEngines_.size()},
+                                       {"waiting", Context_.AdmissionQueue_.size()},
+                                       {"outcome", Outcome}});
 }
 
 bool StreamExchange::enterQueue() {
@@ -172,7 +201,7 @@
     Context_.Metrics_.observe("queue_wait_seconds", "sent", Waited);
     return leaveQueue();
   }
-  if (Now < WaitUntil_)
+  if (Now < WaitUntil_ && Shortage_ != PathShortage::LimitReached)
     return;
   Context_.Metrics_.observe("queue_wait_seconds", "refused", Waited);
   leaveQueue();
@@ -191,6 +220,9 @@
     return refuse(503, ErrorCode::RetryBudgetSpent,
                   randomDuration(MinMemoryRetryAfter, MaxMemoryRetryAfter));
   logShortage("refused");
+  if (Shortage_ == PathShortage::LimitReached)
+    return refuse(503, ErrorCode::EndpointsLimited,
+                  randomDuration(MinMemoryRetryAfter, MaxMemoryRetryAfter));
   const bool LacksMemory = Shortage_ == PathShortage::NoFreeMemory;
   refuse(503, LacksMemory ? ErrorCode::Overloaded : ErrorCode::NoChain,
          LacksMemory ? randomDuration(MinMemoryRetryAfter, MaxMemoryRetryAfter)
@@ -358,7 +390,8 @@
 }
 
 void StreamExchange::noteFailure(const HttpResult &Result) {
-  // The retry budget no longer allowed the send, so no engine is at fault.
+  // The retry budget or the limit of the engine no longer allowed the send, so no engine is at
+  // fault.
   if (Result.Error_ == ErrorCode::Cancelled)
     return;
   const EndpointId First = Attempt_->Endpoint_;
--- a/Source/Gateway/StreamExchange.h
+++ b/Source/Gateway/StreamExchange.h
@@ -32,6 +32,8 @@
   /// Once as many engines as the route allows may have run the request, only these may be the first
   /// engine of a path.
   void limitFirstEngines();
+  /// Chooses a path whose first engine's limit leaves room for the request.
+  PathChoice chooseAdmittedPath(const PathDemand &Demand, TimePoint Now);
   /// False if there is no path, or no budget to send the request again.
   bool sendOnPath(bool Again);
   bool resend();
@@ -152,6 +154,8 @@
   std::uint32_t UnexplainedResumes_ = 0;
   PathShortage Shortage_ = PathShortage::NoWholeModel;
   BottleneckLayer Bottleneck_;
+  /// Until then the engines in Limits_.LimitedFirstEngines_ are not asked again.
+  TimePoint LimitedUntil_{};
   std::optional<AdmissionTicket> Ticket_;
   TimePoint WaitUntil_{};
   std::string FailureBody_;
--- a/Source/SiteModel/SimulatedSite.cpp
+++ b/Source/SiteModel/SimulatedSite.cpp
@@ -187,7 +187,8 @@
                                           Roster_,       Paths_,
                                           Retries_,      Health_,
                                           MemoryQueue_,  Quarantine_,
-                                          Random_,       Home},
+                                          Limiter_,      Random_,
+                                          Home},
         Handler_(Context_, Site.Config_), Home_(Home), Owner_(Owner) {
     Retries_.setProcesses(Count);
     Quarantine_.onReport([this, &Site] { Site.reportSuspects(*this); });
@@ -201,6 +202,7 @@
   PromptQuarantine Quarantine_;
   MetricSet Metrics_;
   std::mt19937 Random_;
+  EndpointLimiter Limiter_{Random_};
   GatewayContext Context_;
   GatewayRequestHandler Handler_;
   DataCenterId Home_;
--- a/Source/StandIns/Site/FakeDesk.cpp
+++ b/Source/StandIns/Site/FakeDesk.cpp
@@ -23,6 +23,8 @@
   HttpResponse Answer;
   Answer.Headers_.add("X-Attempt-Id", Id);
   Answer.Headers_.add("Content-Type", "application/json");
+  if (Limit_)
+    Answer.Headers_.add("Server-Limit", fmt::format("{}", *Limit_));
   if (Request.Headers_.get("X-Expect-Instance") != Id_ || Fault_ == DeskFault::Refuses) {
     Answer.Status_ = Fault_ == DeskFault::Refuses ? 503 : 421;
     Answer.Headers_.add("X-Not-Executed", "1");
--- a/Source/StandIns/Site/FakeDesk.h
+++ b/Source/StandIns/Site/FakeDesk.h
@@ -7,6 +7,7 @@
 
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace rattancart {
@@ -48,6 +49,8 @@
   const std::string &id() const { return Id_; }
   const std::string &dataCenter() const { return DataCenter_; }
   void setFault(DeskFault Fault) { Fault_ = Fault; }
+  /// Names this limit, in requests a second, in all answers, or none.
+  void setLimit(std::optional<double> PerSecond) { Limit_ = PerSecond; }
 
   void handle(HttpRequest Request, HttpResponderPtr Responder) override;
 
@@ -67,6 +70,7 @@
   std::unique_ptr<HttpServer> Server_;
   std::list<HttpResponderPtr> Unanswered_;
   DeskFault Fault_ = DeskFault::None;
+  std::optional<double> Limit_;
 };
 
 } // namespace rattancart
--- a/Source/StandIns/Site/Site.cpp
+++ b/Source/StandIns/Site/Site.cpp
@@ -258,6 +258,14 @@
   });
 }
 
+void Site::setDeskLimit(const std::string &Id, std::optional<double> PerSecond) {
+  runOnLoop([&] {
+    for (const auto &Desk : Desks_)
+      if (Desk->id() == Id)
+        Desk->setLimit(PerSecond);
+  });
+}
+
 void Site::unlistDesk(const std::string &Id) {
   runOnLoop([&] {
     UnlistedDesks_.insert(Id);
--- a/Source/StandIns/Site/Site.h
+++ b/Source/StandIns/Site/Site.h
@@ -75,6 +75,8 @@
   /// FakeLayerEngine::setCrashingPromptPart(). An empty part ends this.
   void setCrashingPromptPart(const std::string &Part);
   void setDeskFault(DeskFault Fault);
+  /// Makes a desk name a limit, in requests a second, or none. It serves more all the same.
+  void setDeskLimit(const std::string &Id, std::optional<double> PerSecond);
   /// Removes the entry of a desk, which serves on.
   void unlistDesk(const std::string &Id);
   /// Writes an entry of the list as another writer does that doesn't belong to the platform.
--- a/Tests/Gateway/LateSendTest.cpp
+++ b/Tests/Gateway/LateSendTest.cpp
@@ -62,3 +62,34 @@
   BOOST_REQUIRE(!Each.Engines_.isLive(1));
   BOOST_TEST(!Each.Engines_.wouldSend(1));
 }
+
+// The process was paused between the admission of a request by the engine's limit and its send.
+BOOST_AUTO_TEST_CASE(ARequestIsSentLongAfterTheLimitOfItsEngineAdmittedIt) {
+  OneRequest Each({}, RequestKind::Idempotent);
+  for (const EndpointId &Id : Each.Ids_)
+    Each.Limiter_.onAnswer(Id, Incarnation(1), {AnnouncedLimit::Kind::Limited, {0}},
+                           Each.Time_.now());
+  BOOST_TEST(Each.Engines_.wouldSend(0));
+  Each.Time_.advance(2s);
+  BOOST_TEST(!Each.Engines_.connect(0));
+  BOOST_TEST(Each.Engines_.sends() == 1U);
+  BOOST_TEST(Each.Caller_->Status_ == 503U);
+}
+
+BOOST_AUTO_TEST_CASE(ARequestWaitsThoughTheLimitsOfAllEnginesLeaveNoRoom) {
+  for (const RequestKind Kind : {RequestKind::Stream, RequestKind::Idempotent}) {
+    OneRequest Each({}, Kind);
+    for (const EndpointId &Id : Each.Ids_)
+      Each.Limiter_.onAnswer(Id, Incarnation(1), {AnnouncedLimit::Kind::Limited, {0}},
+                             Each.Time_.now());
+    // The first engine is excluded, and the limits of the others leave no room.
+    Each.Engines_.refuse(0);
+    for (int Round = 0; Round < 40; ++Round) {
+      Each.Time_.advance(25ms);
+      Each.Handler_.tick();
+    }
+    BOOST_TEST(Each.Engines_.sends() == 1U);
+    BOOST_TEST(Each.Caller_->Status_ == 503U);
+    BOOST_TEST(Each.Handler_.inFlight() == 0U);
+  }
+}
--- a/Tests/Gateway/ScriptedRequest.h
+++ b/Tests/Gateway/ScriptedRequest.h
@@ -179,9 +179,10 @@
   EngineMemoryQueue Queue_;
   PromptQuarantine Quarantine_;
   std::mt19937 Random_{1};
-  GatewayContext Context_{
-      Loop_,  Time_,    Log_,    Metrics_, Engines_,    Protocol_, Roster_,
-      Paths_, Retries_, Health_, Queue_,   Quarantine_, Random_,   DataCenterId("east")};
+  EndpointLimiter Limiter_{Random_};
+  GatewayContext Context_{Loop_,     Time_,       Log_,     Metrics_, Engines_,
+                          Protocol_, Roster_,     Paths_,   Retries_, Health_,
+                          Queue_,    Quarantine_, Limiter_, Random_,  DataCenterId("east")};
   ConfigHolder Config_;
   GatewayRequestHandler Handler_{Context_, Config_};
   std::shared_ptr<Caller> Caller_ = std::make_shared<Caller>();
--- a/Tests/System/GatewayBudgetTest.cpp
+++ b/Tests/System/GatewayBudgetTest.cpp
@@ -1,11 +1,10 @@
 #include "History/ArrivalWindow.h"
 #include "Tests/System/GatewayDeployment.h"
+#include "Tests/System/LookupCallers.h"
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include <atomic>
-#include <mutex>
 #include <ostream>
 #include <sstream>
 #include <thread>
@@ -44,61 +43,6 @@
      }},
 };
 
-/// Callers that send lookups to gateways at a steady rate, each on a thread of its own.
-class LookupCallers {
-public:
-  /// Precondition: Deployment outlives the callers.
-  LookupCallers(GatewayDeployment &Deployment, std::size_t Callers, Duration Interval)
-      : Deployment_(Deployment), Interval_(Interval), Gateways_(Callers) {
-    for (std::size_t I = 0; I < Callers; ++I) {
-      Gateways_[I] = I % Deployment.size();
-      Threads_.emplace_back([this, I] { sendLookups(I); });
-    }
-  }
-  ~LookupCallers() { stop(); }
-  LookupCallers(const LookupCallers &) = delete;
-  LookupCallers &operator=(const LookupCallers &) = delete;
-
-  void moveAllTo(std::size_t Gateway) {
-    for (auto &Each : Gateways_)
-      Each = Gateway;
-  }
-  /// Ends the callers and returns the times at which they sent requests.
-  std::vector<TimePoint> stop() {
-    Stopping_ = true;
-    for (std::thread &Each : Threads_)
-      if (Each.joinable())
-        Each.join();
-    return SentAt_;
-  }
-
-private:
-  void sendLookups(std::size_t Caller) {
-    TimePoint Due =
-        Time_.now() + Interval_ * static_cast<int>(Caller) / static_cast<int>(Gateways_.size());
-    for (int I = 0; !Stopping_; ++I) {
-      std::this_thread::sleep_until(Due);
-      Due += Interval_;
-      {
-        const std::lock_guard Lock(Mutex_);
-        SentAt_.push_back(Time_.now());
-      }
-      Deployment_.call(Gateways_[Caller],
-                       "caller-" + std::to_string(Caller) + "-" + std::to_string(I), "GET",
-                       site::LookupPath);
-    }
-  }
-
-  GatewayDeployment &Deployment_;
-  Duration Interval_;
-  SystemClock Time_;
-  std::atomic<bool> Stopping_ = false;
-  std::vector<std::atomic<std::size_t>> Gateways_;
-  std::mutex Mutex_;
-  std::vector<TimePoint> SentAt_;
-  std::vector<std::thread> Threads_;
-};
-
 std::vector<history::Arrival> arrivalsOf(const ActivityLog &Activity) {
   std::vector<history::Arrival> Arrivals;
   for (const ReceivedRequest &Each : Activity.Arrivals_)
@@ -177,7 +121,9 @@
   std::this_thread::sleep_for(450ms);
   Callers.moveAllTo(0);
   std::this_thread::sleep_for(2s);
-  const std::vector<TimePoint> Requests = Callers.stop();
+  std::vector<TimePoint> Requests;
+  for (const SentLookup &Each : Callers.stop())
+    Requests.push_back(Each.SentAt_);
   for (std::size_t I = 0; I < Deployment.size(); ++I)
     BOOST_TEST_MESSAGE("gateway " << I << ": " << repeatDelayMetrics(Deployment, I));
   const history::WorstWindow Worst = history::findWorstRepeatWindow(
--- a/Tests/platform/PlatformProtocolTest.cpp
+++ b/Tests/platform/PlatformProtocolTest.cpp
@@ -202,3 +202,47 @@
   Answer.Status_ = Case.Status_;
   BOOST_TEST((PlatformProtocol().parseOrderResponse(Answer) == Case.Outcome_));
 }
+
+namespace {
+
+struct LimitHeaderCase {
+  const char *Name_;
+  std::vector<std::string> Values_;
+  AnnouncedLimit::Kind Kind_;
+  double PerSecond_ = 0;
+};
+
+std::ostream &operator<<(std::ostream &Out, const LimitHeaderCase &Case) {
+  return Out << Case.Name_;
+}
+
+using LimitKind = AnnouncedLimit::Kind;
+
+const LimitHeaderCase LimitHeaderCases[] = {
+    {"absent", {}, LimitKind::None},
+    {"a decimal number", {"10.4"}, LimitKind::Limited, 10.4},
+    {"a whole number with blanks", {" 3 "}, LimitKind::Limited, 3},
+    {"zero", {"0"}, LimitKind::Limited, 0},
+    {"so high that it limits nothing", {"1e308"}, LimitKind::Limited, 1e308},
+    {"too high for a number", {"1e309"}, LimitKind::Malformed},
+    {"negative", {"-1"}, LimitKind::Malformed},
+    {"no number", {"nan"}, LimitKind::Malformed},
+    {"infinite", {"inf"}, LimitKind::Malformed},
+    {"a word", {"few"}, LimitKind::Malformed},
+    {"a number and a word", {"3 or so"}, LimitKind::Malformed},
+    {"empty", {""}, LimitKind::Malformed},
+    {"twice", {"5", "3"}, LimitKind::Limited, 3},
+    {"a list", {"3, 5"}, LimitKind::Limited, 3},
+    {"twice, one of them a word", {"few", "5"}, LimitKind::Limited, 5},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(LimitOfAnAnswerIsRead, LimitHeaderCases, Case) {
+  HttpResponse Head;
+  for (const std::string &Value : Case.Values_)
+    Head.Headers_.add("Server-Limit", Value);
+  const AnnouncedLimit Limit = PlatformProtocol().parseResponse(Head).Limit_;
+  BOOST_TEST(static_cast<int>(Limit.Kind_) == static_cast<int>(Case.Kind_));
+  BOOST_TEST(Limit.Rate_.PerSecond_ == Case.PerSecond_);
+}
