A shutdown answers the requests that it ends

Cause: the process ended with its connections open. Only requests that can't end in time were refused late in a shutdown; those taken before, or without a deadline, may outlast it.

Change: at the end of its limit the gateway answers them, 504 if they may have run and 503 if not, and ends 200 ms later. Streams that have begun are broken off as before.

--- a/Source/Gateway/CallExchange.cpp
+++ b/Source/Gateway/CallExchange.cpp
@@ -171,10 +171,8 @@
   Pending_.clear();
 }
 
-void CallExchange::onDeadline() {
-  if (PossibleRuns_ == 0)
-    return refuse(503, ErrorCode::DeadlineExceeded, std::nullopt);
-  refuse(504, ErrorCode::DeadlineExceeded, std::nullopt);
+void CallExchange::endEarly(ErrorCode Reason) {
+  refuse(PossibleRuns_ == 0 ? 503 : 504, Reason, std::nullopt);
 }
 
 } // namespace rattancart
--- a/Source/Gateway/CallExchange.h
+++ b/Source/Gateway/CallExchange.h
@@ -21,7 +21,7 @@
 protected:
   void begin() override;
   void cancelAttempts() override;
-  void onDeadline() override;
+  void endEarly(ErrorCode Reason) override;
 
 private:
   struct CallAttempt {
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -54,7 +54,7 @@
   DeadlineTimer_.after(std::max(Duration{}, timeLeft()), [Weak = weak_from_this()] {
     const auto Held = Weak.lock();
     if (Held && !Held->Ended_)
-      Held->onDeadline();
+      Held->endEarly(ErrorCode::DeadlineExceeded);
   });
   Context_.Log_.log(
       LogEvent::RequestRouted,
@@ -68,6 +68,12 @@
   begin();
 }
 
+void Exchange::shutDown() {
+  const auto Self = shared_from_this();
+  if (!Ended_)
+    endEarly(ErrorCode::ShuttingDown);
+}
+
 Duration Exchange::timeLeft() const { return Deadline_ - Context_.Time_.now(); }
 
 ForwardOptions Exchange::forwardOptions() const {
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -74,13 +74,15 @@
   /// An engine was found silent.
   virtual void onEngineSilent(const EndpointId & /*Engine*/) {}
   bool ended() const { return Ended_; }
+  /// Ends the exchange, because the process ends. The caller is answered unless a stream has begun.
+  void shutDown();
 
 protected:
   virtual void begin() = 0;
   /// Cancels all attempts that are under way.
   virtual void cancelAttempts() = 0;
-  /// Called when the deadline has passed.
-  virtual void onDeadline() = 0;
+  /// Ends the exchange before its response is complete, for this reason.
+  virtual void endEarly(ErrorCode Reason) = 0;
   /// Text of the field "detail" in the last log line of the request.
   virtual std::string endDetail() const { return "-"; }
 
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -18,6 +18,8 @@
 
 constexpr Duration DrainInterval = milliseconds(50);
 constexpr Duration HousekeepingInterval = milliseconds(200);
+/// How long the answers to requests that a shutdown ends have time to leave.
+constexpr Duration LastAnswersTime = milliseconds(200);
 /// Interval of a timer whose lateness measures the delay of the event loop.
 constexpr Duration LoopDelayInterval = milliseconds(250);
 /// Retry-After of a request that another gateway can take at once.
@@ -309,7 +311,11 @@
   if (Cut > 0)
     Log_.log(LogEvent::ShutdownCut, {{"requests", Cut}});
   Log_.log(LogEvent::ShutdownFinished, {{"in_flight", Cut}});
-  Loop_.stop();
+  DrainTimer_.cancel();
+  if (Cut == 0)
+    return Loop_.stop();
+  RequestHandler_.shutDown();
+  DrainTimer_.after(LastAnswersTime, [this] { Loop_.stop(); });
 }
 
 void GatewayProcess::watchReload() {
--- a/Source/Gateway/GatewayRequestHandler.cpp
+++ b/Source/Gateway/GatewayRequestHandler.cpp
@@ -37,6 +37,12 @@
     Each->onEngineSilent(Engine);
 }
 
+void GatewayRequestHandler::shutDown() {
+  const std::vector<std::shared_ptr<Exchange>> Copy(Active_.begin(), Active_.end());
+  for (const auto &Each : Copy)
+    Each->shutDown();
+}
+
 void GatewayRequestHandler::handle(HttpRequest Request, HttpResponderPtr Responder) {
   RoutedRequest Routed;
   Routed.ArrivedAt_ = Context_.Time_.now();
--- a/Source/Gateway/GatewayRequestHandler.h
+++ b/Source/Gateway/GatewayRequestHandler.h
@@ -21,6 +21,8 @@
   void onEngineSilent(const EndpointId &Engine);
   /// Lets exchanges handle queueing, timeouts and silence; called by a timer every few tens of ms.
   void tick();
+  /// Ends all exchanges, because the process ends.
+  void shutDown();
   std::size_t inFlight() const { return Active_.size(); }
 
 private:
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -734,11 +734,11 @@
                      Monitor_.eventsBeforePause(), Resumes_);
 }
 
-void StreamExchange::onDeadline() {
+void StreamExchange::endEarly(ErrorCode Reason) {
   if (Started_)
     return giveUp();
   cancelAttempts();
-  refuse(504, ErrorCode::DeadlineExceeded, std::nullopt);
+  refuse(504, Reason, std::nullopt);
 }
 
 } // namespace rattancart
--- a/Source/Gateway/StreamExchange.h
+++ b/Source/Gateway/StreamExchange.h
@@ -24,7 +24,7 @@
 protected:
   void begin() override;
   void cancelAttempts() override;
-  void onDeadline() override;
+  void endEarly(ErrorCode Reason) override;
   std::string endDetail() const override;
 
 private:
--- a/Source/StandIns/Site/FakeLayerEngine.h
+++ b/Source/StandIns/Site/FakeLayerEngine.h
@@ -72,6 +72,7 @@
   void setLeaving() { Leaving_ = true; }
   /// Whether orders are executed and their connections closed without an answer.
   void setLoseOrderAnswers(bool Lose) { LoseOrderAnswers_ = Lose; }
+  void setPrefillTime(Duration Time) { Options_.PrefillTime_ = Time; }
   /// Whether streams continue with one event that never ends, up to MaxEndlessBytes.
   void setSendsEndlessEvent(bool Endless) { SendsEndlessEvent_ = Endless; }
   /// Makes the engine crash, as the first engine of a path, between the response head and the first
--- a/Source/StandIns/Site/Site.h
+++ b/Source/StandIns/Site/Site.h
@@ -39,6 +39,8 @@
   Duration PrefillTime_{};
   /// Time after which an engine runs again that a prompt part has crashed.
   Duration CrashedEngineDowntime_ = std::chrono::seconds(3);
+  /// After this time, a gateway that shuts down ends the requests that are still in flight.
+  Duration ShutdownLimit_ = std::chrono::seconds(8);
   /// The retry budget that the gateways share. The ratio allows a gateway that has just started to
   /// repeat each of its requests.
   RetryShareOptions Retries_{.Ratio_ = 10};
@@ -69,6 +71,8 @@
   /// Makes an engine announce that it leaves and refuse new streams.
   void drainEngine(const std::string &Id);
   void setLoseOrderAnswers(bool Lose);
+  /// Changes the time that all engines take to prefill the prompts of new streams.
+  void setEnginePrefillTime(Duration Time);
   /// Makes the streams of this engine, and of no other, continue with one event that never ends.
   void setEngineSendsEndlessEvent(const std::string &Id);
   /// Makes every engine crash at the start of streams whose prompt has this part; see
--- a/Tests/Net/HttpStreamTest.cpp
+++ b/Tests/Net/HttpStreamTest.cpp
@@ -225,6 +225,14 @@
     {"in its head", {"HTTP/1.1 200 OK\r\n"}},
 };
 
+const std::string CutHeads[] = {
+    "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 40\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nId: a\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nId: a\r\n\r\n",
+    "HTTP/1.1 204 No Content\r\nId: a\r\n\r\n",
+    "HTTP/1.0 200 OK\r\nId: a\r\n\r\n",
+};
+
 struct Fixture {
   Fixture() : Server_(Loop_), Client_(Loop_) {}
 
@@ -268,6 +276,24 @@
   BOOST_TEST(!Result.CloseDelimited_);
 }
 
+// An engine stops in the middle of the head of its answer and closes the connection.
+BOOST_DATA_TEST_CASE_F(Fixture, AHeadThatBreaksOffIsTakenForAnAnswer,
+                       boost::unit_test::data::make({false, true}) *
+                           boost::unit_test::data::make(CutHeads),
+                       Reset, Head) {
+  Server_.Close_ = !Reset;
+  Server_.Reset_ = Reset;
+  for (std::size_t Size = 0; Size < Head.size(); ++Size)
+    for (const bool WithSink : {false, true}) {
+      Server_.Answers_ = {{Head.substr(0, Size)}};
+      CollectingSink Sink;
+      const HttpResult Result = call(WithSink ? &Sink : nullptr);
+      BOOST_TEST(Result.Error_.value() == Closed, "head of " << Size << " bytes");
+      BOOST_TEST(Sink.Statuses_.empty(), "head of " << Size << " bytes");
+      BOOST_TEST(Result.BytesHandedOver_);
+    }
+}
+
 BOOST_DATA_TEST_CASE_F(Fixture, EndlessResponsesAreAborted, EndlessCases, Case) {
   EndlessServer Server(Loop_, Case.Start_, Case.Repeated_);
   CollectingSink Sink;
--- a/Tests/System/GatewayTest.cpp
+++ b/Tests/System/GatewayTest.cpp
@@ -553,6 +553,60 @@
   BOOST_TEST(Deployment.gateway(0).wait() == 0);
 }
 
+namespace {
+
+/// A request that outlasts a shutdown.
+struct OutlastingCase {
+  const char *Name_;
+  const char *Method_;
+  const char *Path_;
+  /// Whether it arrives after the signal, while requests are still taken.
+  bool AfterSignal_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const OutlastingCase &Case) {
+  return Out << Case.Name_;
+}
+
+const OutlastingCase OutlastingCases[] = {
+    {"a booking", "POST", site::BookPath, false},
+    {"a booking after the signal", "POST", site::BookPath, true},
+    {"a lookup", "GET", site::LookupPath, false},
+    {"a stream without an event", "POST", site::BriefPath, false},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(ARequestThatOutlastsAShutdownIsCutWithoutAnAnswer, OutlastingCases, Case) {
+  SiteOptions Options{{{"east", {{"h100", 3}}}}};
+  Options.ShutdownLimit_ = std::chrono::seconds(1);
+  GatewayDeployment Deployment({"east"}, Options);
+  Deployment.site().setDeskFault(DeskFault::Hangs);
+  Deployment.site().setEnginePrefillTime(std::chrono::seconds(20));
+  const int EventCount = std::string(Case.Path_) == site::BriefPath ? 10 : 0;
+  const auto Send = [&] {
+    return Deployment.callAsync(0, "late", Case.Method_, Case.Path_, EventCount);
+  };
+  std::future<HttpResult> Answer;
+  if (!Case.AfterSignal_)
+    Answer = Send();
+  const auto HasArrived = [&] {
+    const auto Arrivals = Deployment.site().activity().Arrivals_;
+    return std::any_of(Arrivals.begin(), Arrivals.end(),
+                       [](const ReceivedRequest &Each) { return Each.Id_ == "late"; });
+  };
+  if (!Case.AfterSignal_)
+    GatewayDeployment::await(HasArrived, "the request to arrive");
+  Deployment.gateway(0).terminate();
+  if (Case.AfterSignal_)
+    Answer = Send();
+  const HttpResult Result = Answer.get();
+  BOOST_TEST(!Result.Error_);
+  BOOST_TEST(Result.Response_.Status_ == 504U);
+  BOOST_TEST(HasArrived());
+  BOOST_TEST(Deployment.gateway(0).wait() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(KilledGatewaysServeAgainAfterRestart) {
   GatewayDeployment Deployment({"east", "west"});
   const auto Before = Deployment.site().layers();
