--- a/Source/StandIns/Site/Site.cpp
+++ b/Source/StandIns/Site/Site.cpp
@@ -124,9 +124,10 @@
                      "peer-listen: 127.0.0.1:{}\n"
                      "store: {}\n"
                      "data-centers: [{}]\n"
-                     "shutdown: {{grace: 300ms, limit: {}ms}}\n"
+                     "shutdown: {{grace: {}ms, limit: {}ms}}\n"
                      "retries: {{ratio: {}, extra: {}, window: {}ms}}\n",
                      Instance, DataCenter, PeerPort, StoreAddress_.str(), DataCenters,
+                     Options_.ShutdownGrace_ / std::chrono::milliseconds(1),
                      Options_.ShutdownLimit_ / std::chrono::milliseconds(1),
                      Options_.Retries_.Ratio_, Options_.Retries_.Extra_,
                      Options_.Retries_.Window_ / std::chrono::milliseconds(1));
--- a/Source/StandIns/Site/Site.h
+++ b/Source/StandIns/Site/Site.h
@@ -39,6 +39,8 @@
   Duration PrefillTime_{};
   /// Time after which an engine runs again that a prompt part has crashed.
   Duration CrashedEngineDowntime_ = std::chrono::seconds(3);
+  /// A gateway that shuts down takes requests for this long.
+  Duration ShutdownGrace_ = std::chrono::milliseconds(300);
   /// After this time, a gateway that shuts down ends the requests that are still in flight.
   Duration ShutdownLimit_ = std::chrono::seconds(8);
   /// The retry budget that the gateways share. The ratio allows a gateway that has just started to
--- a/Tests/System/GatewayTest.cpp
+++ b/Tests/System/GatewayTest.cpp
@@ -579,7 +579,9 @@
 
 BOOST_DATA_TEST_CASE(ARequestThatOutlastsAShutdownIsCutWithoutAnAnswer, OutlastingCases, Case) {
   SiteOptions Options{{{"east", {{"h100", 3}}}}};
-  Options.ShutdownLimit_ = std::chrono::seconds(1);
+  // Long enough for a request on a busy machine, and shorter than the route's timeout.
+  Options.ShutdownGrace_ = std::chrono::milliseconds(1500);
+  Options.ShutdownLimit_ = std::chrono::seconds(2);
   GatewayDeployment Deployment({"east"}, Options);
   Deployment.site().setDeskFault(DeskFault::Hangs);
   Deployment.site().setEnginePrefillTime(std::chrono::seconds(20));
