Requests wait for the configuration of a process that has just started

Callers of a deployment whose processes are all killed reconnect within milliseconds of the restart.

A request now waits up to startup/max-wait after the start of the process, but not for more than half of its caller's time, and is routed as soon as the configuration and the list are there. Number and bytes of waiting requests are bounded; a process that is not ready later refuses at once as before. Red without it: ARequestArrivesBeforeTheConfiguration (503 instead of 200).

--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -109,6 +109,7 @@
     return Failure;
   if (const std::error_code Failure = CallerServer_.listen(Settings_.Listen_))
     return Failure;
+  RequestHandler_.queueUntilReady({.MaxWait_ = Settings_.StartupMaxWait_}, Time_.now());
   subscribeToEngineEvents();
   Store_->follow(*this);
   PlacementCoordinator_.start();
@@ -168,6 +169,7 @@
             {"routes", Current.Routes_.size()},
             {"customers", Current.Customers_ ? Current.Customers_->size() : 0},
             {"keys_required", static_cast<int>(Current.Customers_.has_value())}});
+  routeWaitingRequests();
 }
 
 void GatewayProcess::onListed(EndpointListing Listing) {
@@ -206,7 +208,15 @@
             {"kept_ms", Missing ? (*MayReappearUntil - Now) / milliseconds(1) : 0}});
 }
 
-void GatewayProcess::onListComplete() { ListComplete_ = true; }
+void GatewayProcess::onListComplete() {
+  ListComplete_ = true;
+  routeWaitingRequests();
+}
+
+void GatewayProcess::routeWaitingRequests() {
+  if (Config_.current() && ListComplete_)
+    RequestHandler_.onReady();
+}
 
 void GatewayProcess::onStoreReachable(bool Reachable) {
   StoreReachable_ = Reachable;
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -60,6 +60,8 @@
 
   void subscribeToEngineEvents();
   void updateReadiness();
+  /// Handles the requests that arrived before the configuration and the list, once both are there.
+  void routeWaitingRequests();
   void countGateways();
   void measureLoopDelay();
   void onShutdownSignal();
--- a/Source/Gateway/GatewayRequestHandler.cpp
+++ b/Source/Gateway/GatewayRequestHandler.cpp
@@ -19,12 +19,51 @@
 } // namespace
 
 GatewayRequestHandler::GatewayRequestHandler(GatewayContext &Context, const ConfigHolder &Config)
-    : Context_(Context), Config_(Config), Timer_(Context.Loop_) {
+    : Context_(Context), Config_(Config), StartupQueue_({}, Context.Time_.now()),
+      Timer_(Context.Loop_) {
   Timer_.every(TickInterval, [this] { tick(); });
 }
 
+void GatewayRequestHandler::queueUntilReady(StartupQueueOptions Options, TimePoint StartedAt) {
+  StartupQueue_ = StartupQueue(Options, StartedAt);
+}
+
+bool GatewayRequestHandler::tryQueue(HttpRequest &Request, HttpResponderPtr &Responder) {
+  const TimePoint Now = Context_.Time_.now();
+  const CallerRequest Caller = Context_.Protocol_.parseRequest(Request);
+  const AdmissionTicket Ticket = Context_.NextTicket_;
+  if (!StartupQueue_.tryEnqueue(Ticket, Request.Body_.size(),
+                                Caller.TimeBudget_.value_or(Duration::max()), Now))
+    return false;
+  Context_.NextTicket_ = AdmissionTicket(Ticket.value() + 1);
+  Responder->onClosed([this, Ticket] {
+    StartupQueue_.remove(Ticket);
+    AwaitingStart_.erase(Ticket);
+  });
+  AwaitingStart_.emplace(Ticket, WaitingRequest{std::move(Request), std::move(Responder), Now});
+  return true;
+}
+
+void GatewayRequestHandler::routeWaiting(const std::vector<AdmissionTicket> &Tickets,
+                                         std::string_view Outcome) {
+  for (const AdmissionTicket Ticket : Tickets) {
+    auto Found = AwaitingStart_.extract(Ticket);
+    if (Found.empty())
+      continue;
+    WaitingRequest &Waited = Found.mapped();
+    if (!Waited.Responder_->isOpen())
+      continue;
+    Context_.Metrics_.observe("startup_wait_seconds", Outcome,
+                              Context_.Time_.now() - Waited.ArrivedAt_);
+    route(std::move(Waited.Request_), std::move(Waited.Responder_), Waited.ArrivedAt_);
+  }
+}
+
+void GatewayRequestHandler::onReady() { routeWaiting(StartupQueue_.close(), "ready"); }
+
 void GatewayRequestHandler::tick() {
   const TimePoint Now = Context_.Time_.now();
+  routeWaiting(StartupQueue_.takeExpired(Now), "expired");
   // An exchange that ends during its tick removes itself from the set.
   const std::vector<std::shared_ptr<Exchange>> Copy(Active_.begin(), Active_.end());
   for (const auto &Each : Copy)
@@ -38,14 +77,21 @@
 }
 
 void GatewayRequestHandler::shutDown() {
+  routeWaiting(StartupQueue_.close(), "shutdown");
   const std::vector<std::shared_ptr<Exchange>> Copy(Active_.begin(), Active_.end());
   for (const auto &Each : Copy)
     Each->shutDown();
 }
 
 void GatewayRequestHandler::handle(HttpRequest Request, HttpResponderPtr Responder) {
+  if (!tryQueue(Request, Responder))
+    route(std::move(Request), std::move(Responder), Context_.Time_.now());
+}
+
+void GatewayRequestHandler::route(HttpRequest Request, HttpResponderPtr Responder,
+                                  TimePoint ArrivedAt) {
   RoutedRequest Routed;
-  Routed.ArrivedAt_ = Context_.Time_.now();
+  Routed.ArrivedAt_ = ArrivedAt;
   Routed.Caller_ = Context_.Protocol_.parseRequest(Request);
   Routed.Request_ = std::move(Request);
   Routed.Responder_ = std::move(Responder);
--- a/Source/Gateway/GatewaySettings.cpp
+++ b/Source/Gateway/GatewaySettings.cpp
@@ -48,6 +48,11 @@
   ReadBytes("max-queued-bytes", Settings.ResponseLimits_.MaxQueuedBytes_);
   Answers.reportUnknownFields();
 
+  YamlSection Startup = Root.section("startup");
+  Settings.StartupMaxWait_ =
+      Startup.duration("max-wait", Settings.StartupMaxWait_, {milliseconds(0), seconds(10)});
+  Startup.reportUnknownFields();
+
   YamlSection Shutdown = Root.section("shutdown");
   Settings.ShutdownGrace_ =
       Shutdown.duration("grace", Settings.ShutdownGrace_, {milliseconds(0), seconds(600)});
--- a/Source/Gateway/GatewaySettings.h
+++ b/Source/Gateway/GatewaySettings.h
@@ -26,6 +26,9 @@
   std::vector<DataCenterId> DataCenters_;
   RetryShareOptions Retries_;
   ResponseLimits ResponseLimits_;
+  /// After the start of the process, requests wait this long at most for its configuration and the
+  /// list of endpoints.
+  Duration StartupMaxWait_{};
   /// A shutdown keeps accepting requests for this long, until the load balancer has noticed it.
   Duration ShutdownGrace_ = std::chrono::seconds(2);
   /// A shutdown aborts the requests that are still in flight after this time.
