Give no work to an endpoint whose address another endpoint has

An engine's report does not name its id, and EndpointRoster rejected only reports of an earlier run, so the report of the new, empty engine (a later run) was taken for that of the listed one: layers 0-0, 0 orders. The 421 answers to the orders counted as NotRun, so the next plan chose the same engine.

Change: 421 to an order, a report request or a request that names no other engine as the cause tells EndpointRoster::noteAddressTaken. The endpoint gets no requests for 2 s, doubled up to 32 s, and is not planned with, until the list names another run or address or the endpoint itself answers a report request. A report is rejected if another endpoint is listed with this address and run, or if another one answered there and the run is not the listed one. After 421 to a request the engine is probed at once, since an engine that lacks layers of its stage answers in the same way. Reports of a later run are still taken otherwise, since the list lags behind restarts.

Ruled out: rejecting all reports of runs that are not listed. An engine that restarts while the store is away would stay unused until the store is back.

OrderOutcome of 421 in PlatformProtocolTest is now WrongEndpoint, which is stricter than NotRun.

--- a/Source/Core/Layers/PlacementController.cpp
+++ b/Source/Core/Layers/PlacementController.cpp
@@ -32,7 +32,7 @@
 
 bool PlacementController::isSettled(const Pending &Order, const EndpointRecord &Record,
                                     TimePoint Now) const {
-  if (Record.Listing_.Run_ != Order.Run_)
+  if (Record.Listing_.Run_ != Order.Run_ || Record.addressInDoubt())
     return true;
   if (Order.AnsweredAt_ == TimePoint{})
     return false;
@@ -53,7 +53,8 @@
 }
 
 bool PlacementController::isUsable(const EndpointRecord &Record, TimePoint Now) const {
-  if (Record.Listing_.State_ != EndpointState::Live || Record.silent(Now))
+  if (Record.Listing_.State_ != EndpointState::Live || Record.silent(Now) ||
+      Record.addressInDoubt())
     return false;
   // While it carries out an order, an engine refuses requests that it can't run at the time.
   const bool Ordered = Pending_.contains(Record.Listing_.Id_) || Record.Report_.Busy_;
@@ -136,6 +137,10 @@
   const auto Found = Pending_.find(Order.Engine_);
   if (Found == Pending_.end())
     return;
+  if (Outcome == OrderOutcome::WrongEndpoint) {
+    Pending_.erase(Found);
+    return;
+  }
   Found->second.AnsweredAt_ = Now;
   Found->second.Outcome_ = Outcome;
   if (Outcome == OrderOutcome::Fenced)
--- a/Source/Core/Layers/PlacementController.h
+++ b/Source/Core/Layers/PlacementController.h
@@ -45,6 +45,8 @@
   Fenced,
   /// It was not carried out and never will be.
   NotRun,
+  /// Another endpoint, which has the engine's address now, refused it.
+  WrongEndpoint,
   /// No answer: it may be carried out now, later, or never.
   Unknown,
 };
@@ -70,7 +72,8 @@
   std::vector<PlacementOrder> tick(const LayeredModel &Model, const ServiceId &Service,
                                    const PlacementScope &Scope, const EndpointRoster &Roster,
                                    TimePoint Now);
-  /// Reports the outcome of an order that tick returned.
+  /// Reports the outcome of an order that tick returned. After WrongEndpoint, the caller also calls
+  /// EndpointRoster::noteAddressTaken, so that the engine gets no further orders.
   void onOrderEnded(const PlacementOrder &Order, OrderOutcome Outcome, TimePoint Now);
 
   /// Whether an order is pending, so that engines should be polled often.
--- a/Source/Core/Serving/EndpointRoster.cpp
+++ b/Source/Core/Serving/EndpointRoster.cpp
@@ -21,6 +21,9 @@
 constexpr Duration MaxDeclineBackoff = std::chrono::milliseconds(3200);
 /// Two refusals and the report between them arrive within this time if the engine is still needed.
 constexpr Duration DeclineWindow = std::chrono::milliseconds(1500);
+/// An endpoint whose address was taken over usually disappears from the list within 6 s.
+constexpr Duration MinAddressTakenBackoff = std::chrono::milliseconds(2000);
+constexpr Duration MaxAddressTakenBackoff = std::chrono::milliseconds(32000);
 /// Part of an engine's memory that must be free to count as ample. Reports lag, so those of full
 /// engines showed up to a fifth of the memory as free; engines that leave are soon empty.
 constexpr double AmpleMemoryShare = 0.4;
@@ -93,6 +96,10 @@
     Record.DeclineBackoff_ = {};
     Record.Memory_ = {};
   }
+  if (Restarted || Moved) {
+    Record.AddressTakenUntil_ = {};
+    Record.AddressTakenBackoff_ = {};
+  }
   Record.MissingUntil_.reset();
   Record.ListedAt_ = Now;
   Record.Listing_ = std::move(Listing);
@@ -141,6 +148,8 @@
   EndpointRecord &Record = It->second;
   if (Report.Run_ != Incarnation(0) && Report.Run_ < Record.Listing_.Run_)
     return false;
+  if (isFromOtherEndpoint(Record, Report.Run_))
+    return false;
   if (TrueAt < Record.ReportedAt_)
     return true;
   Record.Report_ = Report;
@@ -160,8 +169,11 @@
 }
 
 void EndpointRoster::markHeard(const EndpointId &Id, TimePoint Now) {
-  if (const auto It = Records_.find(Id); It != Records_.end())
+  if (const auto It = Records_.find(Id); It != Records_.end()) {
     It->second.SilentUntil_ = {};
+    It->second.AddressTakenUntil_ = {};
+    It->second.AddressTakenBackoff_ = {};
+  }
   noteActivity(Id, Now);
 }
 
@@ -193,6 +205,40 @@
   return true;
 }
 
+bool EndpointRoster::isFromOtherEndpoint(const EndpointRecord &Record,
+                                         Incarnation ReportedRun) const {
+  const EndpointListing &Listed = Record.Listing_;
+  if (ReportedRun == Listed.Run_)
+    return false;
+  if (Record.addressInDoubt())
+    return true;
+  return std::any_of(Records_.begin(), Records_.end(), [&](const auto &Entry) {
+    const EndpointListing &Other = Entry.second.Listing_;
+    return Other.Id_ != Listed.Id_ && Other.Address_ == Listed.Address_ &&
+           Other.Run_ == ReportedRun && ReportedRun != Incarnation(0);
+  });
+}
+
+bool EndpointRoster::noteAddressTaken(const EndpointId &Id, const NetAddress &Address,
+                                      Incarnation ListedRun, TimePoint Now) {
+  const auto It = Records_.find(Id);
+  if (It == Records_.end())
+    return false;
+  EndpointRecord &Record = It->second;
+  if (Record.Listing_.Address_ != Address || Record.Listing_.Run_ != ListedRun ||
+      Record.addressTaken(Now))
+    return false;
+  if (Record.reported() && Record.Report_.Run_ != ListedRun) {
+    Record.Report_ = {};
+    Record.ReportedAt_ = {};
+    Record.Memory_ = {};
+  }
+  Record.AddressTakenBackoff_ =
+      std::clamp(2 * Record.AddressTakenBackoff_, MinAddressTakenBackoff, MaxAddressTakenBackoff);
+  Record.AddressTakenUntil_ = Now + Record.AddressTakenBackoff_;
+  return true;
+}
+
 void EndpointRoster::noteMemoryRefusal(const EndpointId &Id, double TokenLayers, TimePoint Now) {
   if (const auto It = Records_.find(Id); It != Records_.end())
     It->second.Memory_.onRefused(TokenLayers, Now);
@@ -215,7 +261,7 @@
 
 bool EndpointRoster::takesWork(const EndpointRecord &Record, TimePoint Now) const {
   return Record.Listing_.State_ == EndpointState::Live && !Record.gone(Now) &&
-         !Record.silent(Now) && !Record.declines(Now);
+         !Record.silent(Now) && !Record.declines(Now) && !Record.addressTaken(Now);
 }
 
 const EndpointRecord *EndpointRoster::find(const EndpointId &Id) const {
@@ -224,10 +270,15 @@
 }
 
 const EndpointRecord *EndpointRoster::findByAddress(const NetAddress &Address) const {
-  for (const auto &[Id, Record] : Records_)
-    if (Record.Listing_.Address_ == Address)
+  const EndpointRecord *Found = nullptr;
+  for (const auto &[Id, Record] : Records_) {
+    if (Record.Listing_.Address_ != Address)
+      continue;
+    if (!Record.addressInDoubt())
       return &Record;
-  return nullptr;
+    Found = Found ? Found : &Record;
+  }
+  return Found;
 }
 
 } // namespace rattancart
--- a/Source/Core/Serving/EndpointRoster.h
+++ b/Source/Core/Serving/EndpointRoster.h
@@ -73,6 +73,11 @@
   TimePoint DeclinesUntil_{};
   /// How long it got no new work after the last such refusals.
   Duration DeclineBackoff_{};
+  /// Another endpoint answered at the listed address; this one gets no work until then.
+  TimePoint AddressTakenUntil_{};
+  /// How long the endpoint gets no work after the last such answer; zero if there was none since
+  /// the listed run and address last changed.
+  Duration AddressTakenBackoff_{};
   /// The requests of this process that run there, and the memory that they are expected to need.
   std::uint32_t OwnRequests_ = 0;
   double OwnTokenLayers_ = 0;
@@ -107,6 +112,11 @@
   bool declines(TimePoint Now) const { return Now < DeclinesUntil_; }
   /// Whether it refused requests again when it got new ones, so that it must not be relied on.
   bool declinesForLong(TimePoint Now) const;
+  /// Whether the endpoint gets no work because another one answers at its listed address.
+  bool addressTaken(TimePoint Now) const { return Now < AddressTakenUntil_; }
+  /// Whether another endpoint answered at the listed address, and the endpoint itself has not
+  /// answered this process since.
+  bool addressInDoubt() const { return AddressTakenBackoff_ > Duration{}; }
   /// Whether the engine has so much free memory that a lack of it can't be why it refuses requests.
   bool hasAmpleMemory() const;
 };
@@ -132,7 +142,12 @@
   std::vector<EndpointId> prune(TimePoint Now);
 
   /// Takes an engine's report from the time TrueAt, unless a newer one is known. False if the
-  /// endpoint is unknown or the report is from an earlier run.
+  /// endpoint is unknown, or if the report is from an earlier run or from another endpoint at the
+  /// same address.
+  ///
+  /// A report does not name its endpoint. One from a later run than the listed one is taken, since
+  /// the list may lag behind a restart, unless another endpoint is listed with this address and
+  /// run, or has answered at this address before.
   bool updateReport(const EndpointId &Id, const EngineReport &Report, TimePoint TrueAt);
   /// Sends no new work to an endpoint until Until, or until it answers this process again. Reports
   /// that other processes pass on don't end that, since the endpoint may be cut off from this
@@ -152,6 +167,17 @@
   /// each time that this is repeated.
   bool noteRefusal(const EndpointId &Id, TimePoint Now);
 
+  /// Another endpoint answered at Address, which was listed for the endpoint's run ListedRun when
+  /// the message was sent. Returns whether the endpoint gets no work from now on; false if it got
+  /// none before, or if the list has named another run or address since.
+  ///
+  /// The state ends when the list names another run or address, or when the endpoint itself answers
+  /// this process. It also ends after some seconds, twice as many each time, since the answer may
+  /// have been wrong. Reports of runs other than the listed one are rejected from now on, and one
+  /// that was taken before is dropped.
+  bool noteAddressTaken(const EndpointId &Id, const NetAddress &Address, Incarnation ListedRun,
+                        TimePoint Now);
+
   /// The engine refused a request that needs TokenLayers of its memory.
   void noteMemoryRefusal(const EndpointId &Id, double TokenLayers, TimePoint Now);
   /// A request that needs TokenLayers of the engine's memory is sent to it now.
@@ -164,11 +190,16 @@
   bool takesWork(const EndpointRecord &Record, TimePoint Now) const;
 
   const EndpointRecord *find(const EndpointId &Id) const;
+  /// The endpoint at the address; if several are listed there, one whose address is not known to be
+  /// taken by another.
   const EndpointRecord *findByAddress(const NetAddress &Address) const;
   /// All endpoints, ordered by id.
   const std::map<EndpointId, EndpointRecord> &all() const { return Records_; }
 
 private:
+  /// Whether a report that came from the address of Record is from another endpoint.
+  bool isFromOtherEndpoint(const EndpointRecord &Record, Incarnation ReportedRun) const;
+
   std::map<EndpointId, EndpointRecord> Records_;
 };
 
--- a/Source/Gateway/EndpointProtocol.h
+++ b/Source/Gateway/EndpointProtocol.h
@@ -60,6 +60,8 @@
   RequestId Id_;
   /// The endpoint states that it did not run the request and never will.
   bool NotRun_ = false;
+  /// The endpoint is not the expected one, or lacks layers of its stage.
+  bool Misdirected_ = false;
   /// The response has the endpoint's signature; without it a success is not accepted.
   bool Signed_ = false;
   /// The body has a content encoding, which something between gateway and endpoint applied.
@@ -91,7 +93,7 @@
                                      std::optional<Duration> RetryAfter) const = 0;
 
   virtual HttpRequest reportRequest(const EndpointId &Expected) const = 0;
-  /// Errors: MalformedResponse.
+  /// Errors: WrongEndpoint, if another endpoint answers at the address; MalformedResponse.
   virtual Result<EngineReport> parseReport(const HttpResponse &Response) const = 0;
   virtual HttpRequest orderRequest(const PlacementOrder &Order) const = 0;
   virtual OrderOutcome parseOrderResponse(const HttpResponse &Response) const = 0;
--- a/Source/Gateway/EngineProber.cpp
+++ b/Source/Gateway/EngineProber.cpp
@@ -58,7 +58,7 @@
 void EngineProber::checkEngine(const EndpointId &Engine, TimePoint Since,
                                std::function<void(bool)> OnResult) {
   const EndpointRecord *Record = Roster_.find(Engine);
-  if (!Record || Record->silent(Time_.now()))
+  if (!Record || Record->silent(Time_.now()) || Record->addressTaken(Time_.now()))
     return OnResult(false);
   if (Record->LastActivityAt_ >= Since)
     return OnResult(true);
@@ -117,17 +117,20 @@
   Options.ConnectTimeout_ = 4 * ProbeTimeout;
   Options.ResponseTimeout_ = 4 * ProbeTimeout;
   Metrics_.count("probes_total", "check");
-  Pending->Calls_.push_back(Client_.send(
-      Record->Listing_.Address_, Protocol_.reportRequest(Engine), Options,
-      [this, Engine, Pending](const HttpResult &Outcome) { onAnswer(Engine, Pending, Outcome); }));
+  const Target SentTo{Record->Listing_.Address_, Record->Listing_.Run_};
+  Pending->Calls_.push_back(
+      Client_.send(SentTo.Address_, Protocol_.reportRequest(Engine), Options,
+                   [this, Engine, SentTo, Pending](const HttpResult &Outcome) {
+                     onAnswer(Engine, SentTo, Pending, Outcome);
+                   }));
 }
 
-void EngineProber::onAnswer(const EndpointId &Engine, const ProbePtr &Pending,
+void EngineProber::onAnswer(const EndpointId &Engine, const Target &SentTo, const ProbePtr &Pending,
                             const HttpResult &Outcome) {
   const auto Running = Probes_.find(Engine);
   if (Running == Probes_.end() || Running->second != Pending)
     return;
-  if (applyReport(Engine, Outcome))
+  if (applyReport(Engine, SentTo, Outcome))
     return finish(Engine, true);
   if (++Pending->Failed_ >= RequestsPerProbe)
     return finish(Engine, false);
@@ -135,12 +138,16 @@
     retry(Engine, Pending);
 }
 
-bool EngineProber::applyReport(const EndpointId &Engine, const HttpResult &Outcome) {
+bool EngineProber::applyReport(const EndpointId &Engine, const Target &SentTo,
+                               const HttpResult &Outcome) {
   if (Outcome.Error_)
     return false;
   const auto Report = Protocol_.parseReport(Outcome.Response_);
-  if (!Report)
+  if (!Report) {
+    if (Report.error().Code_ == ErrorCode::WrongEndpoint)
+      noteAddressTaken(Engine, SentTo);
     return false;
+  }
   const EndpointRecord *Record = Roster_.find(Engine);
   const LayerRange Before = Record ? Record->layers() : LayerRange{};
   // The roster rejects the report if the address now belongs to a later run or another engine.
@@ -155,6 +162,14 @@
   return true;
 }
 
+void EngineProber::noteAddressTaken(const EndpointId &Engine, const Target &SentTo) {
+  if (!Roster_.noteAddressTaken(Engine, SentTo.Address_, SentTo.Run_, Time_.now()))
+    return;
+  Metrics_.count("addresses_taken_total", Roster_.find(Engine)->Listing_.DataCenter_.str());
+  Log_.log(LogEvent::AddressTaken,
+           {{"endpoint", Engine.str()}, {"address", SentTo.Address_.str()}, {"message", "report"}});
+}
+
 void EngineProber::finish(const EndpointId &Engine, bool Answers) {
   const TimePoint Now = Time_.now();
   bool FoundSilent = false;
@@ -187,15 +202,16 @@
 
 void EngineProber::poll(const EndpointId &Engine, std::function<void()> OnResult) {
   const EndpointRecord *Record = Roster_.find(Engine);
-  if (!Record || Silent_.contains(Engine))
+  if (!Record || Silent_.contains(Engine) || Record->addressTaken(Time_.now()))
     return OnResult();
   HttpSendOptions Options;
   Options.ConnectTimeout_ = PollConnectTimeout;
   Options.ResponseTimeout_ = PollTimeout;
   Metrics_.count("probes_total", "poll");
-  Client_.send(Record->Listing_.Address_, Protocol_.reportRequest(Engine), Options,
-               [this, Engine, OnResult = std::move(OnResult)](const HttpResult &Outcome) {
-                 if (applyReport(Engine, Outcome)) {
+  const Target SentTo{Record->Listing_.Address_, Record->Listing_.Run_};
+  Client_.send(SentTo.Address_, Protocol_.reportRequest(Engine), Options,
+               [this, Engine, SentTo, OnResult = std::move(OnResult)](const HttpResult &Outcome) {
+                 if (applyReport(Engine, SentTo, Outcome)) {
                    finish(Engine, true);
                    return OnResult();
                  }
@@ -207,6 +223,8 @@
   const TimePoint Now = Time_.now();
   std::erase_if(Silent_, [&](const auto &Entry) { return !Roster_.find(Entry.first); });
   for (const auto &[Engine, Since] : Silent_) {
+    if (const EndpointRecord *Record = Roster_.find(Engine); Record && Record->addressTaken(Now))
+      continue;
     // The engine gets no work while the probe is under way.
     Roster_.markSilent(Engine, Now, Now + SilentHold);
     probe(Engine, [](bool) {});
--- a/Source/Gateway/EngineProber.h
+++ b/Source/Gateway/EngineProber.h
@@ -53,15 +53,23 @@
     bool Extended_ = false;
   };
   using ProbePtr = std::shared_ptr<Probe>;
+  /// The listing that a report request was sent to.
+  struct Target {
+    NetAddress Address_;
+    Incarnation Run_{0};
+  };
 
   void checkEngine(const EndpointId &Engine, TimePoint Since, std::function<void(bool)> OnResult);
   void probe(const EndpointId &Engine, std::function<void(bool)> OnResult);
   void send(const EndpointId &Engine, const ProbePtr &Pending);
-  void onAnswer(const EndpointId &Engine, const ProbePtr &Pending, const HttpResult &Outcome);
+  void onAnswer(const EndpointId &Engine, const Target &SentTo, const ProbePtr &Pending,
+                const HttpResult &Outcome);
   void onProbeTimeout(const EndpointId &Engine, const ProbePtr &Pending);
   void retry(const EndpointId &Engine, const ProbePtr &Pending);
   void armTimeout(const EndpointId &Engine, const ProbePtr &Pending);
-  bool applyReport(const EndpointId &Engine, const HttpResult &Outcome);
+  /// Takes the report of an engine. False if there is none.
+  bool applyReport(const EndpointId &Engine, const Target &SentTo, const HttpResult &Outcome);
+  void noteAddressTaken(const EndpointId &Engine, const Target &SentTo);
   void finish(const EndpointId &Engine, bool Answers);
   void probeSilentEngines();
 
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -28,7 +28,7 @@
   Info_ = std::move(Info);
   HeadSeen_ = true;
   if (InfoHandler_)
-    InfoHandler_(Info_);
+    InfoHandler_();
   if (HeadHandler_)
     HeadHandler_();
   return Live_ ? HeadDecision::Accept : HeadDecision::Abort;
@@ -100,10 +100,8 @@
   Sent->Expected_ = Routed_.Caller_.Id_;
   Sent->RetryTakenAt_ = RetryTakenAt_;
   Sent->Protocol_ = &Context_.Protocol_;
-  // With 421, another endpoint answers that took over the address.
-  Sent->InfoHandler_ = [this, Raw = Sent.get(), Run = Endpoint.run()](const ResponseInfo &Info) {
-    if (Raw->Head_.Status_ != 421)
-      Context_.Limiter_.onAnswer(Raw->Endpoint_, Run, Info.Limit_, Context_.Time_.now());
+  Sent->InfoHandler_ = [this, Raw = Sent.get(), SentTo = Endpoint.Listing_, Run = Endpoint.run()] {
+    onResponseInfo(*Raw, SentTo, Run);
   };
   Sent->BodyHandler_ = [](std::string_view) { return true; };
   ++Sends_;
@@ -129,6 +127,25 @@
   return Sent;
 }
 
+void Exchange::onResponseInfo(Attempt &Sent, const EndpointListing &SentTo, Incarnation Run) {
+  const ResponseInfo &Info = Sent.Info_;
+  const TimePoint Now = Context_.Time_.now();
+  if (!Info.Misdirected_)
+    return Context_.Limiter_.onAnswer(SentTo.Id_, Run, Info.Limit_, Now);
+  if (Info.FaultyEngine_ && *Info.FaultyEngine_ != SentTo.Address_)
+    return;
+  Sent.AddressTaken_ = true;
+  if (!Context_.Roster_.noteAddressTaken(SentTo.Id_, SentTo.Address_, SentTo.Run_, Now))
+    return;
+  Context_.Metrics_.count("addresses_taken_total", SentTo.DataCenter_.str());
+  Context_.Log_.log(
+      LogEvent::AddressTaken,
+      {{"endpoint", SentTo.Id_.str()}, {"address", SentTo.Address_.str()}, {"message", "request"}});
+  // An engine that lacks layers of its stage answers in the same way. Its report tells which.
+  if (Routed_.Service_->Model_)
+    Context_.Health_.suspect(SentTo.Id_);
+}
+
 void Exchange::cancelAttempt(const AttemptPtr &Sent) {
   if (Sent && std::exchange(Sent->Live_, false))
     Context_.Client_.cancel(Sent->Call_);
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -42,12 +42,14 @@
   bool HeadSeen_ = false;
   /// Set by the body handler if the body is not what the head announces.
   bool MalformedBody_ = false;
+  /// Another endpoint, which has the address now, refused the request.
+  bool AddressTaken_ = false;
   /// False once the attempt has ended or the exchange has cancelled it.
   bool Live_ = true;
   RequestId Expected_;
   const EndpointProtocol *Protocol_ = nullptr;
   /// Called with the head of the response, before HeadHandler_.
-  std::function<void(const ResponseInfo &)> InfoHandler_;
+  std::function<void()> InfoHandler_;
   std::function<void()> HeadHandler_;
   /// Returns false if the response exceeds a limit or is malformed.
   std::function<bool(std::string_view)> BodyHandler_;
@@ -124,6 +126,9 @@
   /// Called when the connection of an attempt is open, before any byte is handed to it. Returns
   /// whether the request may be handed over.
   bool mayHandOver(const Attempt &Sent);
+  /// Records what the head of a response says about the endpoint that the request was sent to.
+  /// Run is the newest run of the endpoint that was known then.
+  void onResponseInfo(Attempt &Sent, const EndpointListing &SentTo, Incarnation Run);
   /// Whether the endpoint's limit still lets an attempt be handed over that was admitted long ago.
   bool mayHandOverLate(const Attempt &Sent);
 
--- a/Source/Gateway/GatewayGauges.cpp
+++ b/Source/Gateway/GatewayGauges.cpp
@@ -18,6 +18,8 @@
     return "missing";
   if (Record.Listing_.State_ != EndpointState::Live)
     return "leaving";
+  if (Record.addressTaken(Now))
+    return "address_taken";
   if (Record.silent(Now))
     return "silent";
   return Record.declines(Now) ? "declining" : "live";
--- a/Source/Gateway/PlacementCoordinator.cpp
+++ b/Source/Gateway/PlacementCoordinator.cpp
@@ -45,6 +45,8 @@
     return "fenced";
   case OrderOutcome::NotRun:
     return "not_run";
+  case OrderOutcome::WrongEndpoint:
+    return "wrong_endpoint";
   case OrderOutcome::Unknown:
     break;
   }
@@ -202,12 +204,14 @@
                                           {"expected_orders", Order.ExpectedOrders_},
                                           {"fills_gap", static_cast<int>(Order.FillsGap_)},
                                           {"cuts", static_cast<int>(Order.CutsStreams_)}});
+  const EndpointRecord *Record = Use_.Roster_.find(Order.Engine_);
+  const Incarnation ListedRun = Record ? Record->Listing_.Run_ : Incarnation(0);
   HttpSendOptions Options;
   Options.Use_ = ConnectionUse::Fresh;
   Options.ConnectTimeout_ = OrderConnectTimeout;
   Options.ResponseTimeout_ = OrderTimeout;
   Use_.Client_.send(Order.Address_, Use_.Protocol_.orderRequest(Order), Options,
-                    [this, Order](const HttpResult &Result) {
+                    [this, Order, ListedRun](const HttpResult &Result) {
                       OrderOutcome Outcome = OrderOutcome::Unknown;
                       if (!Result.Error_)
                         Outcome = Use_.Protocol_.parseOrderResponse(Result.Response_);
@@ -219,6 +223,8 @@
                                                            {"status", Result.Response_.Status_},
                                                            {"body", Result.Response_.Body_}});
                       Controller_.onOrderEnded(Order, Outcome, Use_.Time_.now());
+                      if (Outcome == OrderOutcome::WrongEndpoint)
+                        onAddressTaken(Order, ListedRun);
                       if (Outcome != OrderOutcome::Fenced)
                         return;
                       RefusedFence_ = Order.Fence_;
@@ -226,4 +232,15 @@
                     });
 }
 
+void PlacementCoordinator::onAddressTaken(const PlacementOrder &Order, Incarnation ListedRun) {
+  if (!Use_.Roster_.noteAddressTaken(Order.Engine_, Order.Address_, ListedRun, Use_.Time_.now()))
+    return;
+  Use_.Metrics_.count("addresses_taken_total", Home_.str());
+  Use_.Log_.log(
+      LogEvent::AddressTaken,
+      {{"endpoint", Order.Engine_.str()}, {"address", Order.Address_.str()}, {"message", "order"}});
+  // Its layers are missing now.
+  updatePlacement();
+}
+
 } // namespace rattancart
--- a/Source/Gateway/PlacementCoordinator.h
+++ b/Source/Gateway/PlacementCoordinator.h
@@ -62,6 +62,8 @@
   void onPolled();
   void updatePlacement();
   void send(const PlacementOrder &Order);
+  /// Another endpoint, which has the engine's address now, refused the order.
+  void onAddressTaken(const PlacementOrder &Order, Incarnation ListedRun);
 
   Dependencies Use_;
   DataCenterId Home_;
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -395,7 +395,7 @@
   if (Result.Error_ == ErrorCode::Cancelled)
     return;
   const EndpointId First = Attempt_->Endpoint_;
-  if (Attempt_->Info_.FaultyEngine_) {
+  if (Attempt_->Info_.FaultyEngine_ && !Attempt_->AddressTaken_) {
     // The named engine may be lost, short of memory, or about to leave; its report shows which.
     if (const EndpointRecord *Engine =
             Context_.Roster_.findByAddress(*Attempt_->Info_.FaultyEngine_)) {
--- a/Source/SiteModel/SimulatedEngines.cpp
+++ b/Source/SiteModel/SimulatedEngines.cpp
@@ -79,7 +79,8 @@
 ResponseInfo SimulatedEngineProtocol::parseResponse(const HttpResponse &Head) const {
   ResponseInfo Answer;
   Answer.Id_ = RequestId(std::string(Head.Headers_.get("id")));
-  Answer.NotRun_ = Head.Headers_.has("not-run");
+  Answer.Misdirected_ = Head.Status_ == 421;
+  Answer.NotRun_ = Head.Headers_.has("not-run") || Answer.Misdirected_;
   Answer.Signed_ = !Answer.NotRun_;
   Answer.EventStream_ = !Head.Headers_.has("other-media-type");
   if (Head.Headers_.has("fault"))
--- a/Tests/Core/Layers/PlacementControllerTest.cpp
+++ b/Tests/Core/Layers/PlacementControllerTest.cpp
@@ -26,7 +26,12 @@
   FencingNumber HighestFence_{0};
   TimePoint BusyUntil_{};
 
+  /// Another engine, which started later and is not listed yet, has the address now.
+  bool Replaced_ = false;
+
   OrderOutcome take(const PlacementOrder &Order, double LayerMb, TimePoint Now) {
+    if (Replaced_)
+      return OrderOutcome::WrongEndpoint;
     if (Order.Fence_ < HighestFence_)
       return OrderOutcome::Fenced;
     HighestFence_ = Order.Fence_;
@@ -90,6 +95,15 @@
     FalseListing_->Layers_ = Layers;
   }
 
+  /// The list names the layers that the engine holds. From now on, another engine answers at its
+  /// address, which reports that it is empty.
+  void replace(std::size_t Index) {
+    SimulatedEngine &Engine = Engines_[Index];
+    Engine.Replaced_ = true;
+    Engine.Listing_.Layers_ = Engine.Held_;
+    Roster_.updateListing(Engine.Listing_, Now_);
+  }
+
   void lose(std::size_t Index) {
     Roster_.removeListing(Engines_[Index].Listing_.Id_, std::nullopt, Now_);
     Engines_.erase(Engines_.begin() + static_cast<std::ptrdiff_t>(Index));
@@ -108,7 +122,7 @@
   bool holdsModel() const {
     std::vector<bool> Covered(Model_.Layers_, false);
     for (const SimulatedEngine &Engine : Engines_)
-      if (Engine.Listing_.Id_ != Declining_)
+      if (Engine.Listing_.Id_ != Declining_ && !Engine.Replaced_)
         for (std::uint32_t Layer = Engine.Held_.Begin_; Layer < Engine.Held_.End_; ++Layer)
           Covered[Layer] = true;
     return std::find(Covered.begin(), Covered.end(), false) == Covered.end();
@@ -130,6 +144,8 @@
   /// Orders so far that cut off streams, and those that let them finish.
   std::size_t CuttingOrders_ = 0;
   std::size_t WaitingOrders_ = 0;
+  /// Orders so far that another engine refused, which has the address of the one that they are for.
+  std::size_t MisdirectedOrders_ = 0;
   std::mt19937 Random_;
 
 private:
@@ -140,6 +156,10 @@
     Report.Busy_ = Now_ < Engine.BusyUntil_;
     Report.Orders_ = Engine.Orders_;
     Report.TotalTokenLayers_ = 100;
+    if (Engine.Replaced_) {
+      Report = {};
+      Report.Run_ = Incarnation(Engine.Listing_.Run_.value() + 1);
+    }
     Roster_.updateReport(Engine.Listing_.Id_, Report, Now_);
   }
 
@@ -153,9 +173,15 @@
   }
 
   void deliver(PlacementController &Owner, const PlacementOrder &Order, double UnansweredShare) {
-    if (std::uniform_real_distribution<double>(0, 1)(Random_) >= UnansweredShare)
-      return Owner.onOrderEnded(Order, find(Order.Engine_).take(Order, Model_.LayerMb_, Now_),
-                                Now_);
+    if (std::uniform_real_distribution<double>(0, 1)(Random_) >= UnansweredShare) {
+      const OrderOutcome Outcome = find(Order.Engine_).take(Order, Model_.LayerMb_, Now_);
+      Owner.onOrderEnded(Order, Outcome, Now_);
+      if (Outcome == OrderOutcome::WrongEndpoint) {
+        ++MisdirectedOrders_;
+        Roster_.noteAddressTaken(Order.Engine_, Order.Address_, Incarnation(1), Now_);
+      }
+      return;
+    }
     // The order is not answered, and is carried out seconds later, possibly after newer orders.
     LateOrders_.emplace_back(Now_ + std::chrono::seconds(2 + Random_() % 8), Order);
     std::sort(LateOrders_.begin(), LateOrders_.end(),
@@ -234,6 +260,23 @@
   BOOST_TEST(Simulation.holdsModel());
 }
 
+// Guards against an owner that sends one order after the other to an engine whose address another
+// one has now, and that loads nothing else meanwhile.
+BOOST_DATA_TEST_CASE(AnEngineWhoseAddressIsTakenGetsOneOrder, boost::unit_test::data::xrange(0, 3),
+                     Index) {
+  PlacementSimulation Simulation(1, deployments()[static_cast<std::size_t>(Index)]);
+  PlacementController Owner;
+  Owner.setOwner(FencingNumber(1));
+  for (int Step = 0; Step < 40; ++Step)
+    Simulation.step(Owner, 0);
+  Simulation.replace(0);
+  // Its layers count as lost also after the 2 s for which it gets no requests.
+  for (int Step = 0; Step < 40; ++Step)
+    Simulation.step(Owner, 0);
+  BOOST_TEST(Simulation.MisdirectedOrders_ == 1U);
+  BOOST_TEST(Simulation.holdsModel());
+}
+
 BOOST_AUTO_TEST_CASE(StreamsAreCutOffOnlyIfOtherDataCentersLackCapacity) {
   for (const std::size_t Others : {0U, 1U, 2U}) {
     PlacementSimulation Simulation(1, deployments().front());
--- a/Tests/Core/Serving/EndpointRosterTest.cpp
+++ b/Tests/Core/Serving/EndpointRosterTest.cpp
@@ -232,6 +232,149 @@
   BOOST_TEST(takesWork(Roster, Start + 5s));
 }
 
+// Guards against orders and requests that go, one after the other, to an endpoint whose address now
+// belongs to another endpoint.
+BOOST_AUTO_TEST_CASE(AnEndpointWhoseAddressIsTakenIsRetriedLessAndLessOften) {
+  EndpointRoster Roster;
+  Roster.updateListing(listing(1), Start);
+  const NetAddress Address("10.0.0.1:80");
+  const auto Note = [&](TimePoint At) {
+    return Roster.noteAddressTaken(Id, Address, Incarnation(1), At);
+  };
+  BOOST_TEST(!Roster.noteAddressTaken(EndpointId("unknown"), Address, Incarnation(1), Start));
+  BOOST_TEST(Note(Start));
+  // Answers to messages that were under way change nothing.
+  BOOST_TEST(!Note(Start + 10ms));
+  BOOST_TEST(!takesWork(Roster, Start + 1999ms));
+  // A renewed entry with the same run and address changes nothing.
+  Roster.updateListing(listing(1), Start + 1s);
+  BOOST_TEST(!takesWork(Roster, Start + 1999ms));
+  BOOST_TEST(takesWork(Roster, Start + 2s));
+  BOOST_TEST(Note(Start + 2s));
+  BOOST_TEST(!takesWork(Roster, Start + 5999ms));
+  BOOST_TEST(takesWork(Roster, Start + 6s));
+  TimePoint At = Start + 6s;
+  for (int Time = 0; Time < 10; ++Time, At = Roster.find(Id)->AddressTakenUntil_)
+    BOOST_TEST(Note(At));
+  BOOST_TEST((Roster.find(Id)->AddressTakenBackoff_ == 32s));
+}
+
+namespace {
+
+struct TakenEndCase {
+  const char *Name_;
+  std::uint64_t Run_;
+  const char *Address_;
+  bool Answers_;
+  bool TakesWork_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const TakenEndCase &Case) { return Out << Case.Name_; }
+
+const TakenEndCase TakenEndCases[] = {
+    {"nothing changes", 1, "10.0.0.1:80", false, false},
+    {"another run", 2, "10.0.0.1:80", false, true},
+    {"another address", 1, "10.0.0.2:80", false, true},
+    {"the endpoint itself answers", 1, "10.0.0.1:80", true, true},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(AnAddressIsNoLongerTakenOnceTheEntryChangesOrTheEndpointAnswers, TakenEndCases,
+                     Case) {
+  EndpointRoster Roster;
+  Roster.updateListing(listing(1), Start);
+  const NetAddress Address("10.0.0.1:80");
+  Roster.noteAddressTaken(Id, Address, Incarnation(1), Start);
+  EndpointListing Listing = listing(Case.Run_);
+  Listing.Address_ = NetAddress(Case.Address_);
+  Roster.updateListing(Listing, Start + 500ms);
+  if (Case.Answers_)
+    Roster.markHeard(Id, Start + 500ms);
+  BOOST_TEST(takesWork(Roster, Start + 500ms) == Case.TakesWork_);
+  if (!Case.TakesWork_)
+    return;
+  // The answer to a message to the earlier run or address arrives late.
+  if (!Case.Answers_) {
+    BOOST_TEST(!Roster.noteAddressTaken(Id, Address, Incarnation(1), Start + 600ms));
+    BOOST_TEST(takesWork(Roster, Start + 600ms));
+  }
+  BOOST_TEST(Roster.noteAddressTaken(Id, Listing.Address_, Incarnation(Case.Run_), Start + 700ms));
+  BOOST_TEST((Roster.find(Id)->AddressTakenBackoff_ == 2s));
+}
+
+namespace {
+
+struct ForeignReportCase {
+  const char *Name_;
+  /// Another endpoint is listed at the same address, with this run; 0 if there is none.
+  std::uint64_t OtherRun_;
+  /// Another endpoint answered at the address before.
+  bool Taken_;
+  std::uint64_t ReportedRun_;
+  bool Accepted_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const ForeignReportCase &Case) {
+  return Out << Case.Name_;
+}
+
+const ForeignReportCase ForeignReportCases[] = {
+    {"the listed run", 0, false, 5, true},
+    {"an earlier run", 0, false, 4, false},
+    {"a restart that is not listed yet", 0, false, 7, true},
+    {"no run stated", 0, false, 0, true},
+    {"the run of another endpoint with this address", 7, false, 7, false},
+    {"a restart, another endpoint is listed with this address", 6, false, 7, true},
+    {"the listed run, another endpoint is listed with this address", 7, false, 5, true},
+    {"another run, another endpoint answered there", 0, true, 7, false},
+    {"no run stated, another endpoint answered there", 0, true, 0, false},
+    {"the listed run, another endpoint answered there", 0, true, 5, true},
+};
+
+} // namespace
+
+// Guards against the report of a new, empty engine that is taken for the report of the engine that
+// had its address before: its layers counted as lost and orders were sent to it.
+BOOST_DATA_TEST_CASE(ReportsOfAnotherEndpointAtTheAddressAreRejected, ForeignReportCases, Case) {
+  EndpointRoster Roster;
+  Roster.updateListing(listing(5), Start);
+  if (Case.OtherRun_ != 0) {
+    EndpointListing Other = listing(Case.OtherRun_);
+    Other.Id_ = EndpointId("other");
+    Roster.updateListing(Other, Start);
+  }
+  Roster.updateReport(Id, report(5, {0, 8}), Start);
+  if (Case.Taken_)
+    Roster.noteAddressTaken(Id, NetAddress("10.0.0.1:80"), Incarnation(5), Start + 1s);
+  BOOST_TEST(Roster.updateReport(Id, report(Case.ReportedRun_, {}), Start + 2s) == Case.Accepted_);
+  BOOST_TEST((Roster.find(Id)->layers() == (Case.Accepted_ ? LayerRange{} : LayerRange{0, 8})));
+}
+
+BOOST_AUTO_TEST_CASE(AForeignReportIsDroppedOnceTheAddressIsKnownToBeTaken) {
+  EndpointRoster Roster;
+  Roster.updateListing(listing(5), Start);
+  Roster.updateReport(Id, report(7, {}), Start + 1s);
+  BOOST_TEST(Roster.find(Id)->reported());
+  Roster.noteAddressTaken(Id, NetAddress("10.0.0.1:80"), Incarnation(5), Start + 2s);
+  BOOST_TEST(!Roster.find(Id)->reported());
+  BOOST_TEST((Roster.find(Id)->run() == Incarnation(5)));
+}
+
+BOOST_AUTO_TEST_CASE(AnAddressLeadsToTheEndpointThatHasItNow) {
+  EndpointRoster Roster;
+  const NetAddress Address("10.0.0.1:80");
+  Roster.updateListing(listing(1), Start);
+  EndpointListing Other = listing(2);
+  Other.Id_ = EndpointId("f");
+  Roster.updateListing(Other, Start);
+  Roster.noteAddressTaken(Id, Address, Incarnation(1), Start);
+  BOOST_TEST(Roster.findByAddress(Address)->Listing_.Id_.str() == "f");
+  Roster.noteAddressTaken(Other.Id_, Address, Incarnation(2), Start);
+  BOOST_TEST(Roster.findByAddress(Address)->Listing_.Id_.str() == "e");
+  BOOST_TEST(!Roster.findByAddress(NetAddress("10.0.0.9:80")));
+}
+
 BOOST_AUTO_TEST_CASE(AmpleMemoryNeedsAReportAndNoQueue) {
   EndpointRoster Roster;
   Roster.updateListing(listing(1), Start);
--- a/Tests/Gateway/ScriptedRequest.h
+++ b/Tests/Gateway/ScriptedRequest.h
@@ -37,7 +37,7 @@
     return !Calls_.at(Number).Cancelled_ && !Calls_.at(Number).Ended_;
   }
   void head(std::size_t Number, std::uint32_t Status, bool NotRun = false,
-            bool OtherMediaType = false) {
+            bool OtherMediaType = false, const std::string &Fault = {}) {
     HttpResponse Head;
     Head.Status_ = Status;
     Head.Headers_.add("id", "r");
@@ -45,6 +45,8 @@
       Head.Headers_.add("other-media-type", "1");
     if (NotRun)
       Head.Headers_.add("not-run", "1");
+    if (!Fault.empty())
+      Head.Headers_.add("fault", Fault);
     BOOST_REQUIRE(isLive(Number));
     Calls_[Number].Sink_->onHead(Head);
   }
--- a/Tests/Gateway/StreamExchangeTest.cpp
+++ b/Tests/Gateway/StreamExchangeTest.cpp
@@ -474,3 +474,55 @@
     if (Case.Kind_ == RequestKind::OnceOnly || (Case.Kind_ == RequestKind::Stream && Number > 0))
       BOOST_TEST((Each.Engines_.connectionUse(Number) == ConnectionUse::Fresh));
 }
+
+namespace {
+
+/// The answer of an endpoint to a request that is meant for another one.
+struct MisdirectedCase {
+  const char *Name_;
+  RequestKind Kind_;
+  std::uint32_t Status_;
+  /// Which endpoint the answer names as the cause: none, the one that the request was sent to, or
+  /// another one.
+  enum class Fault : std::uint8_t { None, SentTo, Other } Fault_;
+  bool Taken_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const MisdirectedCase &Case) {
+  return Out << Case.Name_;
+}
+
+const MisdirectedCase MisdirectedCases[] = {
+    {"a stream", RequestKind::Stream, 421, MisdirectedCase::Fault::None, true},
+    {"a stream, the answer names itself", RequestKind::Stream, 421, MisdirectedCase::Fault::SentTo,
+     true},
+    {"a stream, a later stage lacks layers", RequestKind::Stream, 421,
+     MisdirectedCase::Fault::Other, false},
+    {"a stream, no memory", RequestKind::Stream, 503, MisdirectedCase::Fault::SentTo, false},
+    {"a booking", RequestKind::OnceOnly, 421, MisdirectedCase::Fault::None, true},
+    {"a lookup", RequestKind::Idempotent, 421, MisdirectedCase::Fault::None, true},
+};
+
+} // namespace
+
+// Guards against request after request to an endpoint whose address now belongs to another one.
+BOOST_DATA_TEST_CASE(AnEndpointWhoseAddressIsTakenGetsNoFurtherRequests, MisdirectedCases, Case) {
+  OneRequest Each({}, Case.Kind_);
+  EndpointId SentTo;
+  EndpointId Other;
+  for (const EndpointId &Id : Each.Ids_)
+    (Each.Roster_.find(Id)->OwnRequests_ > 0 ? SentTo : Other) = Id;
+  std::string Fault;
+  if (Case.Fault_ != MisdirectedCase::Fault::None)
+    Fault = (Case.Fault_ == MisdirectedCase::Fault::SentTo ? SentTo : Other).str();
+  Each.Engines_.head(0, Case.Status_, /*NotRun=*/true, /*OtherMediaType=*/false, Fault);
+  Each.Engines_.end(0);
+  for (const EndpointId &Id : Each.Ids_)
+    BOOST_TEST(Each.Roster_.find(Id)->addressTaken(Each.Time_.now()) ==
+               (Case.Taken_ && Id == SentTo));
+  BOOST_TEST(Each.Roster_.takesWork(*Each.Roster_.find(Other), Each.Time_.now()));
+  // The request goes on elsewhere.
+  BOOST_TEST(Each.Engines_.sends() == 2U);
+  if (Case.Taken_)
+    BOOST_TEST(Each.Roster_.find(SentTo)->OwnRequests_ == 0U);
+}
--- a/Tests/platform/PlatformProtocolTest.cpp
+++ b/Tests/platform/PlatformProtocolTest.cpp
@@ -84,8 +84,9 @@
 std::ostream &operator<<(std::ostream &Out, const OrderCase &Case) { return Out << Case.Status_; }
 
 const OrderCase OrderCases[] = {
-    {200, OrderOutcome::Accepted}, {202, OrderOutcome::Accepted}, {409, OrderOutcome::Conflict},
-    {412, OrderOutcome::Fenced},   {400, OrderOutcome::NotRun},   {421, OrderOutcome::NotRun},
+    {200, OrderOutcome::Accepted}, {202, OrderOutcome::Accepted},
+    {409, OrderOutcome::Conflict}, {412, OrderOutcome::Fenced},
+    {400, OrderOutcome::NotRun},   {421, OrderOutcome::WrongEndpoint},
     {500, OrderOutcome::Unknown},  {503, OrderOutcome::Unknown},
 };
 
@@ -100,6 +101,15 @@
   BOOST_TEST(Parts == Case.Shared_, boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(AReportOfAnotherEndpointIsToldApart) {
+  HttpResponse Response;
+  Response.Status_ = 421;
+  BOOST_TEST((PlatformProtocol().parseReport(Response).error().Code_ == ErrorCode::WrongEndpoint));
+  Response.Status_ = 503;
+  BOOST_TEST(
+      (PlatformProtocol().parseReport(Response).error().Code_ == ErrorCode::MalformedResponse));
+}
+
 BOOST_AUTO_TEST_CASE(ParsesTheHeadersOfACaller) {
   const CallerRequest Caller = PlatformProtocol().parseRequest(callerRequest());
   BOOST_TEST(Caller.Id_.str() == "9c41");
