An order that another owner's order followed no longer blocks its engine

Cause: an accepted order counted as pending until the engine showed its layers, or for 30 s. If an order of another owner was carried out after it, the engine never shows them, so a gap that only this engine can close stayed open for half a minute.

Change: the order is settled once a report counts more accepted orders.

--- a/Source/Core/Layers/PlacementController.cpp
+++ b/Source/Core/Layers/PlacementController.cpp
@@ -41,6 +41,9 @@
   case OrderOutcome::Accepted:
     if (Newer && !Record.Report_.Busy_ && Record.Report_.Layers_ == Order.Target_)
       return true;
+    // An order of another owner followed, so the engine won't show the target of this one.
+    if (Newer && Record.Report_.Orders_ > Order.ExpectedOrders_ + 1)
+      return true;
     return Now - Order.AnsweredAt_ > LoadTimeout;
   case OrderOutcome::Unknown:
     if (!Newer)
--- a/Tests/Core/Layers/PlacementControllerTest.cpp
+++ b/Tests/Core/Layers/PlacementControllerTest.cpp
@@ -321,6 +321,37 @@
   }
 }
 
+// Guards against a gap that stays open for half a minute, because the owner waits for an engine to
+// show the layers of an order that the order of another owner has replaced.
+BOOST_AUTO_TEST_CASE(AnOrderThatAnotherOwnersOrderFollowedBlocksItsEngineNoLonger) {
+  const LayeredModel Model = makeModel(80);
+  const PlacementScope Scope{Home, 1, 0};
+  EndpointRoster Roster;
+  EndpointListing Listing;
+  Listing.Id_ = EndpointId("e");
+  Listing.Service_ = Service;
+  Listing.DataCenter_ = Home;
+  Listing.Run_ = Incarnation(1);
+  Listing.Kind_ = "huge";
+  TimePoint Now{1h};
+  Roster.updateListing(Listing, Now);
+  EngineReport Report;
+  Report.Run_ = Incarnation(1);
+  Roster.updateReport(Listing.Id_, Report, Now);
+  PlacementController Owner;
+  Owner.setOwner(FencingNumber(1));
+  Owner.tick(Model, Service, Scope, Roster, Now);
+  Now += 2s;
+  const auto Orders = Owner.tick(Model, Service, Scope, Roster, Now);
+  BOOST_REQUIRE(Orders.size() == 1U);
+  Owner.onOrderEnded(Orders.front(), OrderOutcome::Accepted, Now);
+  Now += 1s;
+  Report.Orders_ = 2;
+  Report.Layers_ = {0, 40};
+  Roster.updateReport(Listing.Id_, Report, Now);
+  BOOST_TEST(Owner.tick(Model, Service, Scope, Roster, Now).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(AFencedOwnerSendsNoMoreOrders) {
   PlacementSimulation Simulation(7, deployments().front());
   PlacementController Old;
