A data centre loads as many copies at once as the others leave

Cause: a data centre loaded copies by an even part of ConcurrentLoads_ (two of six), also while the others loaded nothing.

Change: loadsAtOnce gives each data centre the even part and half of what the demand of the others leaves, taken in the order of ids; demand is the number of engines that load or are empty, as the engine states tell. Gaps are closed without regard to the limit, as before. One load is left for each other data centre, since its demand may be known 3 s late.

Ruled out: using all that is left (12 loads).

--- a/Source/Core/Layers/PlacementController.cpp
+++ b/Source/Core/Layers/PlacementController.cpp
@@ -1,5 +1,7 @@
 #include "Core/Layers/PlacementController.h"
 
+#include "Core/Layers/LoadShare.h"
+
 #include <algorithm>
 
 namespace rattancart {
@@ -90,6 +92,22 @@
   return Engine;
 }
 
+std::size_t PlacementController::copiesAtOnce(const LayeredModel &Model, const ServiceId &Service,
+                                              const PlacementScope &Scope,
+                                              const EndpointRoster &Roster, TimePoint Now) const {
+  std::map<DataCenterId, std::size_t> Demand;
+  for (const auto &[Id, Record] : Roster.all()) {
+    const EngineKind *Kind = Model.kind(Record.Listing_.Kind_);
+    if (Record.Listing_.Service_ != Service || !isUsable(Record, Now) || !Kind ||
+        Kind->MemoryMb_ < Model.LayerMb_)
+      continue;
+    const LayerRange Layers = Record.layersOf(Model);
+    const bool Loading = Pending_.contains(Id) || (Record.reported() && Record.Report_.Busy_);
+    Demand[Record.Listing_.DataCenter_] += Loading || Layers.Begin_ >= Layers.End_ ? 1 : 0;
+  }
+  return loadsAtOnce(Model.ConcurrentLoads_, Scope.DataCenters_, Scope.DataCenter_, Demand);
+}
+
 std::vector<PlacementOrder> PlacementController::tick(const LayeredModel &Model,
                                                       const ServiceId &Service,
                                                       const PlacementScope &Scope,
@@ -118,8 +136,7 @@
   if (waitsForMoreEngines(Engines, Now))
     return Orders;
   // Orders that fill no gap wait while many loads run, since each further load slows all of them.
-  const std::size_t CopiesAtOnce = std::max<std::size_t>(
-      1, Model.ConcurrentLoads_ / std::max<std::size_t>(1, Scope.DataCenters_));
+  const std::size_t CopiesAtOnce = copiesAtOnce(Model, Service, Scope, Roster, Now);
   for (const LayerPlacement &Placement : planLayers(Model, Engines)) {
     if (!Placement.FillsGap_ && Loading >= CopiesAtOnce)
       continue;
--- a/Source/Core/Layers/PlacementController.h
+++ b/Source/Core/Layers/PlacementController.h
@@ -92,6 +92,11 @@
 
   /// Whether the planner may assign layers to an engine.
   bool isUsable(const EndpointRecord &Record, TimePoint Now) const;
+  /// The number of engines of the data centre that may load at the same time without filling a gap;
+  /// see loadsAtOnce.
+  std::size_t copiesAtOnce(const LayeredModel &Model, const ServiceId &Service,
+                           const PlacementScope &Scope, const EndpointRoster &Roster,
+                           TimePoint Now) const;
   /// Whether planning should wait, since the engines have just started together and more of them
   /// may be about to appear.
   bool waitsForMoreEngines(const std::vector<PlannedEngine> &Engines, TimePoint Now);
--- a/Tests/Core/Layers/Deployments.h
+++ b/Tests/Core/Layers/Deployments.h
@@ -45,6 +45,9 @@
                   {"a100s", 36'000, 3.1, 3.2},
                   {"l4", 21'600, 16, 8.2},
                   {"t4", 14'400, 15, 15},
+                  {"a100", 72'000, 2.4, 3.2},
+                  {"l40s", 43'200, 5.6, 2.7},
+                  {"v100", 14'400, 5.3, 7.9},
                   {"huge", 400'000, 1, 1}};
   return Model;
 }
@@ -89,6 +92,19 @@
   return All;
 }
 
+/// The data centres of two sites whose callers compete for the engines' memory.
+inline const std::vector<Deployment> &contendedDeployments() {
+  static const std::vector<Deployment> All = {
+      {"lockside a", 80, {{"a100", 4}, {"l40s", 6}, {"l4", 14}}, true, true},
+      {"lockside b", 80, {{"a100", 2}, {"l40s", 9}, {"l4", 22}}, true, true},
+      {"lockside c", 80, {{"a100", 2}, {"l40s", 15}, {"l4", 12}}, true, true},
+      {"rhannau a", 80, {{"a100", 3}, {"v100", 14}, {"l4", 16}}, true, true},
+      {"rhannau b", 80, {{"a100", 2}, {"v100", 24}, {"l4", 9}}, true, true},
+      {"rhannau c", 80, {{"a100", 4}, {"v100", 10}, {"l4", 11}}, true, true},
+  };
+  return All;
+}
+
 /// Data centres of known sites, and others that test the limits of the planner.
 inline const std::vector<Deployment> &deployments() {
   static const std::vector<Deployment> All = {
