Copies of layers survive more joint losses of three engines

Cause: copies were counted in whole copies by rounded token capacity, so some layers were left with three copies or little capacity.

Change: the planner also places the copies by fractions of a copy, and takes that layout if it leaves fewer layers without an engine after a joint loss of three engines or holds more tokens, and is worse in neither, nor in the least token capacity after the loss of one engine. Only where the engines hold every layer twice; smaller data centres are laid out as before. LayoutMetrics tells what the loss of any three engines leaves.

--- a/Source/Core/Layers/LayerPlanner.cpp
+++ b/Source/Core/Layers/LayerPlanner.cpp
@@ -1,7 +1,10 @@
 #include "Core/Layers/LayerPlanner.h"
 
+#include "Core/Layers/LayoutMetrics.h"
+
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <optional>
 
 namespace rattancart {
@@ -27,6 +30,9 @@
 /// Engines keep at least this token capacity when they close gaps of a data centre that is in use;
 /// with less, assigning all layers from scratch serves more requests.
 constexpr double MinTokenCapacityInUse = 40'000;
+/// Gains below these, in tokens and in layers, are not worth another layout.
+constexpr double MinTokenGain = 1'000;
+constexpr double MinUncoveredGain = 1e-3;
 constexpr double BytesPerMb = 1e6;
 /// A layer with less than the first part of the planned token capacity gets another copy; an engine
 /// is redundant if the others have at least the second part for its layers. The difference between
@@ -289,10 +295,30 @@
   return Capacities;
 }
 
+/// The least token capacity of a layer after the loss of one engine, averaged over all engines.
+double meanLeastTokenCapacityAfterLoss(const LayeredModel &Model,
+                                       const std::vector<PlannedEngine> &Engines) {
+  const std::vector<double> Capacities = tokenCapacityByLayer(Model, Engines);
+  double Sum = 0;
+  for (const PlannedEngine &Lost : Engines) {
+    const double Own = tokenCapacityOf(Model, Lost);
+    double Least = std::numeric_limits<double>::max();
+    for (std::uint32_t Layer = 0; Layer < Model.Layers_; ++Layer)
+      Least = std::min(Least, Capacities[Layer] - (contains(Lost.Layers_, Layer) ? Own : 0));
+    Sum += Least;
+  }
+  return Sum / static_cast<double>(Engines.size());
+}
+
+/// How the copies of a layer are counted by its token capacity where the engines can hold every
+/// layer twice: in whole copies, so that the slowest of several layers with as many copies gets the
+/// next one, or in fractions of a copy, so that the capacities become more even.
+enum class CopyCount : std::uint8_t { Whole, Fraction };
+
 /// The window of Size layers that needs another copy most: the one with the least token capacity,
 /// counted in copies, and among equals the slowest one.
 LayerRange neediestWindow(const LayeredModel &Model, const std::vector<PlannedEngine> &Engines,
-                          std::uint32_t Size, double Capacity) {
+                          std::uint32_t Size, double Capacity, CopyCount Count) {
   const std::vector<double> Speeds = layerSpeeds(Model, Engines);
   const std::vector<double> Capacities = tokenCapacityByLayer(Model, Engines);
   const double Lowest = *std::min_element(Capacities.begin(), Capacities.end());
@@ -302,7 +328,9 @@
   for (std::uint32_t Begin = 0; Begin + Size <= Model.Layers_; ++Begin) {
     double Need = 0;
     for (std::uint32_t Layer = Begin; Layer < Begin + Size; ++Layer) {
-      const double Copies = std::round((Capacities[Layer] - Lowest) / Capacity);
+      double Copies = (Capacities[Layer] - Lowest) / Capacity;
+      if (Count == CopyCount::Whole)
+        Copies = std::round(Copies);
       Need += 1 / Speeds[Layer] / std::pow(Ratio, Copies);
     }
     if (Need > BestNeed + 1e-9) {
@@ -313,6 +341,48 @@
   return Best;
 }
 
+/// A way to place copies on the engines that no gap needs.
+struct CopyPlan {
+  /// All engines, with the layers that they will hold.
+  std::vector<PlannedEngine> Engines_;
+  std::vector<LayerPlacement> Placements_;
+};
+
+CopyPlan placeCopies(const LayeredModel &Model, double Capacity, std::vector<PlannedEngine> Engines,
+                     CopyCount Count) {
+  CopyPlan Result;
+  for (PlannedEngine &Engine : Engines) {
+    const std::uint32_t Size = layerCapacity(Model, *Engine.Kind_, Capacity);
+    if (!Engine.Movable_ || !isEmpty(Engine.Layers_) || Size == 0)
+      continue;
+    Engine.Layers_ = neediestWindow(Model, Engines, Size, Capacity, Count);
+    Engine.Movable_ = false;
+    Result.Placements_.push_back({Engine.Id_, Engine.Layers_, false});
+  }
+  Result.Engines_ = std::move(Engines);
+  return Result;
+}
+
+/// Places copies by whole copies, or by fractions if that leaves fewer layers without an engine
+/// after a joint loss of three engines, and at least as much token capacity.
+CopyPlan bestCopyPlan(const LayeredModel &Model, double Capacity,
+                      const std::vector<PlannedEngine> &Engines) {
+  CopyPlan Whole = placeCopies(Model, Capacity, Engines, CopyCount::Whole);
+  if (Whole.Placements_.empty() || Capacity <= MaxTokenCapacity)
+    return Whole;
+  CopyPlan Fraction = placeCopies(Model, Capacity, Engines, CopyCount::Fraction);
+  const double Tokens = tokensInFlight(Model, Fraction.Engines_);
+  const double TokensOfWhole = tokensInFlight(Model, Whole.Engines_);
+  const double Uncovered = meanUncoveredAfterThreeLosses(Model, Fraction.Engines_);
+  const double UncoveredOfWhole = meanUncoveredAfterThreeLosses(Model, Whole.Engines_);
+  const bool IsBetter =
+      Tokens >= TokensOfWhole && Uncovered <= UncoveredOfWhole &&
+      meanLeastTokenCapacityAfterLoss(Model, Fraction.Engines_) >=
+          meanLeastTokenCapacityAfterLoss(Model, Whole.Engines_) &&
+      (Tokens > TokensOfWhole + MinTokenGain || Uncovered < UncoveredOfWhole - MinUncoveredGain);
+  return IsBetter ? Fraction : Whole;
+}
+
 /// Whether the other engines have about the planned token capacity for all layers of an engine.
 bool isRedundant(const LayeredModel &Model, const PlannedEngine &Engine,
                  const std::vector<double> &Capacities, double Capacity) {
@@ -439,14 +509,9 @@
     // Gaps that only busy or missing engines could cover have to wait; the others are closed.
     GapFiller(Model, Work, Capacity, Held).fill(Plan);
   }
-  for (PlannedEngine &Engine : Work) {
-    const std::uint32_t Size = layerCapacity(Model, *Engine.Kind_, Capacity);
-    if (!Engine.Movable_ || !isEmpty(Engine.Layers_) || Size == 0)
-      continue;
-    Engine.Layers_ = neediestWindow(Model, Work, Size, Capacity);
-    Engine.Movable_ = false;
-    Plan.push_back({Engine.Id_, Engine.Layers_, false});
-  }
+  CopyPlan Copies = bestCopyPlan(Model, Capacity, Work);
+  Work = std::move(Copies.Engines_);
+  Plan.insert(Plan.end(), Copies.Placements_.begin(), Copies.Placements_.end());
   trimSurplusLayers(Model, Capacity, Work, Plan);
   // Only when there is nothing else to order, since each load slows those that close a gap.
   if (Plan.empty())
--- a/Source/Core/Layers/LayoutMetrics.cpp
+++ b/Source/Core/Layers/LayoutMetrics.cpp
@@ -3,6 +3,8 @@
 #include "Core/Layers/PathFinder.h"
 
 #include <algorithm>
+#include <array>
+#include <limits>
 
 namespace rattancart {
 
@@ -124,6 +126,66 @@
   return Spare;
 }
 
+LossEffect lossOfThreeEngines(const LayeredModel &Model,
+                              const std::vector<PlannedEngine> &Engines) {
+  std::vector<int> Copies(Model.Layers_, 0);
+  std::vector<double> Tokens(Model.Layers_, 0);
+  const auto Add = [&](const PlannedEngine &Engine, int Sign) {
+    if (layerCount(Engine) == 0)
+      return;
+    const double FreeMb = Engine.Kind_->MemoryMb_ - layerCount(Engine) * Model.LayerMb_;
+    const double Own = std::max(0.0, FreeMb) / tokenLayerMb(Model) / layerCount(Engine);
+    for (std::uint32_t Layer = Engine.Layers_.Begin_; Layer < Engine.Layers_.End_; ++Layer) {
+      Copies[Layer] += Sign;
+      Tokens[Layer] += Sign * Own;
+    }
+  };
+  for (const PlannedEngine &Engine : Engines)
+    Add(Engine, 1);
+  LossEffect Effect;
+  Effect.LeastTokens_ = std::numeric_limits<double>::max();
+  std::size_t Sets = 0;
+  for (std::size_t A = 0; A < Engines.size(); ++A)
+    for (std::size_t B = A + 1; B < Engines.size(); ++B)
+      for (std::size_t C = B + 1; C < Engines.size(); ++C) {
+        for (const std::size_t Lost : {A, B, C})
+          Add(Engines[Lost], -1);
+        const auto Uncovered =
+            static_cast<std::uint32_t>(std::count(Copies.begin(), Copies.end(), 0));
+        const double Least = Uncovered > 0 ? 0 : *std::min_element(Tokens.begin(), Tokens.end());
+        Effect.MostUncovered_ = std::max(Effect.MostUncovered_, Uncovered);
+        Effect.MeanUncovered_ += Uncovered;
+        Effect.LeastTokens_ = std::min(Effect.LeastTokens_, Least);
+        Effect.MeanLeastTokens_ += Least;
+        ++Sets;
+        for (const std::size_t Lost : {A, B, C})
+          Add(Engines[Lost], 1);
+      }
+  if (Sets == 0)
+    return {};
+  Effect.MeanUncovered_ /= static_cast<double>(Sets);
+  Effect.MeanLeastTokens_ /= static_cast<double>(Sets);
+  return Effect;
+}
+
+double meanUncoveredAfterThreeLosses(const LayeredModel &Model,
+                                     const std::vector<PlannedEngine> &Engines) {
+  if (Engines.size() < 3)
+    return 0;
+  std::vector<std::size_t> Copies(Model.Layers_, 0);
+  for (const PlannedEngine &Engine : Engines)
+    for (std::uint32_t Layer = Engine.Layers_.Begin_; Layer < Engine.Layers_.End_; ++Layer)
+      ++Copies[Layer];
+  const auto Count = static_cast<double>(Engines.size());
+  const double Sets = Count * (Count - 1) * (Count - 2) / 6;
+  // The sets of three that contain all copies of a layer, by the number of copies.
+  const std::array<double, 4> Containing{Sets, (Count - 1) * (Count - 2) / 2, Count - 2, 1};
+  double Uncovered = 0;
+  for (const std::size_t Each : Copies)
+    Uncovered += Each < Containing.size() ? Containing[Each] / Sets : 0;
+  return Uncovered;
+}
+
 std::vector<PlannedEngine> makeBaselineLayout(Baseline Kind, const LayeredModel &Model,
                                               std::vector<PlannedEngine> Engines) {
   std::stable_sort(Engines.begin(), Engines.end(),
--- a/Source/Core/Layers/LayoutMetrics.h
+++ b/Source/Core/Layers/LayoutMetrics.h
@@ -29,6 +29,24 @@
 std::size_t countRedundantEngines(const LayeredModel &Model,
                                   const std::vector<PlannedEngine> &Engines);
 
+/// What remains of a layout after the joint loss of three engines, over all sets of three.
+struct LossEffect {
+  /// Layers that no engine holds any more: in the worst case and on average.
+  std::uint32_t MostUncovered_ = 0;
+  double MeanUncovered_ = 0;
+  /// The least token capacity of a layer, in tokens: in the worst case and on average.
+  double LeastTokens_ = 0;
+  double MeanLeastTokens_ = 0;
+};
+
+/// The effect of a loss of any three engines. Zero if there are fewer. Thread-safe.
+LossEffect lossOfThreeEngines(const LayeredModel &Model, const std::vector<PlannedEngine> &Engines);
+
+/// MeanUncovered_ of lossOfThreeEngines, from the number of copies of each layer alone, so that it
+/// costs little with many engines. Zero if there are fewer than three. Thread-safe.
+double meanUncoveredAfterThreeLosses(const LayeredModel &Model,
+                                     const std::vector<PlannedEngine> &Engines);
+
 /// Simple layouts to compare plans with.
 enum class Baseline : std::uint8_t {
   /// One path of the fastest engines, each with the planned token capacity; the others stay empty.
--- a/Tests/Core/Layers/LayoutMetricsTest.cpp
+++ b/Tests/Core/Layers/LayoutMetricsTest.cpp
@@ -6,6 +6,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include <ostream>
+#include <stdexcept>
+#include <string>
 
 using namespace rattancart;
 using namespace rattancart::test;
@@ -100,3 +102,76 @@
   BOOST_TEST(tokensInFlight(Model, Plan) >= 1.5 * CalmTokens);
   BOOST_TEST(countRedundantEngines(Model, Plan) == Plan.size());
 }
+
+namespace {
+
+/// What a settled layout must keep: tokens in flight, and after the joint loss of any three engines
+/// the layers without an engine, on average and in the worst case, and the mean of the least token
+/// capacity of a layer. Slightly worse than measured.
+struct JointLossCase {
+  const char *Name_;
+  double Tokens_;
+  double MeanUncovered_;
+  std::uint32_t MostUncovered_;
+  double MeanLeastTokens_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const JointLossCase &Case) { return Out << Case.Name_; }
+
+const JointLossCase JointLossCases[] = {
+    {"lockside a", 585'000, 0.018, 10, 284'000},
+    {"lockside b", 702'000, 0.001, 0, 425'000},
+    {"lockside c", 696'000, 0.001, 0, 425'000},
+    {"rhannau a", 517'000, 0.013, 5, 279'000},
+    {"rhannau b", 458'000, 0.047, 5, 229'000},
+    {"rhannau c", 436'000, 0.169, 18, 226'000},
+    {"karratha grown", 407'000, 0.086, 10, 211'000},
+    {"port-hedland grown", 456'000, 0.080, 11, 245'000},
+    {"newman grown", 356'000, 0.215, 10, 178'000},
+    {"suva-a grown", 436'000, 0.169, 18, 226'000},
+    {"nadi-b grown", 519'000, 0.013, 6, 280'000},
+    {"lautoka-c grown", 424'000, 0.062, 10, 239'000},
+    {"port-hedland large", 645'000, 0.002, 7, 372'000},
+    {"onslow large", 645'000, 0.002, 7, 372'000},
+    {"newman large", 541'000, 0.003, 5, 314'000},
+};
+
+const Deployment &findDeployment(const std::string &Name) {
+  for (const auto *List : {&contendedDeployments(), &largeDeployments()})
+    for (const Deployment &Each : *List)
+      if (Name == Each.Name_)
+        return Each;
+  throw std::out_of_range(Name);
+}
+
+} // namespace
+
+// Guards against copies that lie together, so that the joint loss of three engines leaves layers
+// without an engine or with little token capacity.
+BOOST_DATA_TEST_CASE(LayoutsKeepLayersAfterTheJointLossOfThreeEngines, JointLossCases, Case) {
+  const LayeredModel Model = makeModel(80);
+  const auto Plan = settledLayout(Model, makeEngines(Model, findDeployment(Case.Name_)));
+  const double Tokens = tokensInFlight(Model, Plan);
+  const LossEffect Effect = lossOfThreeEngines(Model, Plan);
+  BOOST_TEST_MESSAGE(Case.Name_ << ": " << Tokens << " tokens; after the loss of three engines "
+                                << Effect.MeanUncovered_ << " layers uncovered, at most "
+                                << Effect.MostUncovered_ << ", least token capacity "
+                                << Effect.MeanLeastTokens_ << ", at least " << Effect.LeastTokens_);
+  BOOST_TEST(Tokens >= Case.Tokens_);
+  BOOST_TEST(Effect.MeanUncovered_ <= Case.MeanUncovered_);
+  BOOST_TEST(Effect.MostUncovered_ <= Case.MostUncovered_);
+  BOOST_TEST(Effect.MeanLeastTokens_ >= Case.MeanLeastTokens_);
+  BOOST_TEST(std::abs(meanUncoveredAfterThreeLosses(Model, Plan) - Effect.MeanUncovered_) < 1e-9);
+}
+
+BOOST_AUTO_TEST_CASE(TheLossOfThreeEnginesNeedsThree) {
+  const LayeredModel Model = makeModel(80);
+  std::vector<PlannedEngine> Engines = makeEngines(Model, {"", 80, {{"huge", 2}}, true, true});
+  for (PlannedEngine &Each : Engines)
+    Each.Layers_ = {0, 80};
+  BOOST_TEST(lossOfThreeEngines(Model, Engines).MostUncovered_ == 0U);
+  BOOST_TEST(meanUncoveredAfterThreeLosses(Model, Engines) == 0);
+  Engines.push_back(Engines.front());
+  BOOST_TEST(lossOfThreeEngines(Model, Engines).MostUncovered_ == 80U);
+  BOOST_TEST(meanUncoveredAfterThreeLosses(Model, Engines) == 80);
+}
--- a/Tests/Core/Layers/LossRecoveryTest.cpp
+++ b/Tests/Core/Layers/LossRecoveryTest.cpp
@@ -177,7 +177,7 @@
 
 std::ostream &operator<<(std::ostream &Out, const SiteCase &Case) { return Out << Case.Name_; }
 
-const SiteCase SiteCases[] = {{"lockside", 0, 13.8}, {"rhannau", 3, 12.3}};
+const SiteCase SiteCases[] = {{"lockside", 0, 6.5}, {"rhannau", 3, 12.3}};
 
 constexpr Duration Downtime = 3s;
 /// The token capacity counts as restored from this share of the one before the loss on.
