--- a/Source/Core/Layers/PlacementController.cpp
+++ b/Source/Core/Layers/PlacementController.cpp
@@ -1,5 +1,7 @@
 #include "Core/Layers/PlacementController.h"
 
+#include "Core/Layers/LoadShare.h"
+
 #include <algorithm>
 
 namespace rattancart {
@@ -32,7 +34,7 @@
 
 bool PlacementController::isSettled(const Pending &Order, const EndpointRecord &Record,
                                     TimePoint Now) const {
-  if (Record.Listing_.Run_ != Order.Run_)
+  if (Record.Listing_.Run_ != Order.Run_ || Record.addressInDoubt())
     return true;
   if (Order.AnsweredAt_ == TimePoint{})
     return false;
@@ -41,6 +43,9 @@
   case OrderOutcome::Accepted:
     if (Newer && !Record.Report_.Busy_ && Record.Report_.Layers_ == Order.Target_)
       return true;
+    // An order of another owner followed, so the engine won't show the target of this one.
+    if (Newer && Record.Report_.Orders_ > Order.ExpectedOrders_ + 1)
+      return true;
     return Now - Order.AnsweredAt_ > LoadTimeout;
   case OrderOutcome::Unknown:
     if (!Newer)
@@ -53,7 +58,8 @@
 }
 
 bool PlacementController::isUsable(const EndpointRecord &Record, TimePoint Now) const {
-  if (Record.Listing_.State_ != EndpointState::Live || Record.silent(Now))
+  if (Record.Listing_.State_ != EndpointState::Live || Record.silent(Now) ||
+      Record.addressInDoubt())
     return false;
   // While it carries out an order, an engine refuses requests that it can't run at the time.
   const bool Ordered = Pending_.contains(Record.Listing_.Id_) || Record.Report_.Busy_;
@@ -86,6 +92,22 @@
   return Engine;
 }
 
+std::size_t PlacementController::copiesAtOnce(const LayeredModel &Model, const ServiceId &Service,
+                                              const PlacementScope &Scope,
+                                              const EndpointRoster &Roster, TimePoint Now) const {
+  std::map<DataCenterId, std::size_t> Demand;
+  for (const auto &[Id, Record] : Roster.all()) {
+    const EngineKind *Kind = Model.kind(Record.Listing_.Kind_);
+    if (Record.Listing_.Service_ != Service || !isUsable(Record, Now) || !Kind ||
+        Kind->MemoryMb_ < Model.LayerMb_)
+      continue;
+    const LayerRange Layers = Record.layersOf(Model);
+    const bool Loading = Pending_.contains(Id) || (Record.reported() && Record.Report_.Busy_);
+    Demand[Record.Listing_.DataCenter_] += Loading || Layers.Begin_ >= Layers.End_ ? 1 : 0;
+  }
+  return loadsAtOnce(Model.ConcurrentLoads_, Scope.DataCenters_, Scope.DataCenter_, Demand);
+}
+
 std::vector<PlacementOrder> PlacementController::tick(const LayeredModel &Model,
                                                       const ServiceId &Service,
                                                       const PlacementScope &Scope,
@@ -114,8 +136,7 @@
   if (waitsForMoreEngines(Engines, Now))
     return Orders;
   // Orders that fill no gap wait while many loads run, since each further load slows all of them.
-  const std::size_t CopiesAtOnce = std::max<std::size_t>(
-      1, Model.ConcurrentLoads_ / std::max<std::size_t>(1, Scope.DataCenters_));
+  const std::size_t CopiesAtOnce = copiesAtOnce(Model, Service, Scope, Roster, Now);
   for (const LayerPlacement &Placement : planLayers(Model, Engines)) {
     if (!Placement.FillsGap_ && Loading >= CopiesAtOnce)
       continue;
@@ -136,6 +157,10 @@
   const auto Found = Pending_.find(Order.Engine_);
   if (Found == Pending_.end())
     return;
+  if (Outcome == OrderOutcome::WrongEndpoint) {
+    Pending_.erase(Found);
+    return;
+  }
   Found->second.AnsweredAt_ = Now;
   Found->second.Outcome_ = Outcome;
   if (Outcome == OrderOutcome::Fenced)
