Memory estimate: count what the other gateways send at the same time

Cause: gateways choose by the same lagging reports, so after a loss all of them resume their streams at the same instant at the same engines, which reject what does not fit. Each rejection takes a retry from the budget that the broken streams need.

Change: what this gateway sends to an engine on average, times the number of gateways and the rise of its own sends in the last 100 ms, is the most that the others may have sent since the last report. A random part of it counts as memory in use, unless the engine has room for all of it.

Ruled out as trials: peak growth of the reports as the margin, a choice by exponential race in proportion to free memory (no gain on its own, little on top), one random draw a report instead of one a request, a margin raised with each rejection, windows of 30 and 400 ms for the rise.

--- a/Source/Core/Layers/PathChooser.cpp
+++ b/Source/Core/Layers/PathChooser.cpp
@@ -11,6 +11,9 @@
 constexpr double HomeFreeShare = 0.35;
 /// Copies of a layer whose costs differ by less than this factor share the requests.
 constexpr double MaxRandomFactor = 1.5;
+/// An engine has memory to spare if all gateways together are not expected to use more than this
+/// part of it before its next report.
+constexpr double SpareMemoryShare = 0.9;
 
 /// Whether an engine with the first layer may be the first of a path.
 bool canBegin(const std::vector<StageCandidate> &Candidates) {
@@ -66,6 +69,13 @@
   return Found;
 }
 
+void PathChooser::addConcurrentSends(StageCandidate &Engine, std::mt19937 &Random,
+                                     TimePoint Now) const {
+  const double Most = Roster_.concurrentSends(*Roster_.find(Engine.Id_), Now);
+  if (Engine.UsedTokenLayers_ + Most > SpareMemoryShare * Engine.TotalTokenLayers_)
+    Engine.UsedTokenLayers_ += std::uniform_real_distribution<double>(0, Most)(Random);
+}
+
 PathChoice PathChooser::choose(const LayeredModel &Model, const ServiceId &Service,
                                const PathDemand &Demand, const PathConstraints &Limits,
                                std::mt19937 &Random, TimePoint Now) const {
@@ -76,8 +86,10 @@
     PathChoice Here;
     Here.DataCenter_ = DataCenter;
     auto Candidates = candidates(Model, Service, DataCenter, Limits, Now, Here.OldestReport_);
-    for (StageCandidate &Each : Candidates)
+    for (StageCandidate &Each : Candidates) {
       Each.RandomFactor_ = std::uniform_real_distribution<double>(1, MaxRandomFactor)(Random);
+      addConcurrentSends(Each, Random, Now);
+    }
     if (!holdWholeModel(Model, Candidates))
       continue;
     Here.Path_ = findPath(Model, Candidates, Demand);
--- a/Source/Core/Layers/PathChooser.h
+++ b/Source/Core/Layers/PathChooser.h
@@ -68,6 +68,10 @@
                                          const DataCenterId &DataCenter,
                                          const PathConstraints &Limits, TimePoint Now,
                                          Duration &OldestReport) const;
+  /// Adds a random part of what the other gateways may have sent to the engine to its memory use,
+  /// unless it has memory to spare. If they could all fill it, each of them thus chooses it only
+  /// with a probability that leaves it filled, not overfilled.
+  void addConcurrentSends(StageCandidate &Engine, std::mt19937 &Random, TimePoint Now) const;
   std::vector<DataCenterId> dataCenters(const ServiceId &Service) const;
 
   const EndpointRoster &Roster_;
--- a/Source/Core/Serving/EndpointRoster.cpp
+++ b/Source/Core/Serving/EndpointRoster.cpp
@@ -201,6 +201,7 @@
 void EndpointRoster::noteSent(const EndpointId &Id, double TokenLayers, TimePoint Now) {
   if (const auto It = Records_.find(Id); It != Records_.end())
     It->second.Memory_.onSent(TokenLayers, Now);
+  ConcurrentSends_.onSent(TokenLayers, Now);
 }
 
 void EndpointRoster::addOwnLoad(const EndpointId &Id, int Requests, double TokenLayers) {
@@ -213,6 +214,10 @@
   Record.OwnTokenLayers_ = std::max(0.0, Record.OwnTokenLayers_ + TokenLayers);
 }
 
+double EndpointRoster::concurrentSends(const EndpointRecord &Record, TimePoint Now) const {
+  return Record.reported() ? ConcurrentSends_.factor(Now) * Record.Memory_.averageSends(Now) : 0;
+}
+
 bool EndpointRoster::takesWork(const EndpointRecord &Record, TimePoint Now) const {
   return Record.Listing_.State_ == EndpointState::Live && !Record.gone(Now) &&
          !Record.silent(Now) && !Record.declines(Now);
--- a/Source/Core/Serving/EndpointRoster.h
+++ b/Source/Core/Serving/EndpointRoster.h
@@ -2,6 +2,7 @@
 
 #include "Core/Common/Clock.h"
 #include "Core/Membership/Endpoint.h"
+#include "Core/Serving/ConcurrentSendEstimate.h"
 #include "Core/Serving/EngineMemoryEstimate.h"
 #include "Core/Serving/ServingConfig.h"
 
@@ -160,6 +161,15 @@
   /// numbers as negative ones.
   void addOwnLoad(const EndpointId &Id, int Requests, double TokenLayers);
 
+  /// Sets the number of gateways that may run at the same time; nothing if it is not known.
+  /// Precondition: not 0.
+  void setGateways(std::optional<std::uint32_t> Gateways) {
+    ConcurrentSends_.setGateways(Gateways);
+  }
+  /// The most memory, in tokens times layers, that the other gateways are expected to need at the
+  /// engine for requests that its last report does not show; 0 if their number is not known.
+  double concurrentSends(const EndpointRecord &Record, TimePoint Now) const;
+
   /// Whether new work may be sent to the endpoint.
   bool takesWork(const EndpointRecord &Record, TimePoint Now) const;
 
@@ -170,6 +180,7 @@
 
 private:
   std::map<EndpointId, EndpointRecord> Records_;
+  ConcurrentSendEstimate ConcurrentSends_;
 };
 
 } // namespace rattancart
--- a/Source/Core/Serving/EngineMemoryEstimate.cpp
+++ b/Source/Core/Serving/EngineMemoryEstimate.cpp
@@ -36,6 +36,7 @@
   while (!Sent_.empty() && Now - Sent_.front().At_ > MaxExtrapolation + ReportLag)
     Sent_.pop_front();
   Sent_.push_back({Now, TokenLayers});
+  SendRate_.add(TokenLayers, Now);
 }
 
 void EngineMemoryEstimate::onRefused(double TokenLayers, TimePoint Now) {
@@ -50,9 +51,16 @@
   return Sum;
 }
 
+Duration EngineMemoryEstimate::stateAge(TimePoint Now) const {
+  return std::min(Now - MeasuredAt_ + ReportLag, MaxExtrapolation);
+}
+
+double EngineMemoryEstimate::averageSends(TimePoint Now) const {
+  return SendRate_.perSecond(Now) * Seconds(stateAge(Now)).count();
+}
+
 double EngineMemoryEstimate::used(TimePoint Now) const {
-  const Duration Age = std::min(Now - MeasuredAt_ + ReportLag, MaxExtrapolation);
-  const double Grown = GrowthPerSecond_ * Seconds(Age).count();
+  const double Grown = GrowthPerSecond_ * Seconds(stateAge(Now)).count();
   double Used = Used_ + std::max(Grown, sentSince(MeasuredAt_ - ReportLag));
   const bool Refused = RefusedAt_ != TimePoint{} && Now - RefusedAt_ < RefusalLifetime &&
                        MeasuredAt_ < RefusedAt_ + ReportLag;
--- a/Source/Core/Serving/EngineMemoryEstimate.h
+++ b/Source/Core/Serving/EngineMemoryEstimate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Common/Clock.h"
+#include "Core/Serving/DecayingRate.h"
 
 #include <deque>
 
@@ -24,6 +25,9 @@
 
   /// The memory that is probably in use now; 0 without a report.
   double used(TimePoint Now) const;
+  /// The memory that the requests of this process need on average that it sends in the time that
+  /// the last report does not show.
+  double averageSends(TimePoint Now) const;
 
 private:
   struct Sent {
@@ -31,6 +35,8 @@
     double TokenLayers_;
   };
 
+  /// Age of the state that the last report shows, as far as it is extrapolated.
+  Duration stateAge(TimePoint Now) const;
   double sentSince(TimePoint Since) const;
 
   double Used_ = 0;
@@ -40,6 +46,8 @@
   double GrowthPerSecond_ = 0;
   /// Requests that the last report may not show, oldest first.
   std::deque<Sent> Sent_;
+  /// Follows a change of the paths, such as the loss of another copy of the layers, within seconds.
+  DecayingRate SendRate_{std::chrono::milliseconds(1500)};
   double RefusedTokenLayers_ = 0;
   TimePoint RefusedAt_{};
 };
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -242,6 +242,7 @@
             {"doubt", Count.UnknownReason_.empty() ? "-" : Count.UnknownReason_}});
   Retries_.setProcesses(Count.Gateways_);
   Limiter_.setGateways(Count.Gateways_);
+  Roster_.setGateways(Count.Gateways_);
 }
 
 void GatewayProcess::measureLoopDelay() {
