--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -207,7 +207,8 @@
     Context_.Metrics_.count("repeats_total", "allowed");
     return true;
   }
-  logRetry(LogEvent::RepeatDenied, Cause, Now);
+  if (LoggedDenials_.insert(Cause).second)
+    logRetry(LogEvent::RepeatDenied, Cause, Now);
   Context_.Metrics_.count("repeats_total", "denied");
   return false;
 }
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -8,7 +8,9 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <string_view>
 
 namespace rattancart {
 
@@ -106,7 +108,7 @@
   /// each endpoint that the request would be sent to. A lower priority value is preferred.
   bool tryAdmit(const EndpointRecord &Endpoint, std::uint32_t Priority);
   /// Takes one retry from the retry budget of the service; false if the budget is spent. Cause is
-  /// written to the log.
+  /// written to the log, a denial only once for each cause. Precondition: Cause is a literal.
   bool tryTakeRetry(std::string_view Cause);
   ForwardOptions forwardOptions() const;
   void logRetry(LogEvent Outcome, std::string_view Cause, TimePoint Now);
@@ -127,6 +129,8 @@
   /// Whether the endpoint's limit still lets an attempt be handed over that was admitted long ago.
   bool mayHandOverLate(const Attempt &Sent);
 
+  /// Causes for which a denied retry has been logged. A waiting stream asks every few tens of ms.
+  std::set<std::string_view> LoggedDenials_;
   /// The last retry that was taken from the retry budget.
   std::optional<TimePoint> RetryTakenAt_;
   Timer DeadlineTimer_;
--- a/Tests/Gateway/LateSendTest.cpp
+++ b/Tests/Gateway/LateSendTest.cpp
@@ -93,3 +93,22 @@
     BOOST_TEST(Each.Handler_.inFlight() == 0U);
   }
 }
+
+// A stream that looks for a path asks for a retry every few tens of ms.
+BOOST_AUTO_TEST_CASE(ADeniedRetryIsLoggedOnceForEachRequestAndCountedEachTime) {
+  OneRequest Each;
+  Each.Engines_.head(0, 200);
+  Each.Engines_.body(0, events(1, 2));
+  while (Each.Retries_.tryRetry(Brief, Each.Time_.now()))
+    ;
+  Each.Engines_.end(0, ErrorCode::ConnectionClosed);
+  for (int Round = 0; Round < 20; ++Round) {
+    Each.Time_.advance(50ms);
+    Each.Handler_.tick();
+  }
+  BOOST_TEST(Each.Log_.count(LogEvent::RepeatDenied) == 1U);
+  const std::string Metrics = Each.Metrics_.prometheusText("");
+  BOOST_TEST(Metrics.find("repeats_total{") != std::string::npos);
+  BOOST_TEST(Metrics.find("\"denied\"} 1\n") == std::string::npos, Metrics);
+  BOOST_TEST(Metrics.find("\"denied\"}") != std::string::npos, Metrics);
+}
--- a/Tests/Gateway/ScriptedRequest.h
+++ b/Tests/Gateway/ScriptedRequest.h
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -164,11 +165,24 @@
   return Text;
 }
 
+/// Counts log lines by event.
+class CountingLogger final : public Logger {
+public:
+  void log(LogEvent Event, std::initializer_list<LogField>) override { ++Counts_[Event]; }
+  std::size_t count(LogEvent Event) const {
+    const auto Found = Counts_.find(Event);
+    return Found == Counts_.end() ? 0 : Found->second;
+  }
+
+private:
+  std::map<LogEvent, std::size_t> Counts_;
+};
+
 /// A gateway with three engines that each hold the whole model, and one request.
 struct OneRequest {
   ManualClock Time_;
   boost::asio::io_context Loop_;
-  NullLogger Log_;
+  CountingLogger Log_;
   MetricSet Metrics_;
   ScriptedEngines Engines_;
   SimulatedEngineProtocol Protocol_;
