A part of the retries can be kept for requests that lost their engine

Cause: a rejected request that is sent again takes a retry of the shared budget. Change: RetryShare::tryRetry gets the purpose of a retry. Plain calls are sent again as before. A stream that has begun, or whose caller resumes it, counts as lost also if the next engine rejects it. Tests: with 10 retries and half of them kept, 5 go to rejected requests and 5 stay (table in RetryShareTest); red without, as is ARejectedStreamLeavesTheKeptRetriesToStreamsThatLostTheirEngine.

--- a/Source/Core/Recovery/RetryShare.cpp
+++ b/Source/Core/Recovery/RetryShare.cpp
@@ -116,8 +116,17 @@
          extraLeft(Found->second, Now);
 }
 
-bool RetryShare::tryRetry(const ServiceId &Service, TimePoint Now) {
-  if (left(Service, Now) < 1)
+bool RetryShare::mayRetry(const ServiceId &Service, TimePoint Now, RetryPurpose Purpose) const {
+  const double Left = left(Service, Now);
+  if (Left < 1)
+    return false;
+  if (Purpose == RetryPurpose::AfterLoss || Options_.KeptForLost_ <= 0)
+    return true;
+  return Left - 1 >= Options_.KeptForLost_ * (Left + spent(Service, Now));
+}
+
+bool RetryShare::tryRetry(const ServiceId &Service, TimePoint Now, RetryPurpose Purpose) {
+  if (!mayRetry(Service, Now, Purpose))
     return false;
   Ring &Known = Rings_[Service];
   Slot &Current = currentSlot(Known, Now);
--- a/Source/Core/Recovery/RetryShare.h
+++ b/Source/Core/Recovery/RetryShare.h
@@ -16,6 +16,18 @@
   /// Additional retries that all processes together may send in one window.
   double Extra_ = 100;
   Duration Window_ = std::chrono::seconds(10);
+  /// The part of what a process may retry in a window that only requests which lost their engine
+  /// may take. From 0 to 1.
+  double KeptForLost_ = 0;
+};
+
+/// Why a request is sent again.
+enum class RetryPurpose : std::uint8_t {
+  /// It may have run, and its engine or connection was lost, failed or is slow. All plain calls are
+  /// sent again for this purpose.
+  AfterLoss,
+  /// An engine rejected it before it ran.
+  AfterRejection,
 };
 
 /// Keeps the retries of all processes within a common budget without communication between them.
@@ -34,6 +46,10 @@
 /// The extra retries are used only while the number of processes is known, and not in the first
 /// window of a process: the retries of the process that it replaces are not known, but count too.
 ///
+/// A part of the retries can be kept for requests that lost their engine. Requests that an engine
+/// rejected can wait or be refused without harm; a stream that has begun is cut if there is no
+/// retry left for it.
+///
 /// Prevents retry storms after a loss: when many streams break at once, retries beyond the budget
 /// are refused so that they don't take the capacity of first sends. Not thread-safe.
 class RetryShare {
@@ -49,8 +65,11 @@
   std::optional<std::uint32_t> processes() const { return Processes_; }
   /// Counts the first send of a request to a service.
   void onFirstSend(const ServiceId &Service, TimePoint Now);
-  /// Whether a retry is left in the window; takes it if so.
-  bool tryRetry(const ServiceId &Service, TimePoint Now);
+  /// Whether a retry for that purpose is left in the window; takes it if so.
+  bool tryRetry(const ServiceId &Service, TimePoint Now,
+                RetryPurpose Purpose = RetryPurpose::AfterLoss);
+  /// Whether tryRetry would take a retry.
+  bool mayRetry(const ServiceId &Service, TimePoint Now, RetryPurpose Purpose) const;
   /// The number of retries taken in the window.
   std::uint32_t spent(const ServiceId &Service, TimePoint Now) const;
   /// The number of retries left in the window.
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -99,6 +99,7 @@
   Sent->SentAt_ = Context_.Time_.now();
   Sent->Expected_ = Routed_.Caller_.Id_;
   Sent->RetryTakenAt_ = RetryTakenAt_;
+  Sent->RetryPurpose_ = RetryPurpose_;
   Sent->Protocol_ = &Context_.Protocol_;
   // With 421, another endpoint answers that took over the address.
   Sent->InfoHandler_ = [this, Raw = Sent.get(), Run = Endpoint.run()](const ResponseInfo &Info) {
@@ -190,7 +191,7 @@
   if (!Sent.RetryTakenAt_)
     return true;
   const Duration Age = Context_.Time_.now() - *Sent.RetryTakenAt_;
-  if (Age > PermissionLifetime && !tryTakeRetry("late"))
+  if (Age > PermissionLifetime && !tryTakeRetry("late", Sent.RetryPurpose_))
     return false;
   Context_.Log_.log(LogEvent::RepeatHandedOver, {{"id", Routed_.Caller_.Id_.str()},
                                                  {"endpoint", Sent.Endpoint_.str()},
@@ -199,17 +200,20 @@
   return true;
 }
 
-bool Exchange::tryTakeRetry(std::string_view Cause) {
+bool Exchange::tryTakeRetry(std::string_view Cause, RetryPurpose Purpose) {
   const TimePoint Now = Context_.Time_.now();
-  if (Context_.Retries_.tryRetry(Routed_.Service_->Id_, Now)) {
+  if (Context_.Retries_.tryRetry(Routed_.Service_->Id_, Now, Purpose)) {
     RetryTakenAt_ = Now;
+    RetryPurpose_ = Purpose;
     logRetry(LogEvent::RepeatAllowed, Cause, Now);
     Context_.Metrics_.count("repeats_total", "allowed");
     return true;
   }
   if (LoggedDenials_.insert(Cause).second)
     logRetry(LogEvent::RepeatDenied, Cause, Now);
-  Context_.Metrics_.count("repeats_total", "denied");
+  // Left for requests that lost their engine.
+  const bool Kept = Context_.Retries_.mayRetry(Routed_.Service_->Id_, Now, RetryPurpose::AfterLoss);
+  Context_.Metrics_.count("repeats_total", Kept ? "kept" : "denied");
   return false;
 }
 
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -39,6 +39,7 @@
   TimePoint SentAt_{};
   /// When the retry budget allowed the send; nothing for the first send of a request.
   std::optional<TimePoint> RetryTakenAt_;
+  RetryPurpose RetryPurpose_ = RetryPurpose::AfterLoss;
   HttpResponse Head_;
   ResponseInfo Info_;
   bool HeadSeen_ = false;
@@ -109,7 +110,7 @@
   bool tryAdmit(const EndpointRecord &Endpoint, std::uint32_t Priority);
   /// Takes one retry from the retry budget of the service; false if the budget is spent. Cause is
   /// written to the log, a denial only once for each cause. Precondition: Cause is a literal.
-  bool tryTakeRetry(std::string_view Cause);
+  bool tryTakeRetry(std::string_view Cause, RetryPurpose Purpose = RetryPurpose::AfterLoss);
   ForwardOptions forwardOptions() const;
   void logRetry(LogEvent Outcome, std::string_view Cause, TimePoint Now);
   void logSend(const EndpointId &Endpoint, std::string_view Detail);
@@ -133,6 +134,7 @@
   std::set<std::string_view> LoggedDenials_;
   /// The last retry that was taken from the retry budget.
   std::optional<TimePoint> RetryTakenAt_;
+  RetryPurpose RetryPurpose_ = RetryPurpose::AfterLoss;
   Timer DeadlineTimer_;
   Ended OnEnded_;
   bool Ended_ = false;
--- a/Source/Gateway/GatewaySettings.cpp
+++ b/Source/Gateway/GatewaySettings.cpp
@@ -36,6 +36,8 @@
   Settings.Retries_.Extra_ = Retries.real("extra", Settings.Retries_.Extra_, 0, 1e6);
   Settings.Retries_.Window_ =
       Retries.duration("window", Settings.Retries_.Window_, {milliseconds(100), hours(1)});
+  Settings.Retries_.KeptForLost_ =
+      Retries.real("kept-for-lost", Settings.Retries_.KeptForLost_, 0, 1);
   Retries.reportUnknownFields();
 
   YamlSection Answers = Root.section("answers");
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -125,7 +125,7 @@
     Context_.OnNoPathAtHome_();
   if (!Choice.Path_)
     return false;
-  if (Again && !tryTakeRetry(ResumeCause_.empty() ? "not_run" : ResumeCause_)) {
+  if (Again && !tryTakeRetry(ResumeCause_.empty() ? "not_run" : ResumeCause_, retryPurpose())) {
     BudgetSpent_ = true;
     return false;
   }
@@ -163,6 +163,12 @@
   return true;
 }
 
+RetryPurpose StreamExchange::retryPurpose() const {
+  const bool MayHaveRun =
+      Started_ || MayHaveRun_ || !ResumeCause_.empty() || Routed_.Caller_.LastEvent_;
+  return MayHaveRun ? RetryPurpose::AfterLoss : RetryPurpose::AfterRejection;
+}
+
 void StreamExchange::logShortage(std::string_view Outcome) {
   const PathDemand Demand = demand();
   Context_.Log_.log(LogEvent::NoPath, {{"id", Routed_.Caller_.Id_.str()},
--- a/Source/Gateway/StreamExchange.h
+++ b/Source/Gateway/StreamExchange.h
@@ -37,6 +37,9 @@
   /// False if there is no path, or no budget to send the request again.
   bool sendOnPath(bool Again);
   bool resend();
+  /// What the next send would be a retry for. A stream that was rejected on its way to another path
+  /// has lost its engine all the same.
+  RetryPurpose retryPurpose() const;
   /// Retries to find another path for a stream that lost its own.
   void tryResume(TimePoint Now);
   void logShortage(std::string_view Outcome);
--- a/Tests/Core/Recovery/RetryShareTest.cpp
+++ b/Tests/Core/Recovery/RetryShareTest.cpp
@@ -127,6 +127,52 @@
   BOOST_TEST(Share.left(Service, Start + 30s) == 9);
 }
 
+namespace {
+
+/// Retries that a process with 10 in the window may take after rejections, then after losses, and
+/// again after rejections.
+struct KeptCase {
+  const char *Name_;
+  double Kept_;
+  /// Retries after losses before any other.
+  int LossesFirst_;
+  int Rejections_;
+  int Losses_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const KeptCase &Case) { return Out << Case.Name_; }
+
+const KeptCase KeptCases[] = {
+    {"nothing kept", 0, 0, 10, 0},
+    {"half kept", 0.5, 0, 5, 5},
+    {"half kept, some lost before", 0.5, 3, 2, 5},
+    {"half kept, half lost before", 0.5, 5, 0, 5},
+    {"a fifth kept", 0.2, 0, 8, 2},
+    {"all kept", 1, 0, 0, 10},
+};
+
+} // namespace
+
+// Guards against streams that are cut since rejected requests have spent the retries.
+BOOST_DATA_TEST_CASE(RetriesAreKeptForRequestsThatLostTheirEngine, KeptCases, Case) {
+  RetryShare Share({0, 100, 10s, Case.Kept_}, LongAgo);
+  Share.setProcesses(9);
+  const auto Take = [&](RetryPurpose Purpose, int Most) {
+    int Taken = 0;
+    while (Taken < Most && Share.tryRetry(Service, Start, Purpose))
+      ++Taken;
+    return Taken;
+  };
+  BOOST_TEST(Share.left(Service, Start) == 10, boost::test_tools::tolerance(1e-9));
+  BOOST_TEST(Take(RetryPurpose::AfterLoss, Case.LossesFirst_) == Case.LossesFirst_);
+  BOOST_TEST(Take(RetryPurpose::AfterRejection, 100) == Case.Rejections_);
+  BOOST_TEST(!Share.mayRetry(Service, Start, RetryPurpose::AfterRejection));
+  BOOST_TEST(Take(RetryPurpose::AfterLoss, 100) == Case.Losses_);
+  // Once the window has passed, rejected requests may be sent again.
+  BOOST_TEST(Share.mayRetry(Service, Start + 11s, RetryPurpose::AfterRejection) ==
+             (Case.Kept_ < 1));
+}
+
 BOOST_AUTO_TEST_CASE(AllProcessesTogetherKeepTheBudgetInEveryWindow) {
   constexpr int Processes = 5;
   constexpr double Ratio = 0.2;
--- a/Tests/Gateway/LateSendTest.cpp
+++ b/Tests/Gateway/LateSendTest.cpp
@@ -112,3 +112,29 @@
   BOOST_TEST(Metrics.find("\"denied\"} 1\n") == std::string::npos, Metrics);
   BOOST_TEST(Metrics.find("\"denied\"}") != std::string::npos, Metrics);
 }
+
+// A rejected stream doesn't take the retries that are kept for streams that lost their engine.
+BOOST_AUTO_TEST_CASE(ARejectedStreamLeavesTheKeptRetriesToStreamsThatLostTheirEngine) {
+  for (const bool Begun : {false, true}) {
+    OneRequest Each;
+    Each.Retries_.setOptions({0.2, 100, 10s, /*KeptForLost=*/1}, Each.Time_.now());
+    if (Begun) {
+      Each.Engines_.head(0, 200);
+      Each.Engines_.body(0, events(1, 2));
+      Each.Engines_.end(0, ErrorCode::ConnectionClosed);
+      BOOST_REQUIRE(Each.Engines_.sends() == 2U);
+      // It has lost its engine, also if the next one rejects it.
+      Each.Engines_.refuse(1);
+      BOOST_TEST(Each.Engines_.sends() == 3U);
+      continue;
+    }
+    Each.Engines_.refuse(0);
+    BOOST_TEST(Each.Engines_.sends() == 1U);
+    BOOST_TEST(Each.Retries_.spent(Brief, Each.Time_.now()) == 0U);
+    for (int Round = 0; Round < 200; ++Round) {
+      Each.Time_.advance(25ms);
+      Each.Handler_.tick();
+    }
+    BOOST_TEST(Each.Caller_->Status_ == 503U);
+  }
+}
