StreamPlacement is taken out of StreamExchange

Change: Gateway/StreamPlacement holds them, with the limits of the path, the queue's ticket and the reason of a shortage. RoutedRequest knows its priority. No change of behaviour.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -17,6 +17,11 @@
 
 } // namespace
 
+std::uint32_t RoutedRequest::priority() const {
+  const std::uint32_t Own = Route_->Priority_;
+  return Customer_ ? Customer_->Priority_.value_or(Own) : Own;
+}
+
 HeadDecision Attempt::onHead(const HttpResponse &Head) {
   if (!Live_)
     return HeadDecision::Abort;
@@ -86,11 +91,6 @@
   return Options;
 }
 
-std::uint32_t Exchange::priority() const {
-  const std::uint32_t Own = Routed_.Route_->Priority_;
-  return Routed_.Customer_ ? Routed_.Customer_->Priority_.value_or(Own) : Own;
-}
-
 AttemptPtr Exchange::send(const EndpointRecord &Endpoint, ForwardOptions Options, ConnectionUse Use,
                           Duration ConnectTimeout,
                           std::function<void(const AttemptPtr &, const HttpResult &)> Done) {
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -26,6 +26,9 @@
   /// Null on public routes.
   const ServingCustomer *Customer_ = nullptr;
   TimePoint ArrivedAt_{};
+
+  /// The customer's priority if it has one, otherwise the route's.
+  std::uint32_t priority() const;
 };
 
 /// One send of a request to an endpoint.
@@ -101,8 +104,7 @@
   void refuse(std::uint32_t Status, ErrorCode Reason, std::optional<Duration> RetryAfter);
   /// Ends the exchange: logs the outcome and calls the callback given to the constructor.
   void finish(std::string_view Outcome);
-  /// The customer's priority if it has one, otherwise the route's.
-  std::uint32_t priority() const;
+  std::uint32_t priority() const { return Routed_.priority(); }
   /// Time until the deadline of the request.
   Duration timeLeft() const;
   /// Whether the limit that the endpoint names lets the request be sent to it. Call it once for
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -34,24 +34,9 @@
 /// Range of the Retry-After when the engines lack free memory, which ending streams release.
 constexpr Duration MinMemoryRetryAfter = milliseconds(400);
 constexpr Duration MaxMemoryRetryAfter = milliseconds(1500);
-/// A request that waits for a path is not offered again for this long to an engine whose limit left
-/// no room for it. Each offer counts as demand there.
-constexpr Duration LimitRetryInterval = milliseconds(400);
 /// A request after which this many engines ended as they began to answer it is not sent again.
 constexpr std::uint32_t MaxEngineEndsAtStart = 2;
 
-const char *shortageName(PathShortage Shortage) {
-  switch (Shortage) {
-  case PathShortage::NoFreeMemory:
-    return "room";
-  case PathShortage::LimitReached:
-    return "limit";
-  case PathShortage::NoWholeModel:
-    break;
-  }
-  return "layers";
-}
-
 std::string pathText(const LayerPath &Path) {
   std::string Text;
   for (const PathStage &Stage : Path.Stages_)
@@ -62,67 +47,22 @@
 
 } // namespace
 
-PathDemand StreamExchange::demand() const {
-  const CallerRequest &Caller = Routed_.Caller_;
-  const LayeredModel &Model = *Routed_.Service_->Model_;
-  double Answer = Caller.ExpectedAnswerTokens_.value_or(Model.MeanAnswerTokens_);
-  if (Caller.MaxAnswerTokens_ > 0)
-    Answer = std::min(Answer, Caller.MaxAnswerTokens_);
-  const double Prompt = Caller.PromptTokens_ > 0 ? Caller.PromptTokens_ : Model.MeanPromptTokens_;
-  return {Prompt, std::max(1.0, Answer)};
-}
-
 void StreamExchange::begin() {
   LastEvent_ = Routed_.Caller_.LastEvent_;
   if (quarantinedPart())
     return refuseWithoutPath();
   // Requests that are already queued go first.
-  const bool OthersWait = Context_.AdmissionQueue_.size() > 0;
-  Shortage_ = PathShortage::NoFreeMemory;
-  if (OthersWait && enterQueue())
+  if (Placement_.enterQueueBehindOthers())
     return;
-  if (!sendOnPath(/*Again=*/false) && !enterQueue())
+  if (!sendOnPath(/*Again=*/false) && !Placement_.enterQueue())
     refuseWithoutPath();
 }
 
-void StreamExchange::limitFirstEngines() {
-  const TimePoint Now = Context_.Time_.now();
-  // An engine that was lost does not count towards the limit; one that left as planned does.
-  const auto Counted = std::count_if(RanAt_.begin(), RanAt_.end(), [&](const EndpointId &Engine) {
-    const EndpointRecord *Record = Context_.Roster_.find(Engine);
-    return !Record || Record->Listing_.State_ != EndpointState::Live || !Record->lost(Now);
-  });
-  const bool Limited = Counted >= static_cast<std::ptrdiff_t>(Routed_.Route_->MaxAttempts_);
-  Limits_.AllowedFirstEngines_ = Limited ? RanAt_ : std::set<EndpointId>();
-}
-
-PathChoice StreamExchange::chooseAdmittedPath(const PathDemand &Demand, TimePoint Now) {
-  if (Now >= LimitedUntil_)
-    Limits_.LimitedFirstEngines_.clear();
-  while (true) {
-    PathChoice Choice = Context_.Paths_.choose(*Routed_.Service_->Model_, Routed_.Service_->Id_,
-                                               Demand, Limits_, Context_.Random_, Now);
-    if (!Choice.Path_)
-      return Choice;
-    const EndpointRecord *First = Context_.Roster_.find(Choice.Path_->Stages_.front().Engine_);
-    // A stream that has begun goes first.
-    if (tryAdmit(*First, Started_ ? 0 : priority()))
-      return Choice;
-    Limits_.LimitedFirstEngines_.insert(First->Listing_.Id_);
-    LimitedUntil_ = Now + LimitRetryInterval;
-  }
-}
-
 bool StreamExchange::sendOnPath(bool Again) {
-  limitFirstEngines();
   const TimePoint Now = Context_.Time_.now();
-  const PathDemand Demand = demand();
-  PathChoice Choice = chooseAdmittedPath(Demand, Now);
-  Shortage_ = Choice.Shortage_;
-  Bottleneck_ = Choice.Bottleneck_;
+  // A stream that has begun goes first.
+  PathChoice Choice = Placement_.choose(Started_ ? 0 : priority(), Now);
   BudgetSpent_ = false;
-  if (Choice.DataCenter_ != Context_.Home_ && Context_.OnNoPathAtHome_)
-    Context_.OnNoPathAtHome_();
   if (!Choice.Path_)
     return false;
   if (Again && !tryTakeRetry(ResumeCause_.empty() ? "not_run" : ResumeCause_, retryPurpose())) {
@@ -130,25 +70,20 @@
     return false;
   }
   keepAttempt();
-  Path_ = std::move(*Choice.Path_);
-  ReservedTokens_ = Demand.PromptTokens_ + Demand.AnswerTokens_;
+  Path_ = Placement_.reserve(std::move(*Choice.Path_), Now);
 
   ForwardOptions Options = forwardOptions();
   Options.LastEvent_ = LastEvent_;
-  for (const PathStage &Stage : Path_.Stages_) {
-    const EndpointRecord *Engine = Context_.Roster_.find(Stage.Engine_);
-    Options.Path_.push_back({Engine->Listing_.Address_, Stage.Layers_});
-    const double TokenLayers = ReservedTokens_ * (Stage.Layers_.End_ - Stage.Layers_.Begin_);
-    Context_.Roster_.addOwnLoad(Stage.Engine_, 1, TokenLayers);
-    Context_.Roster_.noteSent(Stage.Engine_, TokenLayers, Now);
-  }
+  for (const PathStage &Stage : Path_.Stages_)
+    Options.Path_.push_back(
+        {Context_.Roster_.find(Stage.Engine_)->Listing_.Address_, Stage.Layers_});
   Events_.reset();
   BytesSinceEvent_ = 0;
   FailureBody_.clear();
   FailureComplete_ = false;
   Monitor_.recordSent(Now);
-  FirstSendToEngine_ = RanAt_.insert(Path_.Stages_.front().Engine_).second;
   const EndpointRecord *First = Context_.Roster_.find(Path_.Stages_.front().Engine_);
+  FirstSendToEngine_ = Placement_.addFirstEngine(First->Listing_.Id_);
   Attempt_ =
       send(*First, std::move(Options), Sends_ == 0 ? ConnectionUse::Pooled : ConnectionUse::Fresh,
            ConnectTimeout,
@@ -169,67 +104,26 @@
   return MayHaveRun ? RetryPurpose::AfterLoss : RetryPurpose::AfterRejection;
 }
 
-void StreamExchange::logShortage(std::string_view Outcome) {
-  const PathDemand Demand = demand();
-  Context_.Log_.log(LogEvent::NoPath, {{"id", Routed_.Caller_.Id_.str()},
-                                       {"shortage", shortageName(Shortage_)},
-                                       {"tokens", Demand.PromptTokens_ + Demand.AnswerTokens_},
-                                       {"layer", Bottleneck_.Layer_},
-                                       {"engine", Bottleneck_.Engine_.str()},
-                                       {"free", Bottleneck_.FreeTokens_},
-                                       {"used", Bottleneck_.UsedTokens_},
-                                       {"avoided", Limits_.ExcludedEngines_.size()},
-                                       {"waiting", Context_.AdmissionQueue_.size()},
-                                       {"outcome", Outcome}});
-}
-
-bool StreamExchange::enterQueue() {
-  if (Shortage_ != PathShortage::NoFreeMemory)
-    return false;
-  const TimePoint Now = Context_.Time_.now();
-  const PathDemand Demand = demand();
-  const AdmissionTicket Ticket = Context_.NextTicket_;
-  Context_.NextTicket_ = Ticket.next();
-  const CustomerId Customer = Routed_.Customer_ ? Routed_.Customer_->Id_ : CustomerId();
-  if (!Context_.AdmissionQueue_.tryEnqueue(
-          Ticket, Customer, PriorityClass(static_cast<PriorityClass::RepType>(priority())),
-          Demand.PromptTokens_ + Demand.AnswerTokens_, Now))
-    return false;
-  Ticket_ = Ticket;
-  WaitUntil_ = Now + Context_.AdmissionQueue_.options().MaxWait_;
-  logShortage("waits");
-  return true;
-}
-
 void StreamExchange::tryQueued(TimePoint Now) {
-  const Duration Waited = Now - (WaitUntil_ - Context_.AdmissionQueue_.options().MaxWait_);
-  if (Context_.AdmissionQueue_.isNext(*Ticket_, Now) && sendOnPath(/*Again=*/false)) {
-    Context_.Metrics_.observe("queue_wait_seconds", "sent", Waited);
-    return leaveQueue();
-  }
-  if (Now < WaitUntil_ && Shortage_ != PathShortage::LimitReached)
+  if (Placement_.isNext(Now) && sendOnPath(/*Again=*/false))
+    return Placement_.leaveQueue("sent", Now);
+  if (!Placement_.isWaitOver(Now))
     return;
-  Context_.Metrics_.observe("queue_wait_seconds", "refused", Waited);
-  leaveQueue();
+  Placement_.leaveQueue("refused", Now);
   refuseWithoutPath();
 }
 
-void StreamExchange::leaveQueue() {
-  if (const auto Ticket = std::exchange(Ticket_, std::nullopt))
-    Context_.AdmissionQueue_.remove(*Ticket);
-}
-
 void StreamExchange::refuseWithoutPath() {
   if (const auto Quarantined = quarantinedPart())
     return refuse(503, ErrorCode::PromptQuarantined, Quarantined->Remaining_);
   if (BudgetSpent_)
     return refuse(503, ErrorCode::RetryBudgetSpent,
                   randomDuration(MinMemoryRetryAfter, MaxMemoryRetryAfter));
-  logShortage("refused");
-  if (Shortage_ == PathShortage::LimitReached)
+  Placement_.logShortage("refused");
+  if (Placement_.shortage() == PathShortage::LimitReached)
     return refuse(503, ErrorCode::EndpointsLimited,
                   randomDuration(MinMemoryRetryAfter, MaxMemoryRetryAfter));
-  const bool LacksMemory = Shortage_ == PathShortage::NoFreeMemory;
+  const bool LacksMemory = Placement_.shortage() == PathShortage::NoFreeMemory;
   refuse(503, LacksMemory ? ErrorCode::Overloaded : ErrorCode::NoChain,
          LacksMemory ? randomDuration(MinMemoryRetryAfter, MaxMemoryRetryAfter)
                      : randomDuration(MinPathRetryAfter, MaxPathRetryAfter));
@@ -333,7 +227,7 @@
     const EndpointRecord *Engine = Context_.Roster_.find(Stage.Engine_);
     if (Engine && Engine->Listing_.Address_ == *Attempt_->Info_.FaultyEngine_)
       Context_.Roster_.noteMemoryRefusal(
-          Stage.Engine_, ReservedTokens_ * (Stage.Layers_.End_ - Stage.Layers_.Begin_),
+          Stage.Engine_, Path_.Tokens_ * (Stage.Layers_.End_ - Stage.Layers_.Begin_),
           Context_.Time_.now());
   }
 }
@@ -345,7 +239,7 @@
     returnToKept();
   }
   noteMemoryRefusal();
-  releaseReservation(Path_, ReservedTokens_);
+  Placement_.release(Path_);
   if (ended())
     return;
   FailureComplete_ = !Result.Error_;
@@ -373,7 +267,7 @@
   const bool NotRun = !Result.BytesHandedOver_ || Attempt_->Info_.NotRun_;
   noteFailure(Result);
   if (NotRun && FirstSendToEngine_)
-    RanAt_.erase(Attempt_->Endpoint_);
+    Placement_.removeFirstEngine(Attempt_->Endpoint_);
   if (Kept_) {
     MayHaveRun_ = MayHaveRun_ || !NotRun;
     returnToKept();
@@ -384,14 +278,14 @@
 void StreamExchange::onKeptFailure(const HttpResult &Result) {
   const Attempt &Sent = *Kept_->Attempt_;
   logFailure(Sent, Result);
-  Limits_.ExcludedEngines_.insert(Sent.Endpoint_);
+  Placement_.exclude(Sent.Endpoint_);
   if (endedAtStart(Sent))
     checkCrashedEngine(Sent.Endpoint_);
   const bool NotRun = !Result.BytesHandedOver_ || Sent.Info_.NotRun_;
   MayHaveRun_ = MayHaveRun_ || !NotRun;
   if (NotRun && Kept_->FirstSendToEngine_ && Sent.Endpoint_ != Attempt_->Endpoint_)
-    RanAt_.erase(Sent.Endpoint_);
-  releaseReservation(Kept_->Path_, Kept_->ReservedTokens_);
+    Placement_.removeFirstEngine(Sent.Endpoint_);
+  Placement_.release(Kept_->Path_);
   Kept_.reset();
 }
 
@@ -405,7 +299,7 @@
     // The named engine may be lost, short of memory, or about to leave; its report shows which.
     if (const EndpointRecord *Engine =
             Context_.Roster_.findByAddress(*Attempt_->Info_.FaultyEngine_)) {
-      Limits_.ExcludedEngines_.insert(Engine->Listing_.Id_);
+      Placement_.exclude(Engine->Listing_.Id_);
       if (Attempt_->Info_.NotRun_)
         noteRefusal(*Engine);
       Context_.Health_.check({Engine->Listing_.Id_}, Attempt_->SentAt_,
@@ -413,7 +307,7 @@
       return;
     }
   }
-  Limits_.ExcludedEngines_.insert(First);
+  Placement_.exclude(First);
   if (endedAtStart(*Attempt_))
     checkCrashedEngine(First);
   else if (Result.Error_)
@@ -523,7 +417,8 @@
   return attemptIsLive() &&
          std::none_of(Path_.Stages_.begin(), Path_.Stages_.end(), [&](const PathStage &Stage) {
            const auto *Engine = Context_.Roster_.find(Stage.Engine_);
-           // An engine that has left the list serves on for a while.
+           // An engine that has left the list serves on for a
+           // while.
            return Engine && Engine->lost(Now);
          });
 }
@@ -586,7 +481,7 @@
   // An engine that has not begun the answer yet would crash too.
   if (quarantinedPart())
     return giveUp();
-  if (Ticket_)
+  if (Placement_.waits())
     return tryQueued(Now);
   if (ResumeUntil_)
     return tryResume(Now);
@@ -657,7 +552,8 @@
 }
 
 void StreamExchange::leavePath(const std::vector<EndpointId> &Lost, std::string_view Cause) {
-  Limits_.ExcludedEngines_.insert(Lost.begin(), Lost.end());
+  for (const EndpointId &Engine : Lost)
+    Placement_.exclude(Engine);
   // The engine may answer again, so the path is kept until there is another one.
   if (!ResumeUntil_)
     continueElsewhere(true, Cause);
@@ -668,7 +564,7 @@
     return;
   MayHaveRun_ = true;
   cancelAttempt(Attempt_);
-  releaseReservation(Path_, ReservedTokens_);
+  Placement_.release(Path_);
 }
 
 void StreamExchange::keepAttempt() {
@@ -676,20 +572,15 @@
     return endAttempt();
   if (!attemptIsLive())
     return;
-  Kept_ = KeptAttempt{Attempt_,
-                      std::exchange(Path_, {}),
-                      std::exchange(ReservedTokens_, 0),
-                      FirstSendToEngine_,
-                      std::move(Events_),
-                      BytesSinceEvent_,
-                      std::exchange(FailureBody_, {})};
+  Kept_ =
+      KeptAttempt{Attempt_,           std::exchange(Path_, {}), FirstSendToEngine_,
+                  std::move(Events_), BytesSinceEvent_,         std::exchange(FailureBody_, {})};
 }
 
 void StreamExchange::returnToKept() {
   endAttempt();
   Attempt_ = std::move(Kept_->Attempt_);
   Path_ = std::move(Kept_->Path_);
-  ReservedTokens_ = Kept_->ReservedTokens_;
   FirstSendToEngine_ = Kept_->FirstSendToEngine_;
   Events_ = std::move(Kept_->Events_);
   BytesSinceEvent_ = Kept_->BytesSinceEvent_;
@@ -703,7 +594,7 @@
     return;
   MayHaveRun_ = true;
   cancelAttempt(Kept_->Attempt_);
-  releaseReservation(Kept_->Path_, Kept_->ReservedTokens_);
+  Placement_.release(Kept_->Path_);
   Kept_.reset();
 }
 
@@ -715,18 +606,8 @@
                      {"events", Monitor_.events()}});
 }
 
-void StreamExchange::releaseReservation(LayerPath &Path, double &ReservedTokens) {
-  if (!Path.Stages_.empty())
-    Context_.AdmissionQueue_.onMemoryFreed(Context_.Time_.now());
-  for (const PathStage &Stage : Path.Stages_)
-    Context_.Roster_.addOwnLoad(Stage.Engine_, -1,
-                                -ReservedTokens * (Stage.Layers_.End_ - Stage.Layers_.Begin_));
-  ReservedTokens = 0;
-  Path = {};
-}
-
 void StreamExchange::cancelAttempts() {
-  leaveQueue();
+  Placement_.leaveQueue();
   endKept();
   endAttempt();
 }
--- a/Source/Gateway/StreamExchange.h
+++ b/Source/Gateway/StreamExchange.h
@@ -2,9 +2,8 @@
 
 #include "Core/Recovery/StreamMonitor.h"
 #include "Core/Serving/EventSplitter.h"
-#include "Gateway/Exchange.h"
+#include "Gateway/StreamPlacement.h"
 
-#include <set>
 #include <vector>
 
 namespace rattancart {
@@ -28,12 +27,6 @@
   std::string endDetail() const override;
 
 private:
-  PathDemand demand() const;
-  /// Once as many engines as the route allows may have run the request, only these may be the first
-  /// engine of a path.
-  void limitFirstEngines();
-  /// Chooses a path whose first engine's limit leaves room for the request.
-  PathChoice chooseAdmittedPath(const PathDemand &Demand, TimePoint Now);
   /// False if there is no path, or no budget to send the request again.
   bool sendOnPath(bool Again);
   bool resend();
@@ -42,11 +35,7 @@
   RetryPurpose retryPurpose() const;
   /// Retries to find another path for a stream that lost its own.
   void tryResume(TimePoint Now);
-  void logShortage(std::string_view Outcome);
-  /// Queues the request until a path has enough free memory; false if none is expected in time.
-  bool enterQueue();
   void tryQueued(TimePoint Now);
-  void leaveQueue();
   void refuseWithoutPath();
   void onHead();
   /// Whether the response of the attempt, whose head has arrived, is a stream of events that may be
@@ -110,15 +99,12 @@
   void leavePath(const std::vector<EndpointId> &Lost, std::string_view Cause);
   /// Engines of the path that, by the report of its first engine, keep it waiting.
   std::vector<EndpointId> stalledEngines() const;
-  /// Gives back the memory that an attempt reserved on the engines of its path.
-  void releaseReservation(LayerPath &Path, double &ReservedTokens);
   void complete();
 
   /// An attempt on a path that the stream would leave, while another path is tried.
   struct KeptAttempt {
     AttemptPtr Attempt_;
-    LayerPath Path_;
-    double ReservedTokens_ = 0;
+    ReservedPath Path_;
     bool FirstSendToEngine_ = false;
     EventSplitter Events_;
     std::size_t BytesSinceEvent_ = 0;
@@ -127,14 +113,13 @@
 
   /// The newest attempt.
   AttemptPtr Attempt_;
-  LayerPath Path_;
-  double ReservedTokens_ = 0;
+  ReservedPath Path_;
   /// Set only while the newest attempt is under way and has delivered no event.
   std::optional<KeptAttempt> Kept_;
-  /// Engines that the path must avoid, and engines that it may start at.
-  PathConstraints Limits_;
-  /// Engines that the request was sent to and that may have run it.
-  std::set<EndpointId> RanAt_;
+  StreamPlacement Placement_{Context_, Routed_,
+                             [this](const EndpointRecord &Engine, std::uint32_t Priority) {
+                               return tryAdmit(Engine, Priority);
+                             }};
   /// The last attempt was the first one at its engine.
   bool FirstSendToEngine_ = false;
   EventSplitter Events_;
@@ -155,12 +140,6 @@
   TimePoint NextResumeAt_{};
   /// Resumes although all engines of the path answered.
   std::uint32_t UnexplainedResumes_ = 0;
-  PathShortage Shortage_ = PathShortage::NoWholeModel;
-  BottleneckLayer Bottleneck_;
-  /// Until then the engines in Limits_.LimitedFirstEngines_ are not asked again.
-  TimePoint LimitedUntil_{};
-  std::optional<AdmissionTicket> Ticket_;
-  TimePoint WaitUntil_{};
   std::string FailureBody_;
   /// The last attempt ended with a complete response.
   bool FailureComplete_ = false;
--- /dev/null
+++ b/Source/Gateway/StreamPlacement.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "Gateway/Exchange.h"
+
+#include <functional>
+#include <optional>
+#include <set>
+#include <string_view>
+
+namespace rattancart {
+
+/// A path of engines with the memory that is reserved on it.
+struct ReservedPath : LayerPath {
+  /// Memory on each engine, in tokens over the layers that the path uses there.
+  double Tokens_ = 0;
+};
+
+/// Finds engines for one stream: chooses a path, waits in the admission queue if no path has free
+/// memory, and reserves memory on the path that is used. Not thread-safe.
+class StreamPlacement {
+public:
+  /// Whether the limit that an endpoint names lets the request be sent to it. Called once for each
+  /// endpoint that the request would be sent to. A lower priority value is preferred.
+  using Admit = std::function<bool(const EndpointRecord &, std::uint32_t Priority)>;
+
+  /// Precondition: Context and Routed outlive the placement.
+  StreamPlacement(GatewayContext &Context, const RoutedRequest &Routed, Admit MayUse)
+      : Context_(Context), Routed_(Routed), MayUse_(std::move(MayUse)) {}
+
+  /// The memory and time that the request is expected to need.
+  PathDemand demand() const;
+  /// Chooses a path whose first engine's limit leaves room for the request; records why there is
+  /// none. A lower priority value is preferred by limits.
+  PathChoice choose(std::uint32_t Priority, TimePoint Now);
+  /// Reserves the memory of the request on the engines of a path.
+  ReservedPath reserve(LayerPath Path, TimePoint Now);
+  /// Gives back the memory that was reserved on the engines of a path.
+  void release(ReservedPath &Reserved);
+
+  /// The path must avoid this engine from now on.
+  void exclude(const EndpointId &Engine) { Limits_.ExcludedEngines_.insert(Engine); }
+  /// Records that the request is sent to an engine, which may run it. Returns whether it is the
+  /// first time.
+  bool addFirstEngine(const EndpointId &Engine) { return RanAt_.insert(Engine).second; }
+  /// The engine did not run the request.
+  void removeFirstEngine(const EndpointId &Engine) { RanAt_.erase(Engine); }
+
+  /// Why the last choice found no path.
+  PathShortage shortage() const { return Shortage_; }
+  void logShortage(std::string_view Outcome) const;
+
+  /// Queues the request if other requests wait; false if none do, or no memory is expected in time.
+  bool enterQueueBehindOthers();
+  /// Queues the request until a path has enough free memory; false if it lacks something else, or
+  /// no memory is expected in time.
+  bool enterQueue();
+  bool waits() const { return Ticket_.has_value(); }
+  /// Whether the request, which waits, is to be placed next.
+  bool isNext(TimePoint Now);
+  /// Whether the request has waited for as long as it may, or waiting no longer helps.
+  bool isWaitOver(TimePoint Now) const;
+  /// Leaves the queue, if the request waits.
+  void leaveQueue();
+  /// Leaves the queue after a wait that ended in this way.
+  void leaveQueue(std::string_view Outcome, TimePoint Now);
+
+private:
+  /// Once as many engines as the route allows may have run the request, only these may be the first
+  /// engine of a path.
+  void limitFirstEngines(TimePoint Now);
+  PathChoice chooseAdmitted(std::uint32_t Priority, TimePoint Now);
+
+  GatewayContext &Context_;
+  const RoutedRequest &Routed_;
+  Admit MayUse_;
+  /// Engines that the path must avoid, and engines that it may start at.
+  PathConstraints Limits_;
+  /// Engines that the request was sent to and that may have run it.
+  std::set<EndpointId> RanAt_;
+  PathShortage Shortage_ = PathShortage::NoWholeModel;
+  BottleneckLayer Bottleneck_;
+  /// Until then the engines in Limits_.LimitedFirstEngines_ are not asked again.
+  TimePoint LimitedUntil_{};
+  std::optional<AdmissionTicket> Ticket_;
+  TimePoint WaitUntil_{};
+};
+
+} // namespace rattancart
