--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -17,6 +17,11 @@
 
 } // namespace
 
+std::uint32_t RoutedRequest::priority() const {
+  const std::uint32_t Own = Route_->Priority_;
+  return Customer_ ? Customer_->Priority_.value_or(Own) : Own;
+}
+
 HeadDecision Attempt::onHead(const HttpResponse &Head) {
   if (!Live_)
     return HeadDecision::Abort;
@@ -86,11 +91,6 @@
   return Options;
 }
 
-std::uint32_t Exchange::priority() const {
-  const std::uint32_t Own = Routed_.Route_->Priority_;
-  return Routed_.Customer_ ? Routed_.Customer_->Priority_.value_or(Own) : Own;
-}
-
 AttemptPtr Exchange::send(const EndpointRecord &Endpoint, ForwardOptions Options, ConnectionUse Use,
                           Duration ConnectTimeout,
                           std::function<void(const AttemptPtr &, const HttpResult &)> Done) {
@@ -99,6 +99,7 @@
   Sent->SentAt_ = Context_.Time_.now();
   Sent->Expected_ = Routed_.Caller_.Id_;
   Sent->RetryTakenAt_ = RetryTakenAt_;
+  Sent->RetryPurpose_ = RetryPurpose_;
   Sent->Protocol_ = &Context_.Protocol_;
   Sent->InfoHandler_ = [this, Raw = Sent.get(), SentTo = Endpoint.Listing_, Run = Endpoint.run()] {
     onResponseInfo(*Raw, SentTo, Run);
@@ -207,7 +208,7 @@
   if (!Sent.RetryTakenAt_)
     return true;
   const Duration Age = Context_.Time_.now() - *Sent.RetryTakenAt_;
-  if (Age > PermissionLifetime && !tryTakeRetry("late"))
+  if (Age > PermissionLifetime && !tryTakeRetry("late", Sent.RetryPurpose_))
     return false;
   Context_.Log_.log(LogEvent::RepeatHandedOver, {{"id", Routed_.Caller_.Id_.str()},
                                                  {"endpoint", Sent.Endpoint_.str()},
@@ -216,16 +217,20 @@
   return true;
 }
 
-bool Exchange::tryTakeRetry(std::string_view Cause) {
+bool Exchange::tryTakeRetry(std::string_view Cause, RetryPurpose Purpose) {
   const TimePoint Now = Context_.Time_.now();
-  if (Context_.Retries_.tryRetry(Routed_.Service_->Id_, Now)) {
+  if (Context_.Retries_.tryRetry(Routed_.Service_->Id_, Now, Purpose)) {
     RetryTakenAt_ = Now;
+    RetryPurpose_ = Purpose;
     logRetry(LogEvent::RepeatAllowed, Cause, Now);
     Context_.Metrics_.count("repeats_total", "allowed");
     return true;
   }
-  logRetry(LogEvent::RepeatDenied, Cause, Now);
-  Context_.Metrics_.count("repeats_total", "denied");
+  if (LoggedDenials_.insert(Cause).second)
+    logRetry(LogEvent::RepeatDenied, Cause, Now);
+  // Left for requests that lost their engine.
+  const bool Kept = Context_.Retries_.mayRetry(Routed_.Service_->Id_, Now, RetryPurpose::AfterLoss);
+  Context_.Metrics_.count("repeats_total", Kept ? "kept" : "denied");
   return false;
 }
 
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -8,7 +8,9 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <string_view>
 
 namespace rattancart {
 
@@ -24,6 +26,9 @@
   /// Null on public routes.
   const ServingCustomer *Customer_ = nullptr;
   TimePoint ArrivedAt_{};
+
+  /// The customer's priority if it has one, otherwise the route's.
+  std::uint32_t priority() const;
 };
 
 /// One send of a request to an endpoint.
@@ -37,6 +42,7 @@
   TimePoint SentAt_{};
   /// When the retry budget allowed the send; nothing for the first send of a request.
   std::optional<TimePoint> RetryTakenAt_;
+  RetryPurpose RetryPurpose_ = RetryPurpose::AfterLoss;
   HttpResponse Head_;
   ResponseInfo Info_;
   bool HeadSeen_ = false;
@@ -100,16 +106,15 @@
   void refuse(std::uint32_t Status, ErrorCode Reason, std::optional<Duration> RetryAfter);
   /// Ends the exchange: logs the outcome and calls the callback given to the constructor.
   void finish(std::string_view Outcome);
-  /// The customer's priority if it has one, otherwise the route's.
-  std::uint32_t priority() const;
+  std::uint32_t priority() const { return Routed_.priority(); }
   /// Time until the deadline of the request.
   Duration timeLeft() const;
   /// Whether the limit that the endpoint names lets the request be sent to it. Call it once for
   /// each endpoint that the request would be sent to. A lower priority value is preferred.
   bool tryAdmit(const EndpointRecord &Endpoint, std::uint32_t Priority);
   /// Takes one retry from the retry budget of the service; false if the budget is spent. Cause is
-  /// written to the log.
-  bool tryTakeRetry(std::string_view Cause);
+  /// written to the log, a denial only once for each cause. Precondition: Cause is a literal.
+  bool tryTakeRetry(std::string_view Cause, RetryPurpose Purpose = RetryPurpose::AfterLoss);
   ForwardOptions forwardOptions() const;
   void logRetry(LogEvent Outcome, std::string_view Cause, TimePoint Now);
   void logSend(const EndpointId &Endpoint, std::string_view Detail);
@@ -132,8 +137,11 @@
   /// Whether the endpoint's limit still lets an attempt be handed over that was admitted long ago.
   bool mayHandOverLate(const Attempt &Sent);
 
+  /// Causes for which a denied retry has been logged. A waiting stream asks every few tens of ms.
+  std::set<std::string_view> LoggedDenials_;
   /// The last retry that was taken from the retry budget.
   std::optional<TimePoint> RetryTakenAt_;
+  RetryPurpose RetryPurpose_ = RetryPurpose::AfterLoss;
   Timer DeadlineTimer_;
   Ended OnEnded_;
   bool Ended_ = false;
