Measure how long a data centre takes to recover from lost engines

Cause: nothing told how long a data centre without some of its layers took to a whole path and to its token capacity of before.

Change: RecoveryTracker follows the engines of the home data centre at the owner of the placement. LayersLost, ModelWholeAgain and RecoveryEnded are logged once each; whole_model_seconds and token_capacity_seconds measure the times by data centre. A new owner begins without a recovery, since it may not have heard of all engines yet.

--- a/Source/Gateway/PlacementCoordinator.cpp
+++ b/Source/Gateway/PlacementCoordinator.cpp
@@ -130,6 +130,7 @@
   Use_.StateBroadcast_.setOwner(Fence);
   if (Before.has_value() == Fence.has_value())
     return;
+  Recoveries_.clear();
   Use_.Log_.log(Fence ? LogEvent::DutyGained : LogEvent::DutyLost,
                 {{"data_center", Home_.str()},
                  {"fence", Fence ? Fence->value() : Before->value()},
@@ -187,6 +188,7 @@
   for (const ServingService &Service : Config->config().Services_) {
     if (!Service.Model_)
       continue;
+    trackRecovery(*Service.Model_, Service.Id_);
     auto HoldingModel = Use_.Paths_.dataCentersHoldingModel(*Service.Model_, Service.Id_, Now);
     std::erase(HoldingModel, Home_);
     const PlacementScope Scope{Home_, DataCenters_, HoldingModel.size()};
@@ -196,6 +198,52 @@
   }
 }
 
+void PlacementCoordinator::trackRecovery(const LayeredModel &Model, const ServiceId &Service) {
+  const auto Millis = [](Duration Time) { return Time / milliseconds(1); };
+  const std::string &DataCenter = Home_.str();
+  for (const RecoveryEvent &Each :
+       Recoveries_[Service].update(Model, Service, Home_, Use_.Roster_, Use_.Time_.now())) {
+    switch (Each.Kind_) {
+    case RecoveryEvent::Kind::Lost:
+      Use_.Metrics_.count("placement_losses_total", DataCenter);
+      Use_.Log_.log(LogEvent::LayersLost, {{"data_center", DataCenter},
+                                           {"service", Service.str()},
+                                           {"engines", Each.Engines_},
+                                           {"whole", static_cast<int>(Each.Tokens_ > 0)},
+                                           {"tokens_before", Each.TokensBefore_},
+                                           {"tokens", Each.Tokens_}});
+      break;
+    case RecoveryEvent::Kind::Whole:
+      Use_.Log_.log(LogEvent::ModelWholeAgain, {{"data_center", DataCenter},
+                                                {"service", Service.str()},
+                                                {"engines", Each.Engines_},
+                                                {"after_ms", Millis(Each.Since_)},
+                                                {"tokens_before", Each.TokensBefore_},
+                                                {"tokens", Each.Tokens_}});
+      break;
+    case RecoveryEvent::Kind::Restored:
+    case RecoveryEvent::Kind::GivenUp:
+      const bool Restored = Each.Kind_ == RecoveryEvent::Kind::Restored;
+      if (Each.WholeAfter_)
+        Use_.Metrics_.observe("whole_model_seconds", DataCenter, *Each.WholeAfter_);
+      if (Restored)
+        Use_.Metrics_.observe("token_capacity_seconds", DataCenter, Each.Since_);
+      else
+        Use_.Metrics_.count("recoveries_given_up_total", DataCenter);
+      Use_.Log_.log(LogEvent::RecoveryEnded,
+                    {{"data_center", DataCenter},
+                     {"service", Service.str()},
+                     {"engines", Each.Engines_},
+                     {"restored", static_cast<int>(Restored)},
+                     {"whole_ms", Each.WholeAfter_ ? Millis(*Each.WholeAfter_) : -1},
+                     {"after_ms", Millis(Each.Since_)},
+                     {"tokens_before", Each.TokensBefore_},
+                     {"tokens", Each.Tokens_}});
+      break;
+    }
+  }
+}
+
 void PlacementCoordinator::send(const PlacementOrder &Order) {
   Use_.Log_.log(LogEvent::LayersOrdered, {{"engine", Order.Engine_.str()},
                                           {"from", Order.Layers_.Begin_},
--- a/Source/Gateway/PlacementCoordinator.h
+++ b/Source/Gateway/PlacementCoordinator.h
@@ -3,6 +3,7 @@
 #include "Core/Common/Logger.h"
 #include "Core/Layers/PathChooser.h"
 #include "Core/Layers/PlacementController.h"
+#include "Core/Layers/RecoveryTracker.h"
 #include "Core/Serving/ServingIndex.h"
 #include "Gateway/EndpointProtocol.h"
 #include "Gateway/EngineProber.h"
@@ -14,6 +15,8 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <map>
+
 namespace rattancart {
 
 /// Joins the group in which the store assigns the placement of the home data centre to one gateway.
@@ -61,6 +64,8 @@
   void poll();
   void onPolled();
   void updatePlacement();
+  /// Logs and counts the steps of the recovery from a loss of engines.
+  void trackRecovery(const LayeredModel &Model, const ServiceId &Service);
   void send(const PlacementOrder &Order);
   /// Another endpoint, which has the engine's address now, refused the order.
   void onAddressTaken(const PlacementOrder &Order, Incarnation ListedRun);
@@ -69,6 +74,7 @@
   DataCenterId Home_;
   std::size_t DataCenters_;
   PlacementController Controller_;
+  std::map<ServiceId, RecoveryTracker> Recoveries_;
   Timer JoinTimer_;
   Timer PollTimer_;
   FencingNumber Generation_{0};
