--- a/Tests/Core/Layers/RecoveryTrackerTest.cpp
+++ b/Tests/Core/Layers/RecoveryTrackerTest.cpp
@@ -106,7 +106,7 @@
   Site At;
   Case.Lose_(At);
   const auto Events = At.update(100ms);
-  BOOST_TEST(Events.size() == (Case.IsLoss_ ? 1U : 0U));
+  BOOST_REQUIRE(Events.size() == (Case.IsLoss_ ? 1U : 0U));
   if (!Case.IsLoss_)
     return;
   BOOST_TEST((Events[0].Kind_ == Kind::Lost));
