Split EngineStateBroadcast into codec, socket and subscriptions

Cause: EngineStateBroadcast (730 lines) held the encoding of datagrams, the socket, the bookkeeping of owners and subscribers, and what is published; a second kind of relayed message would have had to be added to it.

Change: DatagramCodec converts between core types and datagrams, DatagramSocket sends, receives and relays, StateSubscriptions knows owners, subscribers and stand-ins. EngineStateBroadcast keeps what is published and what becomes of what arrives. GatewayProcess owns the socket. No change of behaviour; no datagram changes.

--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -88,6 +88,7 @@
   EngineMemoryQueue AdmissionQueue_;
   PromptQuarantine Quarantine_;
   EndpointLimiter Limiter_;
+  DatagramSocket Datagrams_;
   EngineStateBroadcast StateBroadcast_;
   PlacementCoordinator PlacementCoordinator_;
   GatewayContext Context_;
