Decide which gateways read the store, and what others take over from them

Change: Core/Membership/ListRelay decides who reads (the placement owner and the first stand-ins), which changes of the list a reader publishes for which positions of its log, what a receiver takes over, when its next own read is due, and when a long read of the configuration is given up. EndpointListing moves to Core/Membership.

So readers publish a digest of all entries, and a receiver that differs lists anew.

--- /dev/null
+++ b/Source/Core/Membership/ListRelay.cpp
@@ -0,0 +1,215 @@
+#include "Core/Membership/ListRelay.h"
+
+#include <algorithm>
+
+namespace rattancart {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A reader reads this many times as often as a gateway alone. So receivers hear of a read of the
+/// list before their own is due, also if it waited in the store for half of the time; and they hear
+/// of a configuration in time also if the store answers the reader only at the end of its wait and
+/// some announcements are lost.
+constexpr int ReaderRate = 2;
+/// Each gateway reads the list itself at intervals in this range, so that a faulty reader misleads
+/// it no longer. Random, so that receivers whose reads were due together don't stay together.
+constexpr Duration MinOwnReadInterval = milliseconds(8000);
+constexpr Duration MaxOwnReadInterval = milliseconds(10000);
+/// Minimum time between two reads if one did not reach the end of the log.
+constexpr Duration MinReadSpacing = milliseconds(200);
+/// Range of the time between two listings that a gateway makes since a reader knows other entries.
+/// It doubles each time, since the reader may be the one that is wrong.
+constexpr Duration MinListingBackoff = milliseconds(5000);
+constexpr Duration MaxListingBackoff = milliseconds(60000);
+/// Entries that agreed for this long since the last listing were right.
+constexpr Duration AgreedTime = milliseconds(60000);
+/// How long the store holds a receiver's read of the configuration.
+constexpr Duration LongConfigWait = milliseconds(10000);
+/// An announcement of the configuration's end counts for this long at most.
+constexpr Duration MaxAnnouncementLifetime = milliseconds(1000);
+/// The store answers a waiting read within this time after a record was written.
+constexpr Duration AnswerTime = milliseconds(300);
+
+} // namespace
+
+std::vector<std::string> storeReaders(const std::string &Owner,
+                                      const std::vector<std::string> &StandIns, std::size_t Count) {
+  if (Count == 0 || Owner.empty())
+    return {};
+  std::vector<std::string> Readers{Owner};
+  bool Others = false;
+  for (const std::string &Each : StandIns) {
+    if (Each == Owner)
+      continue;
+    if (Readers.size() < Count)
+      Readers.push_back(Each);
+    else
+      Others = true;
+  }
+  return Others ? Readers : std::vector<std::string>();
+}
+
+ListRelay::ListRelay(Options Use, std::mt19937::result_type Seed)
+    : Options_(Use), Random_(Seed), OwnReadInterval_(MinOwnReadInterval) {}
+
+void ListRelay::onListEntry(const EndpointId &Id, const std::optional<EndpointListing> &Listing) {
+  Journal_.learn(Id, Listing);
+}
+
+void ListRelay::onListed(ListPosition Position, TimePoint ReadAt) {
+  Journal_.restart(Position);
+  PublishedReadAt_.reset();
+  KnownAt_ = ReadAt;
+  OwnReadAt_ = ReadAt;
+  Diverged_ = false;
+}
+
+void ListRelay::onListRecord(ListPosition Offset, const EndpointId &Id,
+                             const std::optional<EndpointListing> &Listing) {
+  Journal_.onRecord(Offset, Id, Listing);
+}
+
+void ListRelay::onListRead(ListPosition Position, ListPosition End, TimePoint ReadAt) {
+  OwnReadAt_ = ReadAt;
+  OwnReadInterval_ = Duration(std::uniform_int_distribution<Duration::rep>(
+      MinOwnReadInterval.count(), MaxOwnReadInterval.count())(Random_));
+  if (Position < End)
+    return;
+  KnownAt_ = std::max(KnownAt_, ReadAt);
+  Journal_.onReadToEnd(End, ReadAt);
+  PublishedReadAt_ = ReadAt;
+}
+
+TimePoint ListRelay::listReadDue(Duration Interval) const {
+  if (Role_ == StoreRole::Reader && Trusted_)
+    return OwnReadAt_ + std::min(Interval, Options_.ListInterval_ / ReaderRate);
+  if (isReceiving())
+    return std::max(std::min(KnownAt_ + Interval, OwnReadAt_ + OwnReadInterval_),
+                    OwnReadAt_ + MinReadSpacing);
+  return OwnReadAt_ + Interval;
+}
+
+ListReadCause ListRelay::listReadCause() const {
+  return Role_ == StoreRole::Receiver ? ListReadCause::Due : ListReadCause::Own;
+}
+
+Duration ListRelay::listWait(Duration Usual) const {
+  if (Role_ != StoreRole::Reader)
+    return Usual;
+  return std::min(Usual, Options_.ListInterval_ / ReaderRate / 2);
+}
+
+SpanOutcome ListRelay::accept(const ListSpan &Span, TimePoint ReadAt, ListPosition Position,
+                              TimePoint Now, std::vector<ListChange> &Changes) {
+  if (!isReceiving())
+    return SpanOutcome::Untrusted;
+  // Guards against datagrams that are late: of an earlier state, or of the log before it shrank.
+  if (ReadAt <= KnownAt_)
+    return SpanOutcome::Old;
+  if (Position < Span.From_ || Position > Span.To_)
+    return SpanOutcome::Elsewhere;
+  for (const ListChange &Change : Span.Changes_) {
+    if (Change.Offset_ < Position)
+      continue;
+    Journal_.learn(Change.Id_, Change.Listing_);
+    Changes.push_back(Change);
+  }
+  // What this gateway would publish has to come from its own reads.
+  Journal_.restart(Span.To_);
+  PublishedReadAt_.reset();
+  if (Span.AtEnd_ && Span.Digest_ != Journal_.digest()) {
+    onDiverged(Now);
+    return SpanOutcome::Diverged;
+  }
+  if (Span.AtEnd_)
+    KnownAt_ = ReadAt;
+  return SpanOutcome::Applied;
+}
+
+void ListRelay::onDiverged(TimePoint Now) {
+  const bool First = DivergedAt_ == TimePoint{} || Now - DivergedAt_ > AgreedTime;
+  ListingDueAt_ = First ? Now : std::max(Now, ListingDueAt_ + ListingBackoff_);
+  ListingBackoff_ = First ? MinListingBackoff : std::min(ListingBackoff_ * 2, MaxListingBackoff);
+  DivergedAt_ = Now;
+  Diverged_ = true;
+}
+
+void ListRelay::onConfigReadBegins(ListPosition Position, Duration Wait, TimePoint Now) {
+  ConfigReadBegan_ = Now;
+  ConfigReadFrom_ = Position;
+  ConfigReadWait_ = Wait;
+}
+
+void ListRelay::onConfigRead(ListPosition Position) {
+  ConfigReadBegan_.reset();
+  ConfigPosition_ = Position;
+}
+
+void ListRelay::onConfigLost() {
+  ConfigReadBegan_.reset();
+  ConfigPosition_.reset();
+}
+
+void ListRelay::onConfigAnnounced(GatewayRun Reader, ListPosition End, TimePoint SentAt,
+                                  TimePoint Now) {
+  std::erase_if(Announcements_, [&](const auto &Entry) { return !isFresh(Entry.second, Now); });
+  const auto [Known, Added] = Announcements_.emplace(Reader, Announcement{End, SentAt, Now, false});
+  if (Added || SentAt <= Known->second.SentAt_)
+    return;
+  Known->second.SentAt_ = SentAt;
+  if (Known->second.End_ != End)
+    Known->second = {End, SentAt, Now, false};
+}
+
+bool ListRelay::isFresh(const Announcement &Each, TimePoint Now) const {
+  return Now - Each.SentAt_ <= std::min(MaxAnnouncementLifetime, Options_.ConfigWait_ / ReaderRate);
+}
+
+bool ListRelay::hasFreshAnnouncement(TimePoint Now) const {
+  return std::any_of(Announcements_.begin(), Announcements_.end(),
+                     [&](const auto &Entry) { return isFresh(Entry.second, Now); });
+}
+
+Duration ListRelay::configWait(TimePoint Now) const {
+  if (Role_ == StoreRole::Reader && Trusted_)
+    return Options_.ConfigWait_ / ReaderRate;
+  if (Role_ != StoreRole::Receiver || !Trusted_ || !ConfigPosition_ || !hasFreshAnnouncement(Now))
+    return Options_.ConfigWait_;
+  for (const auto &[Reader, Each] : Announcements_)
+    if (isFresh(Each, Now) && Each.End_ != *ConfigPosition_)
+      return Options_.ConfigWait_;
+  return std::max(LongConfigWait, Options_.ConfigWait_);
+}
+
+ConfigReadEnd ListRelay::configReadEnd(TimePoint Now) {
+  if (!ConfigReadBegan_ || ConfigReadWait_ <= Options_.ConfigWait_)
+    return ConfigReadEnd::None;
+  if (Role_ != StoreRole::Receiver || !Trusted_ || !hasFreshAnnouncement(Now))
+    return ConfigReadEnd::Unannounced;
+  bool Differs = false;
+  for (auto &[Reader, Each] : Announcements_) {
+    if (!isFresh(Each, Now) || Each.Followed_ || Each.End_ == ConfigReadFrom_ ||
+        Now - std::max(Each.Since_, *ConfigReadBegan_) < AnswerTime)
+      continue;
+    Differs = true;
+    Each.Followed_ = true;
+  }
+  return Differs ? ConfigReadEnd::Announced : ConfigReadEnd::None;
+}
+
+std::optional<ListPublication> ListRelay::publication(TimePoint Now) const {
+  if (Role_ != StoreRole::Reader || !Trusted_)
+    return std::nullopt;
+  ListPublication Content;
+  Content.ListReadAt_ = PublishedReadAt_;
+  if (PublishedReadAt_)
+    Content.Spans_ = Journal_.spans();
+  const bool Overdue = ConfigReadBegan_ && Now - *ConfigReadBegan_ > ConfigReadWait_ + AnswerTime;
+  if (!Overdue)
+    Content.ConfigEnd_ = ConfigPosition_;
+  return Content;
+}
+
+} // namespace rattancart
--- a/Source/Core/Serving/EndpointRoster.h
+++ b/Source/Core/Serving/EndpointRoster.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Core/Common/Clock.h"
-#include "Core/Membership/Endpoint.h"
+#include "Core/Membership/EndpointListing.h"
 #include "Core/Serving/EngineMemoryEstimate.h"
 #include "Core/Serving/ServingConfig.h"
 
@@ -15,22 +15,6 @@
 
 namespace rattancart {
 
-/// One endpoint's entry in the platform's list.
-struct EndpointListing {
-  EndpointId Id_;
-  ServiceId Service_;
-  NetAddress Address_;
-  DataCenterId DataCenter_;
-  EndpointState State_ = EndpointState::Live;
-  /// The start time of this run. A restart keeps the id of the endpoint, but no other state.
-  Incarnation Run_{0};
-  /// The number of requests that it receives at once; 0 if it is not known.
-  std::uint32_t Slots_ = 0;
-  /// Engines only: the kind of accelerator, and the layers that the engine holds.
-  std::string Kind_;
-  LayerRange Layers_;
-};
-
 /// The state that an engine reported when it was polled.
 struct EngineReport {
   Incarnation Run_{0};
