--- a/Schemas/Gateway_generated.h
+++ b/Schemas/Gateway_generated.h
@@ -48,6 +48,22 @@
 struct EngineSilentBuilder;
 struct EngineSilentT;
 
+struct ListSubscribe;
+struct ListSubscribeBuilder;
+struct ListSubscribeT;
+
+struct ListClock;
+struct ListClockBuilder;
+struct ListClockT;
+
+struct ListChange;
+struct ListChangeBuilder;
+struct ListChangeT;
+
+struct ListChanges;
+struct ListChangesBuilder;
+struct ListChangesT;
+
 struct GatewayDatagram;
 struct GatewayDatagramBuilder;
 struct GatewayDatagramT;
@@ -58,35 +74,44 @@
   EngineStates = 2,
   EngineSilent = 3,
   PromptReport = 4,
+  ListSubscribe = 5,
+  ListClock = 6,
+  ListChanges = 7,
   MIN = NONE,
-  MAX = PromptReport
+  MAX = ListChanges
 };
 
-inline const GatewayPayload (&EnumValuesGatewayPayload())[5] {
+inline const GatewayPayload (&EnumValuesGatewayPayload())[8] {
   static const GatewayPayload values[] = {
     GatewayPayload::NONE,
     GatewayPayload::EngineSubscribe,
     GatewayPayload::EngineStates,
     GatewayPayload::EngineSilent,
-    GatewayPayload::PromptReport
+    GatewayPayload::PromptReport,
+    GatewayPayload::ListSubscribe,
+    GatewayPayload::ListClock,
+    GatewayPayload::ListChanges
   };
   return values;
 }
 
 inline const char * const *EnumNamesGatewayPayload() {
-  static const char * const names[6] = {
+  static const char * const names[9] = {
     "NONE",
     "EngineSubscribe",
     "EngineStates",
     "EngineSilent",
     "PromptReport",
+    "ListSubscribe",
+    "ListClock",
+    "ListChanges",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameGatewayPayload(GatewayPayload e) {
-  if (flatbuffers::IsOutRange(e, GatewayPayload::NONE, GatewayPayload::PromptReport)) return "";
+  if (flatbuffers::IsOutRange(e, GatewayPayload::NONE, GatewayPayload::ListChanges)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesGatewayPayload()[index];
 }
@@ -111,6 +136,18 @@
   static const GatewayPayload enum_value = GatewayPayload::PromptReport;
 };
 
+template<> struct GatewayPayloadTraits<rattancart::wire::ListSubscribe> {
+  static const GatewayPayload enum_value = GatewayPayload::ListSubscribe;
+};
+
+template<> struct GatewayPayloadTraits<rattancart::wire::ListClock> {
+  static const GatewayPayload enum_value = GatewayPayload::ListClock;
+};
+
+template<> struct GatewayPayloadTraits<rattancart::wire::ListChanges> {
+  static const GatewayPayload enum_value = GatewayPayload::ListChanges;
+};
+
 template<typename T> struct GatewayPayloadUnionTraits {
   static const GatewayPayload enum_value = GatewayPayload::NONE;
 };
@@ -131,6 +168,18 @@
   static const GatewayPayload enum_value = GatewayPayload::PromptReport;
 };
 
+template<> struct GatewayPayloadUnionTraits<rattancart::wire::ListSubscribeT> {
+  static const GatewayPayload enum_value = GatewayPayload::ListSubscribe;
+};
+
+template<> struct GatewayPayloadUnionTraits<rattancart::wire::ListClockT> {
+  static const GatewayPayload enum_value = GatewayPayload::ListClock;
+};
+
+template<> struct GatewayPayloadUnionTraits<rattancart::wire::ListChangesT> {
+  static const GatewayPayload enum_value = GatewayPayload::ListChanges;
+};
+
 struct GatewayPayloadUnion {
   GatewayPayload type;
   void *value;
@@ -193,6 +242,30 @@
     return type == GatewayPayload::PromptReport ?
       reinterpret_cast<const rattancart::wire::PromptReportT *>(value) : nullptr;
   }
+  rattancart::wire::ListSubscribeT *AsListSubscribe() {
+    return type == GatewayPayload::ListSubscribe ?
+      reinterpret_cast<rattancart::wire::ListSubscribeT *>(value) : nullptr;
+  }
+  const rattancart::wire::ListSubscribeT *AsListSubscribe() const {
+    return type == GatewayPayload::ListSubscribe ?
+      reinterpret_cast<const rattancart::wire::ListSubscribeT *>(value) : nullptr;
+  }
+  rattancart::wire::ListClockT *AsListClock() {
+    return type == GatewayPayload::ListClock ?
+      reinterpret_cast<rattancart::wire::ListClockT *>(value) : nullptr;
+  }
+  const rattancart::wire::ListClockT *AsListClock() const {
+    return type == GatewayPayload::ListClock ?
+      reinterpret_cast<const rattancart::wire::ListClockT *>(value) : nullptr;
+  }
+  rattancart::wire::ListChangesT *AsListChanges() {
+    return type == GatewayPayload::ListChanges ?
+      reinterpret_cast<rattancart::wire::ListChangesT *>(value) : nullptr;
+  }
+  const rattancart::wire::ListChangesT *AsListChanges() const {
+    return type == GatewayPayload::ListChanges ?
+      reinterpret_cast<const rattancart::wire::ListChangesT *>(value) : nullptr;
+  }
 };
 
 bool VerifyGatewayPayload(flatbuffers::Verifier &verifier, const void *obj, GatewayPayload type);
@@ -1204,6 +1277,596 @@
 
 flatbuffers::Offset<EngineSilent> CreateEngineSilent(flatbuffers::FlatBufferBuilder &_fbb, const EngineSilentT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ListSubscribeT : public flatbuffers::NativeTable {
+  typedef ListSubscribe TableType;
+  std::string data_center{};
+  int64_t sent_us = 0;
+};
+
+struct ListSubscribe FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ListSubscribeT NativeTableType;
+  typedef ListSubscribeBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_DATA_CENTER = 4,
+    VT_SENT_US = 6
+  };
+  const flatbuffers::String *data_center() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTER);
+  }
+  int64_t sent_us() const {
+    return GetField<int64_t>(VT_SENT_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_DATA_CENTER) &&
+           verifier.VerifyString(data_center()) &&
+           VerifyField<int64_t>(verifier, VT_SENT_US, 8) &&
+           verifier.EndTable();
+  }
+  ListSubscribeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ListSubscribeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ListSubscribe> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ListSubscribeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ListSubscribeBuilder {
+  typedef ListSubscribe Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_data_center(flatbuffers::Offset<flatbuffers::String> data_center) {
+    fbb_.AddOffset(ListSubscribe::VT_DATA_CENTER, data_center);
+  }
+  void add_sent_us(int64_t sent_us) {
+    fbb_.AddElement<int64_t>(ListSubscribe::VT_SENT_US, sent_us, 0);
+  }
+  explicit ListSubscribeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ListSubscribe> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ListSubscribe>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ListSubscribe> CreateListSubscribe(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> data_center = 0,
+    int64_t sent_us = 0) {
+  ListSubscribeBuilder builder_(_fbb);
+  builder_.add_sent_us(sent_us);
+  builder_.add_data_center(data_center);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ListSubscribe> CreateListSubscribeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *data_center = nullptr,
+    int64_t sent_us = 0) {
+  auto data_center__ = data_center ? _fbb.CreateString(data_center) : 0;
+  return rattancart::wire::CreateListSubscribe(
+      _fbb,
+      data_center__,
+      sent_us);
+}
+
+flatbuffers::Offset<ListSubscribe> CreateListSubscribe(flatbuffers::FlatBufferBuilder &_fbb, const ListSubscribeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ListClockT : public flatbuffers::NativeTable {
+  typedef ListClock TableType;
+  uint64_t run = 0;
+  int64_t sent_us = 0;
+  int64_t received_us = 0;
+};
+
+struct ListClock FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ListClockT NativeTableType;
+  typedef ListClockBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_RUN = 4,
+    VT_SENT_US = 6,
+    VT_RECEIVED_US = 8
+  };
+  uint64_t run() const {
+    return GetField<uint64_t>(VT_RUN, 0);
+  }
+  int64_t sent_us() const {
+    return GetField<int64_t>(VT_SENT_US, 0);
+  }
+  int64_t received_us() const {
+    return GetField<int64_t>(VT_RECEIVED_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
+           VerifyField<int64_t>(verifier, VT_SENT_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_RECEIVED_US, 8) &&
+           verifier.EndTable();
+  }
+  ListClockT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ListClockT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ListClock> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ListClockT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ListClockBuilder {
+  typedef ListClock Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_run(uint64_t run) {
+    fbb_.AddElement<uint64_t>(ListClock::VT_RUN, run, 0);
+  }
+  void add_sent_us(int64_t sent_us) {
+    fbb_.AddElement<int64_t>(ListClock::VT_SENT_US, sent_us, 0);
+  }
+  void add_received_us(int64_t received_us) {
+    fbb_.AddElement<int64_t>(ListClock::VT_RECEIVED_US, received_us, 0);
+  }
+  explicit ListClockBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ListClock> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ListClock>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ListClock> CreateListClock(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t run = 0,
+    int64_t sent_us = 0,
+    int64_t received_us = 0) {
+  ListClockBuilder builder_(_fbb);
+  builder_.add_received_us(received_us);
+  builder_.add_sent_us(sent_us);
+  builder_.add_run(run);
+  return builder_.Finish();
+}
+
+flatbuffers::Offset<ListClock> CreateListClock(flatbuffers::FlatBufferBuilder &_fbb, const ListClockT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ListChangeT : public flatbuffers::NativeTable {
+  typedef ListChange TableType;
+  uint32_t offset = 0;
+  std::string id{};
+  bool removed = false;
+  std::string service{};
+  std::string address{};
+  std::string data_center{};
+  bool leaving = false;
+  uint64_t run = 0;
+  uint32_t slots = 0;
+  std::string kind{};
+  uint32_t first_layer = 0;
+  uint32_t end_layer = 0;
+};
+
+struct ListChange FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ListChangeT NativeTableType;
+  typedef ListChangeBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_OFFSET = 4,
+    VT_ID = 6,
+    VT_REMOVED = 8,
+    VT_SERVICE = 10,
+    VT_ADDRESS = 12,
+    VT_DATA_CENTER = 14,
+    VT_LEAVING = 16,
+    VT_RUN = 18,
+    VT_SLOTS = 20,
+    VT_KIND = 22,
+    VT_FIRST_LAYER = 24,
+    VT_END_LAYER = 26
+  };
+  uint32_t offset() const {
+    return GetField<uint32_t>(VT_OFFSET, 0);
+  }
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  bool removed() const {
+    return GetField<uint8_t>(VT_REMOVED, 0) != 0;
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  const flatbuffers::String *data_center() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTER);
+  }
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
+  uint64_t run() const {
+    return GetField<uint64_t>(VT_RUN, 0);
+  }
+  uint32_t slots() const {
+    return GetField<uint32_t>(VT_SLOTS, 0);
+  }
+  const flatbuffers::String *kind() const {
+    return GetPointer<const flatbuffers::String *>(VT_KIND);
+  }
+  uint32_t first_layer() const {
+    return GetField<uint32_t>(VT_FIRST_LAYER, 0);
+  }
+  uint32_t end_layer() const {
+    return GetField<uint32_t>(VT_END_LAYER, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_OFFSET, 4) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyField<uint8_t>(verifier, VT_REMOVED, 1) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyOffset(verifier, VT_DATA_CENTER) &&
+           verifier.VerifyString(data_center()) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
+           VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
+           VerifyOffset(verifier, VT_KIND) &&
+           verifier.VerifyString(kind()) &&
+           VerifyField<uint32_t>(verifier, VT_FIRST_LAYER, 4) &&
+           VerifyField<uint32_t>(verifier, VT_END_LAYER, 4) &&
+           verifier.EndTable();
+  }
+  ListChangeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ListChangeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ListChange> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ListChangeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ListChangeBuilder {
+  typedef ListChange Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_offset(uint32_t offset) {
+    fbb_.AddElement<uint32_t>(ListChange::VT_OFFSET, offset, 0);
+  }
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(ListChange::VT_ID, id);
+  }
+  void add_removed(bool removed) {
+    fbb_.AddElement<uint8_t>(ListChange::VT_REMOVED, static_cast<uint8_t>(removed), 0);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(ListChange::VT_SERVICE, service);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(ListChange::VT_ADDRESS, address);
+  }
+  void add_data_center(flatbuffers::Offset<flatbuffers::String> data_center) {
+    fbb_.AddOffset(ListChange::VT_DATA_CENTER, data_center);
+  }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(ListChange::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
+  void add_run(uint64_t run) {
+    fbb_.AddElement<uint64_t>(ListChange::VT_RUN, run, 0);
+  }
+  void add_slots(uint32_t slots) {
+    fbb_.AddElement<uint32_t>(ListChange::VT_SLOTS, slots, 0);
+  }
+  void add_kind(flatbuffers::Offset<flatbuffers::String> kind) {
+    fbb_.AddOffset(ListChange::VT_KIND, kind);
+  }
+  void add_first_layer(uint32_t first_layer) {
+    fbb_.AddElement<uint32_t>(ListChange::VT_FIRST_LAYER, first_layer, 0);
+  }
+  void add_end_layer(uint32_t end_layer) {
+    fbb_.AddElement<uint32_t>(ListChange::VT_END_LAYER, end_layer, 0);
+  }
+  explicit ListChangeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ListChange> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ListChange>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ListChange> CreateListChange(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t offset = 0,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    bool removed = false,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> data_center = 0,
+    bool leaving = false,
+    uint64_t run = 0,
+    uint32_t slots = 0,
+    flatbuffers::Offset<flatbuffers::String> kind = 0,
+    uint32_t first_layer = 0,
+    uint32_t end_layer = 0) {
+  ListChangeBuilder builder_(_fbb);
+  builder_.add_run(run);
+  builder_.add_end_layer(end_layer);
+  builder_.add_first_layer(first_layer);
+  builder_.add_kind(kind);
+  builder_.add_slots(slots);
+  builder_.add_data_center(data_center);
+  builder_.add_address(address);
+  builder_.add_service(service);
+  builder_.add_id(id);
+  builder_.add_offset(offset);
+  builder_.add_leaving(leaving);
+  builder_.add_removed(removed);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ListChange> CreateListChangeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t offset = 0,
+    const char *id = nullptr,
+    bool removed = false,
+    const char *service = nullptr,
+    const char *address = nullptr,
+    const char *data_center = nullptr,
+    bool leaving = false,
+    uint64_t run = 0,
+    uint32_t slots = 0,
+    const char *kind = nullptr,
+    uint32_t first_layer = 0,
+    uint32_t end_layer = 0) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto data_center__ = data_center ? _fbb.CreateString(data_center) : 0;
+  auto kind__ = kind ? _fbb.CreateString(kind) : 0;
+  return rattancart::wire::CreateListChange(
+      _fbb,
+      offset,
+      id__,
+      removed,
+      service__,
+      address__,
+      data_center__,
+      leaving,
+      run,
+      slots,
+      kind__,
+      first_layer,
+      end_layer);
+}
+
+flatbuffers::Offset<ListChange> CreateListChange(flatbuffers::FlatBufferBuilder &_fbb, const ListChangeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ListChangesT : public flatbuffers::NativeTable {
+  typedef ListChanges TableType;
+  std::string data_center{};
+  uint64_t run = 0;
+  int64_t read_us = 0;
+  int64_t sent_us = 0;
+  bool has_span = false;
+  uint64_t from = 0;
+  uint64_t to = 0;
+  bool at_end = false;
+  uint64_t digest = 0;
+  std::vector<std::unique_ptr<rattancart::wire::ListChangeT>> changes{};
+  bool config_known = false;
+  uint64_t config_end = 0;
+  std::vector<std::string> pass_to{};
+  ListChangesT() = default;
+  ListChangesT(const ListChangesT &o);
+  ListChangesT(ListChangesT&&) FLATBUFFERS_NOEXCEPT = default;
+  ListChangesT &operator=(ListChangesT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct ListChanges FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ListChangesT NativeTableType;
+  typedef ListChangesBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_DATA_CENTER = 4,
+    VT_RUN = 6,
+    VT_READ_US = 8,
+    VT_SENT_US = 10,
+    VT_HAS_SPAN = 12,
+    VT_FROM = 14,
+    VT_TO = 16,
+    VT_AT_END = 18,
+    VT_DIGEST = 20,
+    VT_CHANGES = 22,
+    VT_CONFIG_KNOWN = 24,
+    VT_CONFIG_END = 26,
+    VT_PASS_TO = 28
+  };
+  const flatbuffers::String *data_center() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTER);
+  }
+  uint64_t run() const {
+    return GetField<uint64_t>(VT_RUN, 0);
+  }
+  int64_t read_us() const {
+    return GetField<int64_t>(VT_READ_US, 0);
+  }
+  int64_t sent_us() const {
+    return GetField<int64_t>(VT_SENT_US, 0);
+  }
+  bool has_span() const {
+    return GetField<uint8_t>(VT_HAS_SPAN, 0) != 0;
+  }
+  uint64_t from() const {
+    return GetField<uint64_t>(VT_FROM, 0);
+  }
+  uint64_t to() const {
+    return GetField<uint64_t>(VT_TO, 0);
+  }
+  bool at_end() const {
+    return GetField<uint8_t>(VT_AT_END, 0) != 0;
+  }
+  uint64_t digest() const {
+    return GetField<uint64_t>(VT_DIGEST, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::ListChange>> *changes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::ListChange>> *>(VT_CHANGES);
+  }
+  bool config_known() const {
+    return GetField<uint8_t>(VT_CONFIG_KNOWN, 0) != 0;
+  }
+  uint64_t config_end() const {
+    return GetField<uint64_t>(VT_CONFIG_END, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *pass_to() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_PASS_TO);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_DATA_CENTER) &&
+           verifier.VerifyString(data_center()) &&
+           VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
+           VerifyField<int64_t>(verifier, VT_READ_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_SENT_US, 8) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_SPAN, 1) &&
+           VerifyField<uint64_t>(verifier, VT_FROM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TO, 8) &&
+           VerifyField<uint8_t>(verifier, VT_AT_END, 1) &&
+           VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
+           VerifyOffset(verifier, VT_CHANGES) &&
+           verifier.VerifyVector(changes()) &&
+           verifier.VerifyVectorOfTables(changes()) &&
+           VerifyField<uint8_t>(verifier, VT_CONFIG_KNOWN, 1) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIG_END, 8) &&
+           VerifyOffset(verifier, VT_PASS_TO) &&
+           verifier.VerifyVector(pass_to()) &&
+           verifier.VerifyVectorOfStrings(pass_to()) &&
+           verifier.EndTable();
+  }
+  ListChangesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ListChangesT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ListChanges> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ListChangesT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ListChangesBuilder {
+  typedef ListChanges Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_data_center(flatbuffers::Offset<flatbuffers::String> data_center) {
+    fbb_.AddOffset(ListChanges::VT_DATA_CENTER, data_center);
+  }
+  void add_run(uint64_t run) {
+    fbb_.AddElement<uint64_t>(ListChanges::VT_RUN, run, 0);
+  }
+  void add_read_us(int64_t read_us) {
+    fbb_.AddElement<int64_t>(ListChanges::VT_READ_US, read_us, 0);
+  }
+  void add_sent_us(int64_t sent_us) {
+    fbb_.AddElement<int64_t>(ListChanges::VT_SENT_US, sent_us, 0);
+  }
+  void add_has_span(bool has_span) {
+    fbb_.AddElement<uint8_t>(ListChanges::VT_HAS_SPAN, static_cast<uint8_t>(has_span), 0);
+  }
+  void add_from(uint64_t from) {
+    fbb_.AddElement<uint64_t>(ListChanges::VT_FROM, from, 0);
+  }
+  void add_to(uint64_t to) {
+    fbb_.AddElement<uint64_t>(ListChanges::VT_TO, to, 0);
+  }
+  void add_at_end(bool at_end) {
+    fbb_.AddElement<uint8_t>(ListChanges::VT_AT_END, static_cast<uint8_t>(at_end), 0);
+  }
+  void add_digest(uint64_t digest) {
+    fbb_.AddElement<uint64_t>(ListChanges::VT_DIGEST, digest, 0);
+  }
+  void add_changes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::ListChange>>> changes) {
+    fbb_.AddOffset(ListChanges::VT_CHANGES, changes);
+  }
+  void add_config_known(bool config_known) {
+    fbb_.AddElement<uint8_t>(ListChanges::VT_CONFIG_KNOWN, static_cast<uint8_t>(config_known), 0);
+  }
+  void add_config_end(uint64_t config_end) {
+    fbb_.AddElement<uint64_t>(ListChanges::VT_CONFIG_END, config_end, 0);
+  }
+  void add_pass_to(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> pass_to) {
+    fbb_.AddOffset(ListChanges::VT_PASS_TO, pass_to);
+  }
+  explicit ListChangesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ListChanges> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ListChanges>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ListChanges> CreateListChanges(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> data_center = 0,
+    uint64_t run = 0,
+    int64_t read_us = 0,
+    int64_t sent_us = 0,
+    bool has_span = false,
+    uint64_t from = 0,
+    uint64_t to = 0,
+    bool at_end = false,
+    uint64_t digest = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::ListChange>>> changes = 0,
+    bool config_known = false,
+    uint64_t config_end = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> pass_to = 0) {
+  ListChangesBuilder builder_(_fbb);
+  builder_.add_config_end(config_end);
+  builder_.add_digest(digest);
+  builder_.add_to(to);
+  builder_.add_from(from);
+  builder_.add_sent_us(sent_us);
+  builder_.add_read_us(read_us);
+  builder_.add_run(run);
+  builder_.add_pass_to(pass_to);
+  builder_.add_changes(changes);
+  builder_.add_data_center(data_center);
+  builder_.add_config_known(config_known);
+  builder_.add_at_end(at_end);
+  builder_.add_has_span(has_span);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ListChanges> CreateListChangesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *data_center = nullptr,
+    uint64_t run = 0,
+    int64_t read_us = 0,
+    int64_t sent_us = 0,
+    bool has_span = false,
+    uint64_t from = 0,
+    uint64_t to = 0,
+    bool at_end = false,
+    uint64_t digest = 0,
+    const std::vector<flatbuffers::Offset<rattancart::wire::ListChange>> *changes = nullptr,
+    bool config_known = false,
+    uint64_t config_end = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *pass_to = nullptr) {
+  auto data_center__ = data_center ? _fbb.CreateString(data_center) : 0;
+  auto changes__ = changes ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::ListChange>>(*changes) : 0;
+  auto pass_to__ = pass_to ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*pass_to) : 0;
+  return rattancart::wire::CreateListChanges(
+      _fbb,
+      data_center__,
+      run,
+      read_us,
+      sent_us,
+      has_span,
+      from,
+      to,
+      at_end,
+      digest,
+      changes__,
+      config_known,
+      config_end,
+      pass_to__);
+}
+
+flatbuffers::Offset<ListChanges> CreateListChanges(flatbuffers::FlatBufferBuilder &_fbb, const ListChangesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct GatewayDatagramT : public flatbuffers::NativeTable {
   typedef GatewayDatagram TableType;
   rattancart::wire::GatewayPayloadUnion payload{};
@@ -1235,6 +1898,15 @@
   const rattancart::wire::PromptReport *payload_as_PromptReport() const {
     return payload_type() == rattancart::wire::GatewayPayload::PromptReport ? static_cast<const rattancart::wire::PromptReport *>(payload()) : nullptr;
   }
+  const rattancart::wire::ListSubscribe *payload_as_ListSubscribe() const {
+    return payload_type() == rattancart::wire::GatewayPayload::ListSubscribe ? static_cast<const rattancart::wire::ListSubscribe *>(payload()) : nullptr;
+  }
+  const rattancart::wire::ListClock *payload_as_ListClock() const {
+    return payload_type() == rattancart::wire::GatewayPayload::ListClock ? static_cast<const rattancart::wire::ListClock *>(payload()) : nullptr;
+  }
+  const rattancart::wire::ListChanges *payload_as_ListChanges() const {
+    return payload_type() == rattancart::wire::GatewayPayload::ListChanges ? static_cast<const rattancart::wire::ListChanges *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PAYLOAD_TYPE, 1) &&
@@ -1263,6 +1935,18 @@
   return payload_as_PromptReport();
 }
 
+template<> inline const rattancart::wire::ListSubscribe *GatewayDatagram::payload_as<rattancart::wire::ListSubscribe>() const {
+  return payload_as_ListSubscribe();
+}
+
+template<> inline const rattancart::wire::ListClock *GatewayDatagram::payload_as<rattancart::wire::ListClock>() const {
+  return payload_as_ListClock();
+}
+
+template<> inline const rattancart::wire::ListChanges *GatewayDatagram::payload_as<rattancart::wire::ListChanges>() const {
+  return payload_as_ListChanges();
+}
+
 struct GatewayDatagramBuilder {
   typedef GatewayDatagram Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1678,6 +2362,222 @@
       _id);
 }
 
+inline ListSubscribeT *ListSubscribe::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<ListSubscribeT>(new ListSubscribeT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ListSubscribe::UnPackTo(ListSubscribeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = data_center(); if (_e) _o->data_center = _e->str(); }
+  { auto _e = sent_us(); _o->sent_us = _e; }
+}
+
+inline flatbuffers::Offset<ListSubscribe> ListSubscribe::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ListSubscribeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateListSubscribe(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ListSubscribe> CreateListSubscribe(flatbuffers::FlatBufferBuilder &_fbb, const ListSubscribeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ListSubscribeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _data_center = _o->data_center.empty() ? 0 : _fbb.CreateString(_o->data_center);
+  auto _sent_us = _o->sent_us;
+  return rattancart::wire::CreateListSubscribe(
+      _fbb,
+      _data_center,
+      _sent_us);
+}
+
+inline ListClockT *ListClock::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<ListClockT>(new ListClockT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ListClock::UnPackTo(ListClockT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = sent_us(); _o->sent_us = _e; }
+  { auto _e = received_us(); _o->received_us = _e; }
+}
+
+inline flatbuffers::Offset<ListClock> ListClock::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ListClockT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateListClock(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ListClock> CreateListClock(flatbuffers::FlatBufferBuilder &_fbb, const ListClockT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ListClockT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _run = _o->run;
+  auto _sent_us = _o->sent_us;
+  auto _received_us = _o->received_us;
+  return rattancart::wire::CreateListClock(
+      _fbb,
+      _run,
+      _sent_us,
+      _received_us);
+}
+
+inline ListChangeT *ListChange::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<ListChangeT>(new ListChangeT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ListChange::UnPackTo(ListChangeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = offset(); _o->offset = _e; }
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = removed(); _o->removed = _e; }
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = data_center(); if (_e) _o->data_center = _e->str(); }
+  { auto _e = leaving(); _o->leaving = _e; }
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = slots(); _o->slots = _e; }
+  { auto _e = kind(); if (_e) _o->kind = _e->str(); }
+  { auto _e = first_layer(); _o->first_layer = _e; }
+  { auto _e = end_layer(); _o->end_layer = _e; }
+}
+
+inline flatbuffers::Offset<ListChange> ListChange::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ListChangeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateListChange(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ListChange> CreateListChange(flatbuffers::FlatBufferBuilder &_fbb, const ListChangeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ListChangeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _offset = _o->offset;
+  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
+  auto _removed = _o->removed;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _data_center = _o->data_center.empty() ? 0 : _fbb.CreateString(_o->data_center);
+  auto _leaving = _o->leaving;
+  auto _run = _o->run;
+  auto _slots = _o->slots;
+  auto _kind = _o->kind.empty() ? 0 : _fbb.CreateString(_o->kind);
+  auto _first_layer = _o->first_layer;
+  auto _end_layer = _o->end_layer;
+  return rattancart::wire::CreateListChange(
+      _fbb,
+      _offset,
+      _id,
+      _removed,
+      _service,
+      _address,
+      _data_center,
+      _leaving,
+      _run,
+      _slots,
+      _kind,
+      _first_layer,
+      _end_layer);
+}
+
+inline ListChangesT::ListChangesT(const ListChangesT &o)
+      : data_center(o.data_center),
+        run(o.run),
+        read_us(o.read_us),
+        sent_us(o.sent_us),
+        has_span(o.has_span),
+        from(o.from),
+        to(o.to),
+        at_end(o.at_end),
+        digest(o.digest),
+        config_known(o.config_known),
+        config_end(o.config_end),
+        pass_to(o.pass_to) {
+  changes.reserve(o.changes.size());
+  for (const auto &changes_ : o.changes) { changes.emplace_back((changes_) ? new rattancart::wire::ListChangeT(*changes_) : nullptr); }
+}
+
+inline ListChangesT &ListChangesT::operator=(ListChangesT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(data_center, o.data_center);
+  std::swap(run, o.run);
+  std::swap(read_us, o.read_us);
+  std::swap(sent_us, o.sent_us);
+  std::swap(has_span, o.has_span);
+  std::swap(from, o.from);
+  std::swap(to, o.to);
+  std::swap(at_end, o.at_end);
+  std::swap(digest, o.digest);
+  std::swap(changes, o.changes);
+  std::swap(config_known, o.config_known);
+  std::swap(config_end, o.config_end);
+  std::swap(pass_to, o.pass_to);
+  return *this;
+}
+
+inline ListChangesT *ListChanges::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<ListChangesT>(new ListChangesT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ListChanges::UnPackTo(ListChangesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = data_center(); if (_e) _o->data_center = _e->str(); }
+  { auto _e = run(); _o->run = _e; }
+  { auto _e = read_us(); _o->read_us = _e; }
+  { auto _e = sent_us(); _o->sent_us = _e; }
+  { auto _e = has_span(); _o->has_span = _e; }
+  { auto _e = from(); _o->from = _e; }
+  { auto _e = to(); _o->to = _e; }
+  { auto _e = at_end(); _o->at_end = _e; }
+  { auto _e = digest(); _o->digest = _e; }
+  { auto _e = changes(); if (_e) { _o->changes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->changes[_i] = std::unique_ptr<rattancart::wire::ListChangeT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = config_known(); _o->config_known = _e; }
+  { auto _e = config_end(); _o->config_end = _e; }
+  { auto _e = pass_to(); if (_e) { _o->pass_to.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pass_to[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<ListChanges> ListChanges::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ListChangesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateListChanges(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ListChanges> CreateListChanges(flatbuffers::FlatBufferBuilder &_fbb, const ListChangesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ListChangesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _data_center = _o->data_center.empty() ? 0 : _fbb.CreateString(_o->data_center);
+  auto _run = _o->run;
+  auto _read_us = _o->read_us;
+  auto _sent_us = _o->sent_us;
+  auto _has_span = _o->has_span;
+  auto _from = _o->from;
+  auto _to = _o->to;
+  auto _at_end = _o->at_end;
+  auto _digest = _o->digest;
+  auto _changes = _o->changes.size() ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::ListChange>> (_o->changes.size(), [](size_t i, _VectorArgs *__va) { return CreateListChange(*__va->__fbb, __va->__o->changes[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _config_known = _o->config_known;
+  auto _config_end = _o->config_end;
+  auto _pass_to = _o->pass_to.size() ? _fbb.CreateVectorOfStrings(_o->pass_to) : 0;
+  return rattancart::wire::CreateListChanges(
+      _fbb,
+      _data_center,
+      _run,
+      _read_us,
+      _sent_us,
+      _has_span,
+      _from,
+      _to,
+      _at_end,
+      _digest,
+      _changes,
+      _config_known,
+      _config_end,
+      _pass_to);
+}
+
 inline GatewayDatagramT *GatewayDatagram::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::unique_ptr<GatewayDatagramT>(new GatewayDatagramT());
   UnPackTo(_o.get(), _resolver);
@@ -1728,6 +2628,18 @@
       auto ptr = reinterpret_cast<const rattancart::wire::PromptReport *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case GatewayPayload::ListSubscribe: {
+      auto ptr = reinterpret_cast<const rattancart::wire::ListSubscribe *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case GatewayPayload::ListClock: {
+      auto ptr = reinterpret_cast<const rattancart::wire::ListClock *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case GatewayPayload::ListChanges: {
+      auto ptr = reinterpret_cast<const rattancart::wire::ListChanges *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -1763,6 +2675,18 @@
       auto ptr = reinterpret_cast<const rattancart::wire::PromptReport *>(obj);
       return ptr->UnPack(resolver);
     }
+    case GatewayPayload::ListSubscribe: {
+      auto ptr = reinterpret_cast<const rattancart::wire::ListSubscribe *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case GatewayPayload::ListClock: {
+      auto ptr = reinterpret_cast<const rattancart::wire::ListClock *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case GatewayPayload::ListChanges: {
+      auto ptr = reinterpret_cast<const rattancart::wire::ListChanges *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -1786,6 +2710,18 @@
       auto ptr = reinterpret_cast<const rattancart::wire::PromptReportT *>(value);
       return CreatePromptReport(_fbb, ptr, _rehasher).Union();
     }
+    case GatewayPayload::ListSubscribe: {
+      auto ptr = reinterpret_cast<const rattancart::wire::ListSubscribeT *>(value);
+      return CreateListSubscribe(_fbb, ptr, _rehasher).Union();
+    }
+    case GatewayPayload::ListClock: {
+      auto ptr = reinterpret_cast<const rattancart::wire::ListClockT *>(value);
+      return CreateListClock(_fbb, ptr, _rehasher).Union();
+    }
+    case GatewayPayload::ListChanges: {
+      auto ptr = reinterpret_cast<const rattancart::wire::ListChangesT *>(value);
+      return CreateListChanges(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -1808,6 +2744,18 @@
       value = new rattancart::wire::PromptReportT(*reinterpret_cast<rattancart::wire::PromptReportT *>(u.value));
       break;
     }
+    case GatewayPayload::ListSubscribe: {
+      value = new rattancart::wire::ListSubscribeT(*reinterpret_cast<rattancart::wire::ListSubscribeT *>(u.value));
+      break;
+    }
+    case GatewayPayload::ListClock: {
+      value = new rattancart::wire::ListClockT(*reinterpret_cast<rattancart::wire::ListClockT *>(u.value));
+      break;
+    }
+    case GatewayPayload::ListChanges: {
+      value = new rattancart::wire::ListChangesT(*reinterpret_cast<rattancart::wire::ListChangesT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -1835,6 +2783,21 @@
       delete ptr;
       break;
     }
+    case GatewayPayload::ListSubscribe: {
+      auto ptr = reinterpret_cast<rattancart::wire::ListSubscribeT *>(value);
+      delete ptr;
+      break;
+    }
+    case GatewayPayload::ListClock: {
+      auto ptr = reinterpret_cast<rattancart::wire::ListClockT *>(value);
+      delete ptr;
+      break;
+    }
+    case GatewayPayload::ListChanges: {
+      auto ptr = reinterpret_cast<rattancart::wire::ListChangesT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Source/Gateway/EngineStateBroadcast.cpp
+++ b/Source/Gateway/EngineStateBroadcast.cpp
@@ -242,6 +242,18 @@
   return static_cast<std::size_t>(Own - Members.begin());
 }
 
+const std::string &EngineStateBroadcast::ownerAtHome() const {
+  static const std::string Unknown;
+  if (Fence_)
+    return member();
+  const std::string *Owner = Subscriptions_.owner(Home_);
+  return Owner ? *Owner : Unknown;
+}
+
+std::vector<std::string> EngineStateBroadcast::standInsAtHome() const {
+  return Fence_ ? Subscriptions_.standIns(member()) : Subscriptions_.standInsAtHome();
+}
+
 void EngineStateBroadcast::subscribe() {
   Datagrams_.logDropped(Subscriptions_.subscriberCount());
   reportPromptSuspects();
--- a/Source/Gateway/EngineStateBroadcast.h
+++ b/Source/Gateway/EngineStateBroadcast.h
@@ -73,6 +73,13 @@
   /// This gateway's index in the list of stand-ins that the last owner at home sent; nothing if it
   /// is not in the list.
   std::optional<std::size_t> standInRank() const;
+  /// Whether this gateway owns the placement at home.
+  bool isOwner() const { return Fence_.has_value(); }
+  /// The gateway that owns the placement at home, as far as it is known here; empty if it is not.
+  const std::string &ownerAtHome() const;
+  /// The gateways that take over when the owner at home is lost, in this order. The owner itself
+  /// may be among them.
+  std::vector<std::string> standInsAtHome() const;
 
 private:
   void onDatagram(wire::GatewayDatagramT &Content, const DatagramSocket::Endpoint &From);
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -71,6 +71,10 @@
       Limiter_(Random_), Datagrams_(Loop_, Log, Metrics_),
       StateBroadcast_(Loop_, Time, Log, Datagrams_, *Store_, Roster_, CountEstimator_, Quarantine_,
                       Limiter_, Settings_.Process_.DataCenter_, Settings_.DataCenters_),
+      StoreRelay_({Loop_, Time, Log, Metrics_, *Store_, Datagrams_, StateBroadcast_},
+                  Settings_.Process_.DataCenter_, Settings_.StoreReaders_,
+                  {listPollTiming(Settings_.Freshness_).Interval_,
+                   configPollTiming(Settings_.Freshness_).Wait_}),
       PlacementCoordinator_({Loop_, Time, Log, Metrics_, Client_, Platform.Protocol_, *Store_,
                              Roster_, Config_, Paths_, Prober_, StateBroadcast_},
                             Settings_.Process_.DataCenter_, Settings_.DataCenters_.size()),
@@ -110,6 +114,7 @@
   if (const std::error_code Failure = CallerServer_.listen(Settings_.Listen_))
     return Failure;
   subscribeToEngineEvents();
+  StoreRelay_.start();
   Store_->follow(*this);
   PlacementCoordinator_.start();
   watchReload();
@@ -391,6 +396,11 @@
   const TimePoint Now = Time_.now();
   if (ListHeardAt_ != TimePoint{})
     Gauges.add("list_age_seconds", std::chrono::duration<double>(Now - ListHeardAt_).count());
+  if (StoreRelay_.enabled()) {
+    Gauges.add("list_knowledge_age_seconds",
+               std::chrono::duration<double>(Now - StoreRelay_.listKnownAt()).count());
+    Gauges.add("store_reader", StoreRelay_.role() == StoreRole::Reader ? 1 : 0);
+  }
   addEndpointGauges(Gauges, Roster_, Now);
   addServingGauges(Gauges, Config_, Roster_, Paths_, Retries_, Now);
   return Text + Gauges.text();
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -6,6 +6,7 @@
 #include "Gateway/GatewaySettings.h"
 #include "Gateway/MetadataStore.h"
 #include "Gateway/PlacementCoordinator.h"
+#include "Gateway/StoreRelay.h"
 #include "Process/SignalWatcher.h"
 #include "Process/StateServer.h"
 
@@ -90,6 +91,7 @@
   EndpointLimiter Limiter_;
   DatagramSocket Datagrams_;
   EngineStateBroadcast StateBroadcast_;
+  StoreRelay StoreRelay_;
   PlacementCoordinator PlacementCoordinator_;
   GatewayContext Context_;
   GatewayRequestHandler RequestHandler_;
--- a/Source/Gateway/GatewaySettings.cpp
+++ b/Source/Gateway/GatewaySettings.cpp
@@ -31,6 +31,9 @@
   ReadBound("configuration", Settings.Freshness_.Configuration_);
   Freshness.reportUnknownFields();
 
+  // An owner names 8 stand-ins, so that more readers could not be told from the others.
+  Settings.StoreReaders_ = static_cast<std::size_t>(Root.number("store-readers", 0, {0, 7}));
+
   YamlSection Retries = Root.section("retries");
   Settings.Retries_.Ratio_ = Retries.real("ratio", Settings.Retries_.Ratio_, 0, 10);
   Settings.Retries_.Extra_ = Retries.real("extra", Settings.Retries_.Extra_, 0, 1e6);
--- a/Source/Gateway/GatewaySettings.h
+++ b/Source/Gateway/GatewaySettings.h
@@ -23,6 +23,9 @@
   /// Address of the platform's store.
   NetAddress Store_;
   FreshnessBounds Freshness_;
+  /// The number of gateways in each data centre that read the store for the others; 0 if each reads
+  /// for itself.
+  std::size_t StoreReaders_ = 0;
   std::vector<DataCenterId> DataCenters_;
   RetryShareOptions Retries_;
   ResponseLimits ResponseLimits_;
--- a/Source/Gateway/MetadataStore.h
+++ b/Source/Gateway/MetadataStore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/Membership/ListRelay.h"
 #include "Core/Serving/EndpointRoster.h"
 #include "Core/Serving/ServingConfig.h"
 
@@ -43,6 +44,15 @@
   using OwnerDone = std::function<void(std::optional<std::string>)>;
 
   virtual ~MetadataStore() = default;
+  /// Lets Relay decide when the store is read, and reports to it what was read. Precondition:
+  /// called before follow(), and Relay outlives the store.
+  virtual void shareReads(ListRelay &Relay) = 0;
+  /// Applies a span of the list that another gateway read; that read began at ReadAt or later.
+  /// Precondition: shareReads() was called.
+  virtual SpanOutcome applySpan(const ListSpan &Span, TimePoint ReadAt) = 0;
+  /// Does what the relay decides now about the next read of the list and about reads that wait in
+  /// the store. Precondition: shareReads() was called.
+  virtual void reconsiderReads() = 0;
   /// Starts to follow the configuration and the list. Precondition: Observer outlives the store.
   virtual void follow(StoreObserver &Observer) = 0;
   /// Joins a group, or renews the membership, for TimeToLive. Generation is the last one received,
--- a/Source/StandIns/Site/Site.cpp
+++ b/Source/StandIns/Site/Site.cpp
@@ -125,12 +125,14 @@
                      "store: {}\n"
                      "data-centers: [{}]\n"
                      "shutdown: {{grace: {}ms, limit: {}ms}}\n"
-                     "retries: {{ratio: {}, extra: {}, window: {}ms}}\n",
+                     "retries: {{ratio: {}, extra: {}, window: {}ms}}\n"
+                     "store-readers: {}\n",
                      Instance, DataCenter, PeerPort, StoreAddress_.str(), DataCenters,
                      Options_.ShutdownGrace_ / std::chrono::milliseconds(1),
                      Options_.ShutdownLimit_ / std::chrono::milliseconds(1),
                      Options_.Retries_.Ratio_, Options_.Retries_.Extra_,
-                     Options_.Retries_.Window_ / std::chrono::milliseconds(1));
+                     Options_.Retries_.Window_ / std::chrono::milliseconds(1),
+                     Options_.StoreReaders_);
 }
 
 void Site::writeEndpointEntries() {
@@ -211,6 +213,10 @@
   runOnLoop([&] { Store_.setFault(Fault); });
 }
 
+std::uint64_t Site::storeCalls() const {
+  return runOnLoop([this] { return Store_.calls(); });
+}
+
 void Site::truncateLogs() {
   runOnLoop([&] { Store_.truncateLogs(); });
 }
--- a/Source/StandIns/Site/Site.h
+++ b/Source/StandIns/Site/Site.h
@@ -46,6 +46,8 @@
   /// The retry budget that the gateways share. The ratio allows a gateway that has just started to
   /// repeat each of its requests.
   RetryShareOptions Retries_{.Ratio_ = 10};
+  /// The number of gateways in each data centre that read the store for the others.
+  int StoreReaders_ = 0;
 };
 
 /// A stand-in for the users' platform in one process: the store, the layered engines and the desks,
@@ -67,6 +69,8 @@
                             const std::string &DataCenter, int PeerPort) const;
 
   void setStoreFault(StoreFault Fault);
+  /// The number of calls that the store has received.
+  std::uint64_t storeCalls() const;
   /// Removes all records from the logs of the store; the newest values stay.
   void truncateLogs();
   void setEngineRunState(const std::string &Id, FakeLayerEngine::RunState State);
--- a/Tests/platform/TopicFollowerTest.cpp
+++ b/Tests/platform/TopicFollowerTest.cpp
@@ -102,3 +102,66 @@
   BOOST_TEST(List.readList(std::chrono::seconds(5)));
   BOOST_TEST(List.Seen_.size() == 7U);
 }
+
+// Guards against a gateway that waits for the answer to a read that it has given up, takes that for
+// a failure of the store, or reads records twice.
+BOOST_AUTO_TEST_CASE(AReadThatIsGivenUpIsReplaced) {
+  ListFixture List;
+  List.append("a");
+  HttpClient Client(List.Loop_);
+  StoreClient Calls(Client, List.Metrics_, List.Server_.address());
+  std::vector<std::string> Keys;
+  std::size_t Failures = 0;
+  const Duration Wait = std::chrono::seconds(20);
+  TopicFollower::Handlers Callbacks;
+  Callbacks.OnRecord_ = [&](const KeyedRecord &Record) { Keys.push_back(Record.Key_); };
+  Callbacks.OnComplete_ = [&] { List.Store_.setFault(StoreFault::Silent); };
+  Callbacks.OnCallEnded_ = [&](std::error_code Failure, TimePoint) { Failures += Failure ? 1 : 0; };
+  Callbacks.OnRead_ = [&](std::uint64_t) { List.Loop_.stop(); };
+  TopicFollower Follower(List.Loop_, List.Time_, Calls, topic::Endpoints, {Wait, Wait}, Callbacks);
+  Follower.start();
+  // The listing is answered, and the read after it is not.
+  List.Loop_.run_for(std::chrono::milliseconds(500));
+  BOOST_TEST(!Follower.isIdle());
+  List.Store_.setFault(StoreFault::None);
+  List.append("b");
+  Follower.readAnew();
+  List.Loop_.restart();
+  List.Loop_.run_for(std::chrono::seconds(10));
+  BOOST_TEST(List.Loop_.stopped());
+  List.Loop_.restart();
+  List.Loop_.run_for(std::chrono::milliseconds(100));
+  BOOST_TEST(Keys == std::vector<std::string>({"a", "b"}), boost::test_tools::per_element());
+  BOOST_TEST(Failures == 0U);
+  BOOST_TEST(Follower.position() == 2U);
+}
+
+// Guards against changes that another gateway has passed on and that are read again, or skipped.
+BOOST_AUTO_TEST_CASE(ReadsContinueAfterWhatWasLearnedOtherwise) {
+  ListFixture List;
+  List.append("a");
+  HttpClient Client(List.Loop_);
+  StoreClient Calls(Client, List.Metrics_, List.Server_.address());
+  std::vector<std::string> Keys;
+  TimePoint Due = TimePoint::max();
+  TopicFollower::Handlers Callbacks;
+  Callbacks.OnRecord_ = [&](const KeyedRecord &Record) { Keys.push_back(Record.Key_); };
+  Callbacks.OnComplete_ = [] {};
+  Callbacks.OnCallEnded_ = [](std::error_code, TimePoint) {};
+  Callbacks.Due_ = [&] { return std::min(Due, List.Time_.now() + std::chrono::hours(1)); };
+  TopicFollower Follower(List.Loop_, List.Time_, Calls, topic::Endpoints, {}, Callbacks);
+  Follower.start();
+  List.Loop_.run_for(std::chrono::milliseconds(500));
+  BOOST_REQUIRE(Follower.isIdle());
+  List.append("b");
+  List.append("c");
+  List.append("d");
+  Follower.skipTo(3);
+  Due = List.Time_.now();
+  Follower.reschedule();
+  Due = TimePoint::max();
+  List.Loop_.restart();
+  List.Loop_.run_for(std::chrono::milliseconds(500));
+  BOOST_TEST(Keys == std::vector<std::string>({"a", "d"}), boost::test_tools::per_element());
+  BOOST_TEST(Follower.position() == 4U);
+}
