Streams wait for engine memory by the rate at which it is obtained, and by class

Cause: EngineMemoryQueue expected memory only from streams that ended at this gateway in the last second. Change: Core/Admission/StreamAdmissionQueue in its place, one queue for each service. The rate of this gateway's placements predicts the wait; Retry-After is when the backlog clears. Where streaming routes of a service differ in priority (ServingIndex::ordersByClass), requests that can still be in time go first, except one placement in four, by class raised by waiting, and wait until the first event can no longer arrive before the caller gives up. Elsewhere the order and the 400 ms stay. A request that can't be placed for a reason of its own lets others go first. A rejected stream that has no retry left waits for its turn. Waiting streams are answered 503 on a shutdown. Event QueueWaitEnded, waits and waiting requests by class.

--- a/Source/Core/Admission/FairQueue.cpp
+++ b/Source/Core/Admission/FairQueue.cpp
@@ -56,7 +56,11 @@
     It->second.StartTag_ = Level.VirtualTime_;
   It->second.Weight_ = Weight;
   Locations_[Request.Ticket_] = Location{Priority, FlowId};
-  It->second.Waiting_.push_back(std::move(Request));
+  std::deque<QueuedRequest> &Waiting = It->second.Waiting_;
+  auto Before = Waiting.end();
+  while (Before != Waiting.begin() && std::prev(Before)->QueuedAt_ > Request.QueuedAt_)
+    --Before;
+  Waiting.insert(Before, std::move(Request));
   ++Level.Size_;
 }
 
@@ -77,7 +81,8 @@
   return Request;
 }
 
-std::optional<QueuedRequest> FairQueue::pop(TimePoint Now) {
+std::map<PriorityClass, FairQueue::PriorityLevel>::const_iterator
+FairQueue::nextLevel(TimePoint Now) const {
   auto Best = Levels_.end();
   double BestPriority = 0;
   for (auto It = Levels_.begin(); It != Levels_.end(); ++It) {
@@ -87,9 +92,33 @@
       BestPriority = Aged;
     }
   }
+  return Best;
+}
+
+std::optional<AdmissionTicket> FairQueue::first(TimePoint Now) const {
+  const auto Level = nextLevel(Now);
+  if (Level == Levels_.end())
+    return std::nullopt;
+  return Level->second.next()->second.Waiting_.front().Ticket_;
+}
+
+bool FairQueue::serve(AdmissionTicket Ticket) {
+  const auto Entry = Locations_.find(Ticket);
+  if (Entry == Locations_.end())
+    return false;
+  PriorityLevel &Level = Levels_.at(Entry->second.Priority_);
+  CustomerFlow &Flow = Level.Flows_.at(Entry->second.FlowId_);
+  Level.VirtualTime_ = std::max(Level.VirtualTime_, Flow.firstFinishTag());
+  Flow.StartTag_ = Flow.firstFinishTag();
+  extract(Ticket);
+  return true;
+}
+
+std::optional<QueuedRequest> FairQueue::pop(TimePoint Now) {
+  const auto Best = nextLevel(Now);
   if (Best == Levels_.end())
     return std::nullopt;
-  PriorityLevel &Level = Best->second;
+  PriorityLevel &Level = Levels_.at(Best->first);
   CustomerFlow &Flow = Level.Flows_.at(Level.next()->first);
   Level.VirtualTime_ = std::max(Level.VirtualTime_, Flow.firstFinishTag());
   Flow.StartTag_ = Flow.firstFinishTag();
--- a/Source/Core/Admission/FairQueue.h
+++ b/Source/Core/Admission/FairQueue.h
@@ -43,10 +43,16 @@
   /// Precondition: AgeingStep is positive.
   FairQueue(QueueOrder Order, Duration AgeingStep) : Order_(Order), AgeingStep_(AgeingStep) {}
 
-  /// Adds a request. Precondition: Weight and the request's cost are positive.
+  /// Adds a request, before those of its customer and class that have a later QueuedAt_.
+  /// Precondition: Weight and the request's cost are positive.
   void push(QueuedRequest Request, double Weight);
   /// Removes and returns the request to serve next; none if the queue is empty.
   std::optional<QueuedRequest> pop(TimePoint Now);
+  /// The request to serve next; none if the queue is empty.
+  std::optional<AdmissionTicket> first(TimePoint Now) const;
+  /// Removes a request and counts it as served for its customer. Returns false if it is not in the
+  /// queue.
+  bool serve(AdmissionTicket Ticket);
   /// Removes a request. Returns false if it is not in the queue.
   bool remove(AdmissionTicket Ticket);
   /// Removes and returns the requests for which Matches returns true.
@@ -98,6 +104,8 @@
   /// The finish tag that a new request would get.
   double finishTagOf(const CustomerId &Customer, PriorityClass Priority, double Cost,
                      double Weight) const;
+  /// The level to serve next, or the end.
+  std::map<PriorityClass, PriorityLevel>::const_iterator nextLevel(TimePoint Now) const;
   /// The priority of a waiting request, raised by one class for each AgeingStep; lowest first.
   double agedPriority(PriorityClass Priority, const QueuedRequest &Head, TimePoint Now) const;
   /// Removes and returns a request. Precondition: it is in the queue.
--- a/Source/Core/Serving/ServingConfig.h
+++ b/Source/Core/Serving/ServingConfig.h
@@ -3,6 +3,7 @@
 #include "Core/Common/Clock.h"
 #include "Core/Common/Ids.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -51,6 +52,10 @@
   bool Public_ = false;
   bool Resumable_ = false;
 
+  /// The time after which a caller gives up on a stream that has produced no event.
+  Duration firstEventTimeout() const {
+    return std::max({Duration(std::chrono::seconds(2)), 4 * Objective_, 8 * PauseObjective_});
+  }
   /// Whether a request that may have run may be sent again.
   bool isRetryable() const {
     return Kind_ == RequestKind::Idempotent || (Kind_ == RequestKind::Stream && Resumable_);
--- a/Source/Core/Serving/ServingIndex.cpp
+++ b/Source/Core/Serving/ServingIndex.cpp
@@ -27,6 +27,18 @@
   Keys_.erase("");
   for (const ServingService &Service : Config_.Services_)
     Services_.emplace(Service.Id_, &Service);
+  std::unordered_map<ServiceId, std::uint32_t> Priorities;
+  for (const ServingRoute &Route : Config_.Routes_) {
+    if (Route.Kind_ != RequestKind::Stream)
+      continue;
+    for (const ServiceShare &Share : Route.Services_) {
+      if (Share.Weight_ <= 0)
+        continue;
+      const auto [First, Added] = Priorities.try_emplace(Share.Service_, Route.Priority_);
+      if (!Added && First->second != Route.Priority_)
+        OrderedServices_.insert(Share.Service_);
+    }
+  }
 }
 
 const ServingRoute *ServingIndex::match(std::string_view Host, std::string_view Path) const {
--- a/Source/Core/Serving/ServingIndex.h
+++ b/Source/Core/Serving/ServingIndex.h
@@ -3,6 +3,7 @@
 #include "Core/Serving/ServingConfig.h"
 
 #include <memory>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 
@@ -23,6 +24,9 @@
   bool requiresKey(const ServingRoute &Route) const;
   /// The service with that id, or null.
   const ServingService *service(const ServiceId &Id) const;
+  /// Whether streaming routes of the service have different priorities, so that its requests are
+  /// ordered by class.
+  bool ordersByClass(const ServiceId &Id) const { return OrderedServices_.contains(Id); }
   /// Chooses the service of a request by the route's weights. Draw is a random number in [0, 1).
   /// Null if no service has a weight, or the configuration lacks the chosen one.
   const ServingService *chooseService(const ServingRoute &Route, double Draw) const;
@@ -33,6 +37,7 @@
   std::unordered_map<std::string, const ServingRoute *> Routes_;
   std::unordered_map<std::string, const ServingCustomer *> Keys_;
   std::unordered_map<ServiceId, const ServingService *> Services_;
+  std::set<ServiceId> OrderedServices_;
 };
 
 using ServingIndexPtr = std::shared_ptr<const ServingIndex>;
--- a/Source/Gateway/GatewayContext.h
+++ b/Source/Gateway/GatewayContext.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Core/Admission/EndpointLimiter.h"
-#include "Core/Admission/EngineMemoryQueue.h"
+#include "Core/Admission/StreamAdmissionQueue.h"
 #include "Core/Common/Logger.h"
 #include "Core/Layers/PathChooser.h"
 #include "Core/Recovery/PromptQuarantine.h"
@@ -33,7 +33,7 @@
   PathChooser &Paths_;
   RetryShare &Retries_;
   EngineHealthMonitor &Health_;
-  EngineMemoryQueue &AdmissionQueue_;
+  StreamAdmissionQueue &AdmissionQueue_;
   PromptQuarantine &Quarantine_;
   EndpointLimiter &Limiter_;
   std::mt19937 &Random_;
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -384,6 +384,9 @@
   Gauges.add("in_flight", static_cast<double>(RequestHandler_.inFlight()));
   Gauges.add("ready", notReadyReason().empty() ? 1 : 0);
   Gauges.add("waiting", static_cast<double>(AdmissionQueue_.size()));
+  for (const auto &[Key, Count] : AdmissionQueue_.sizeByClass())
+    Gauges.add("waiting_by_class", static_cast<double>(Count),
+               {{"service", Key.first.str()}, {"class", std::to_string(Key.second.value())}});
   Gauges.add("prompts_quarantined", static_cast<double>(Quarantine_.size(Time_.now())));
   Gauges.add("store_reachable", StoreReachable_ ? 1 : 0);
   Gauges.add("owns_placement", PlacementCoordinator_.owns() ? 1 : 0);
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -85,7 +85,7 @@
   PathChooser Paths_;
   RetryShare Retries_;
   GatewayCountEstimator CountEstimator_;
-  EngineMemoryQueue AdmissionQueue_;
+  StreamAdmissionQueue AdmissionQueue_;
   PromptQuarantine Quarantine_;
   EndpointLimiter Limiter_;
   EngineStateBroadcast StateBroadcast_;
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -31,9 +31,9 @@
 /// engine holds is loaded again within two to four seconds.
 constexpr Duration MinPathRetryAfter = milliseconds(1000);
 constexpr Duration MaxPathRetryAfter = milliseconds(3000);
-/// Range of the Retry-After when the engines lack free memory, which ending streams release.
-constexpr Duration MinMemoryRetryAfter = milliseconds(400);
-constexpr Duration MaxMemoryRetryAfter = milliseconds(1500);
+/// Range of the Retry-After when the limits of the engines leave no room.
+constexpr Duration MinLimitRetryAfter = milliseconds(400);
+constexpr Duration MaxLimitRetryAfter = milliseconds(1500);
 /// A request after which this many engines ended as they began to answer it is not sent again.
 constexpr std::uint32_t MaxEngineEndsAtStart = 2;
 
@@ -52,8 +52,15 @@
   if (quarantinedPart())
     return refuseWithoutPath();
   // Requests that are already queued go first.
-  if (Placement_.enterQueueBehindOthers())
-    return;
+  const TimePoint Now = Context_.Time_.now();
+  if (Placement_.othersWait(Now)) {
+    const bool Queued = Placement_.enterQueueBehindOthers();
+    // A more urgent request may be the next one at once.
+    if (Placement_.isOrderedByClass())
+      return Queued ? tryQueued(Now) : refuseWithoutPath();
+    if (Queued)
+      return;
+  }
   if (!sendOnPath(/*Again=*/false) && !Placement_.enterQueue())
     refuseWithoutPath();
 }
@@ -70,7 +77,7 @@
     return false;
   }
   keepAttempt();
-  Path_ = Placement_.reserve(std::move(*Choice.Path_), Now);
+  Path_ = Placement_.reserve(std::move(*Choice.Path_), Started_, Now);
 
   ForwardOptions Options = forwardOptions();
   Options.LastEvent_ = LastEvent_;
@@ -105,27 +112,54 @@
 }
 
 void StreamExchange::tryQueued(TimePoint Now) {
-  if (Placement_.isNext(Now) && sendOnPath(/*Again=*/false))
-    return Placement_.leaveQueue("sent", Now);
+  // After a pause of the process, the caller may have given up. The wait that ends with a last try
+  // is that of requests without an order by class.
+  const bool Over = Placement_.isOrderedByClass() && Placement_.isWaitOver(Now);
+  if (!Over && Placement_.isNext(Now)) {
+    if (sendQueued(Now))
+      return Placement_.leaveQueue("sent", Now);
+    // Others are not held up for what only this request lacks.
+    if (BudgetSpent_ || Placement_.isConstrained())
+      Placement_.defer(Now);
+  }
   if (!Placement_.isWaitOver(Now))
     return;
   Placement_.leaveQueue("refused", Now);
   refuseWithoutPath();
 }
 
+bool StreamExchange::sendQueued(TimePoint Now) {
+  const bool Again = Sends_ > 0;
+  if (Again && !Context_.Retries_.mayRetry(Routed_.Service_->Id_, Now, retryPurpose())) {
+    BudgetSpent_ = true;
+    return false;
+  }
+  return sendOnPath(Again);
+}
+
+bool StreamExchange::waitForTurn() {
+  if (attemptIsLive() || retryPurpose() != RetryPurpose::AfterRejection)
+    return false;
+  const bool Kept =
+      BudgetSpent_ && Context_.Retries_.mayRetry(Routed_.Service_->Id_, Context_.Time_.now(),
+                                                 RetryPurpose::AfterLoss);
+  if (Kept)
+    return Placement_.enterQueueForRetry();
+  return Placement_.isOrderedByClass() && !BudgetSpent_ && Placement_.enterQueue();
+}
+
 void StreamExchange::refuseWithoutPath() {
   if (const auto Quarantined = quarantinedPart())
     return refuse(503, ErrorCode::PromptQuarantined, Quarantined->Remaining_);
   if (BudgetSpent_)
-    return refuse(503, ErrorCode::RetryBudgetSpent,
-                  randomDuration(MinMemoryRetryAfter, MaxMemoryRetryAfter));
+    return refuse(503, ErrorCode::RetryBudgetSpent, Placement_.retryAfter(Context_.Time_.now()));
   Placement_.logShortage("refused");
   if (Placement_.shortage() == PathShortage::LimitReached)
     return refuse(503, ErrorCode::EndpointsLimited,
-                  randomDuration(MinMemoryRetryAfter, MaxMemoryRetryAfter));
+                  randomDuration(MinLimitRetryAfter, MaxLimitRetryAfter));
   const bool LacksMemory = Placement_.shortage() == PathShortage::NoFreeMemory;
   refuse(503, LacksMemory ? ErrorCode::Overloaded : ErrorCode::NoChain,
-         LacksMemory ? randomDuration(MinMemoryRetryAfter, MaxMemoryRetryAfter)
+         LacksMemory ? Placement_.retryAfter(Context_.Time_.now())
                      : randomDuration(MinPathRetryAfter, MaxPathRetryAfter));
 }
 
@@ -204,6 +238,7 @@
   if (!std::exchange(Started_, true)) {
     Context_.Metrics_.observe("first_event_seconds", Routed_.Service_->Id_.str(),
                               Monitor_.firstEventAt() - Routed_.ArrivedAt_);
+    Placement_.onFirstEvent(Monitor_.firstEventAt() - Attempt_->SentAt_);
     Context_.Quarantine_.onServed(Routed_.Caller_.SharedPromptParts_, Now);
     Routed_.Responder_->startChunked(Context_.Protocol_.responseForCaller(Attempt_->Head_));
   }
@@ -266,6 +301,8 @@
 void StreamExchange::onFailure(const HttpResult &Result) {
   const bool NotRun = !Result.BytesHandedOver_ || Attempt_->Info_.NotRun_;
   noteFailure(Result);
+  if (NotRun && !Started_)
+    Placement_.onRejected(Context_.Time_.now());
   if (NotRun && FirstSendToEngine_)
     Placement_.removeFirstEngine(Attempt_->Endpoint_);
   if (Kept_) {
@@ -401,6 +438,8 @@
     return;
   if (!mayResend() && !attemptIsLive())
     return giveUp();
+  if (mayResend() && waitForTurn())
+    return;
   // Within about a second, a lost layer is loaded again and memory and retry budget become
   // available.
   ResumeUntil_ = Monitor_.progressAt() + (Started_ ? ResumeTimeLimit : FirstEventTimeLimit);
@@ -624,6 +663,9 @@
 void StreamExchange::endEarly(ErrorCode Reason) {
   if (Started_)
     return giveUp();
+  // A request that only waited has not run and never will.
+  if (Reason == ErrorCode::ShuttingDown && Placement_.waits() && !MayHaveRun_)
+    return refuse(503, Reason, Placement_.retryAfter(Context_.Time_.now()));
   cancelAttempts();
   refuse(504, Reason, std::nullopt);
 }
--- a/Source/Gateway/StreamExchange.h
+++ b/Source/Gateway/StreamExchange.h
@@ -36,6 +36,11 @@
   /// Retries to find another path for a stream that lost its own.
   void tryResume(TimePoint Now);
   void tryQueued(TimePoint Now);
+  /// Sends a request whose turn it is; false if there is no path or no retry left for it.
+  bool sendQueued(TimePoint Now);
+  /// Queues a request that was rejected, so that it waits for its turn rather than trying over and
+  /// over; false if it may not wait there.
+  bool waitForTurn();
   void refuseWithoutPath();
   void onHead();
   /// Whether the response of the attempt, whose head has arrived, is a stream of events that may be
--- a/Source/Gateway/StreamPlacement.cpp
+++ b/Source/Gateway/StreamPlacement.cpp
@@ -37,6 +37,19 @@
   return {Prompt, std::max(1.0, Answer)};
 }
 
+double StreamPlacement::tokens() const {
+  const PathDemand Demand = demand();
+  return Demand.PromptTokens_ + Demand.AnswerTokens_;
+}
+
+PriorityClass StreamPlacement::priorityClass() const {
+  return PriorityClass(static_cast<PriorityClass::RepType>(Routed_.priority()));
+}
+
+bool StreamPlacement::isOrderedByClass() const {
+  return Routed_.Config_->ordersByClass(Routed_.Service_->Id_);
+}
+
 void StreamPlacement::limitFirstEngines(TimePoint Now) {
   // An engine that was lost does not count towards the limit; one that left as planned does.
   const auto Counted = std::count_if(RanAt_.begin(), RanAt_.end(), [&](const EndpointId &Engine) {
@@ -73,9 +86,12 @@
   return Choice;
 }
 
-ReservedPath StreamPlacement::reserve(LayerPath Path, TimePoint Now) {
-  const PathDemand Demand = demand();
-  ReservedPath Reserved{{std::move(Path)}, Demand.PromptTokens_ + Demand.AnswerTokens_};
+ReservedPath StreamPlacement::reserve(LayerPath Path, bool Begun, TimePoint Now) {
+  ReservedPath Reserved{{std::move(Path)}, tokens()};
+  // A stream that has begun takes the place of its lost memory, which tells nothing of what new
+  // requests obtain.
+  if (!Begun)
+    Context_.AdmissionQueue_.onPlaced(Routed_.Service_->Id_, priorityClass(), tokens(), Now);
   for (const PathStage &Stage : Reserved.Stages_) {
     const double TokenLayers = Reserved.Tokens_ * (Stage.Layers_.End_ - Stage.Layers_.Begin_);
     Context_.Roster_.addOwnLoad(Stage.Engine_, 1, TokenLayers);
@@ -84,9 +100,11 @@
   return Reserved;
 }
 
+void StreamPlacement::onRejected(TimePoint Now) {
+  Context_.AdmissionQueue_.onRejected(Routed_.Service_->Id_, priorityClass(), tokens(), Now);
+}
+
 void StreamPlacement::release(ReservedPath &Reserved) {
-  if (!Reserved.Stages_.empty())
-    Context_.AdmissionQueue_.onMemoryFreed(Context_.Time_.now());
   for (const PathStage &Stage : Reserved.Stages_)
     Context_.Roster_.addOwnLoad(Stage.Engine_, -1,
                                 -Reserved.Tokens_ * (Stage.Layers_.End_ - Stage.Layers_.Begin_));
@@ -94,10 +112,10 @@
 }
 
 void StreamPlacement::logShortage(std::string_view Outcome) const {
-  const PathDemand Demand = demand();
   Context_.Log_.log(LogEvent::NoPath, {{"id", Routed_.Caller_.Id_.str()},
+                                       {"class", Routed_.priority()},
                                        {"shortage", shortageName(Shortage_)},
-                                       {"tokens", Demand.PromptTokens_ + Demand.AnswerTokens_},
+                                       {"tokens", tokens()},
                                        {"layer", Bottleneck_.Layer_},
                                        {"engine", Bottleneck_.Engine_.str()},
                                        {"free", Bottleneck_.FreeTokens_},
@@ -108,26 +126,35 @@
 }
 
 bool StreamPlacement::enterQueueBehindOthers() {
-  if (Context_.AdmissionQueue_.size() == 0)
-    return false;
   Shortage_ = PathShortage::NoFreeMemory;
-  return enterQueue();
+  return enqueue("room");
 }
 
 bool StreamPlacement::enterQueue() {
-  if (Shortage_ != PathShortage::NoFreeMemory)
-    return false;
+  return Shortage_ == PathShortage::NoFreeMemory && enqueue("room");
+}
+
+bool StreamPlacement::enterQueueForRetry() { return enqueue("retry"); }
+
+bool StreamPlacement::enqueue(std::string_view Reason) {
   const TimePoint Now = Context_.Time_.now();
-  const PathDemand Demand = demand();
-  const AdmissionTicket Ticket = Context_.NextTicket_;
-  Context_.NextTicket_ = Ticket.next();
-  const CustomerId Customer = Routed_.Customer_ ? Routed_.Customer_->Id_ : CustomerId();
-  if (!Context_.AdmissionQueue_.tryEnqueue(
-          Ticket, Customer, PriorityClass(static_cast<PriorityClass::RepType>(Routed_.priority())),
-          Demand.PromptTokens_ + Demand.AnswerTokens_, Now))
+  StreamAdmissionRequest Request;
+  Request.Ticket_ = Context_.NextTicket_;
+  Request.Service_ = Routed_.Service_->Id_;
+  Request.Customer_ = Routed_.Customer_ ? Routed_.Customer_->Id_ : CustomerId();
+  Request.Priority_ = priorityClass();
+  Request.Tokens_ = tokens();
+  Request.ArrivedAt_ = Routed_.ArrivedAt_;
+  Request.Objective_ = Routed_.Route_->Objective_;
+  Request.GivesUpAt_ = Routed_.ArrivedAt_ + Routed_.Route_->firstEventTimeout();
+  Request.OrderByClass_ = isOrderedByClass();
+  ExpectedWait_ = Context_.AdmissionQueue_.expectedWait(Request, Now);
+  if (!Context_.AdmissionQueue_.tryEnqueue(Request, Now))
     return false;
-  Ticket_ = Ticket;
-  WaitUntil_ = Now + Context_.AdmissionQueue_.options().MaxWait_;
+  Context_.NextTicket_ = Request.Ticket_.next();
+  Ticket_ = Request.Ticket_;
+  WaitingSince_ = Now;
+  WaitReason_ = Reason;
   logShortage("waits");
   return true;
 }
@@ -137,18 +164,50 @@
 }
 
 bool StreamPlacement::isWaitOver(TimePoint Now) const {
-  return Now >= WaitUntil_ || Shortage_ == PathShortage::LimitReached;
+  return Now >= Context_.AdmissionQueue_.waitEnd(*Ticket_) ||
+         Shortage_ == PathShortage::LimitReached;
+}
+
+bool StreamPlacement::isConstrained() const {
+  return !Limits_.ExcludedEngines_.empty() || !Limits_.AllowedFirstEngines_.empty() ||
+         !Limits_.LimitedFirstEngines_.empty();
+}
+
+void StreamPlacement::defer(TimePoint Now) {
+  if (Ticket_)
+    Context_.AdmissionQueue_.defer(*Ticket_, Now);
 }
 
 void StreamPlacement::leaveQueue() {
-  if (const auto Ticket = std::exchange(Ticket_, std::nullopt))
-    Context_.AdmissionQueue_.remove(*Ticket);
+  if (Ticket_)
+    leaveQueue("gone", Context_.Time_.now());
 }
 
 void StreamPlacement::leaveQueue(std::string_view Outcome, TimePoint Now) {
-  const Duration Waited = Now - (WaitUntil_ - Context_.AdmissionQueue_.options().MaxWait_);
+  const auto Ticket = std::exchange(Ticket_, std::nullopt);
+  if (!Ticket)
+    return;
+  if (Outcome == "sent")
+    Context_.AdmissionQueue_.take(*Ticket);
+  else
+    Context_.AdmissionQueue_.remove(*Ticket);
+  const Duration Waited = Now - WaitingSince_;
   Context_.Metrics_.observe("queue_wait_seconds", Outcome, Waited);
-  leaveQueue();
+  Context_.Metrics_.observe("queue_wait_by_class_seconds", std::to_string(Routed_.priority()),
+                            Waited);
+  Context_.Log_.log(LogEvent::QueueWaitEnded,
+                    {{"id", Routed_.Caller_.Id_.str()},
+                     {"class", Routed_.priority()},
+                     {"reason", WaitReason_},
+                     {"waited_ms", Waited / milliseconds(1)},
+                     {"expected_ms", ExpectedWait_.value_or(Duration{}) / milliseconds(1)},
+                     {"waiting", Context_.AdmissionQueue_.size()},
+                     {"outcome", Outcome}});
+}
+
+Duration StreamPlacement::retryAfter(TimePoint Now) {
+  return Context_.AdmissionQueue_.retryAfter(Routed_.Service_->Id_, tokens(),
+                                             Context_.randomFraction(), Now);
 }
 
 } // namespace rattancart
--- a/Source/Gateway/StreamPlacement.h
+++ b/Source/Gateway/StreamPlacement.h
@@ -32,8 +32,15 @@
   /// Chooses a path whose first engine's limit leaves room for the request; records why there is
   /// none. A lower priority value is preferred by limits.
   PathChoice choose(std::uint32_t Priority, TimePoint Now);
-  /// Reserves the memory of the request on the engines of a path.
-  ReservedPath reserve(LayerPath Path, TimePoint Now);
+  /// Reserves the memory of the request on the engines of a path. Begun tells whether its caller
+  /// has received events.
+  ReservedPath reserve(LayerPath Path, bool Begun, TimePoint Now);
+  /// The engines rejected a request, which has not begun, before it ran.
+  void onRejected(TimePoint Now);
+  /// The first event of the request arrived so long after it was sent.
+  void onFirstEvent(Duration Took) {
+    Context_.AdmissionQueue_.onFirstEvent(Routed_.Service_->Id_, Took);
+  }
   /// Gives back the memory that was reserved on the engines of a path.
   void release(ReservedPath &Reserved);
 
@@ -49,26 +56,44 @@
   PathShortage shortage() const { return Shortage_; }
   void logShortage(std::string_view Outcome) const;
 
-  /// Queues the request if other requests wait; false if none do, or no memory is expected in time.
+  /// Whether requests of the service are ordered by class.
+  bool isOrderedByClass() const;
+  /// Whether other requests of the service wait that go first.
+  bool othersWait(TimePoint Now) const {
+    return Context_.AdmissionQueue_.isContended(Routed_.Service_->Id_, Now);
+  }
+  /// Queues the request, since others wait that go first; false if no memory is expected in time.
   bool enterQueueBehindOthers();
   /// Queues the request until a path has enough free memory; false if it lacks something else, or
   /// no memory is expected in time.
   bool enterQueue();
+  /// Queues a request that was rejected and has no retry left until there is one; false if no
+  /// memory is expected in time.
+  bool enterQueueForRetry();
   bool waits() const { return Ticket_.has_value(); }
   /// Whether the request, which waits, is to be placed next.
   bool isNext(TimePoint Now);
   /// Whether the request has waited for as long as it may, or waiting no longer helps.
   bool isWaitOver(TimePoint Now) const;
+  /// Whether some engines are ruled out for this request alone.
+  bool isConstrained() const;
+  /// Lets other requests go first for a short time.
+  void defer(TimePoint Now);
   /// Leaves the queue, if the request waits.
   void leaveQueue();
-  /// Leaves the queue after a wait that ended in this way.
+  /// Leaves the queue after a wait that ended in this way: sent or refused.
   void leaveQueue(std::string_view Outcome, TimePoint Now);
+  /// When a caller that is refused for lack of memory may come back.
+  Duration retryAfter(TimePoint Now);
 
 private:
   /// Once as many engines as the route allows may have run the request, only these may be the first
   /// engine of a path.
   void limitFirstEngines(TimePoint Now);
   PathChoice chooseAdmitted(std::uint32_t Priority, TimePoint Now);
+  bool enqueue(std::string_view Reason);
+  PriorityClass priorityClass() const;
+  double tokens() const;
 
   GatewayContext &Context_;
   const RoutedRequest &Routed_;
@@ -82,7 +107,10 @@
   /// Until then the engines in Limits_.LimitedFirstEngines_ are not asked again.
   TimePoint LimitedUntil_{};
   std::optional<AdmissionTicket> Ticket_;
-  TimePoint WaitUntil_{};
+  TimePoint WaitingSince_{};
+  /// Why the request waits: for memory, or for a retry.
+  std::string_view WaitReason_;
+  std::optional<Duration> ExpectedWait_;
 };
 
 } // namespace rattancart
--- a/Source/SiteModel/SimulatedSite.cpp
+++ b/Source/SiteModel/SimulatedSite.cpp
@@ -198,7 +198,7 @@
   HealthMonitor Health_;
   PathChooser Paths_;
   RetryShare Retries_;
-  EngineMemoryQueue MemoryQueue_;
+  StreamAdmissionQueue MemoryQueue_;
   PromptQuarantine Quarantine_;
   MetricSet Metrics_;
   std::mt19937 Random_;
--- a/Tests/Core/Serving/ServingIndexTest.cpp
+++ b/Tests/Core/Serving/ServingIndexTest.cpp
@@ -4,6 +4,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include <map>
+#include <tuple>
+#include <vector>
 
 using namespace rattancart;
 using namespace std::chrono_literals;
@@ -133,3 +135,39 @@
   BOOST_TEST(Holder.replaceIfNewer(config(9), TimePoint(4s)));
   BOOST_TEST((Holder.changedAt() == TimePoint(4s)));
 }
+
+namespace {
+
+struct OrderCase {
+  const char *Name_;
+  /// Kind, priority and weight of each route to the service.
+  std::vector<std::tuple<RequestKind, std::uint32_t, double>> Routes_;
+  bool Ordered_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const OrderCase &Case) { return Out << Case.Name_; }
+
+const OrderCase OrderCases[] = {
+    {"one streaming route", {{RequestKind::Stream, 1, 1}}, false},
+    {"equal priorities", {{RequestKind::Stream, 1, 1}, {RequestKind::Stream, 1, 1}}, false},
+    {"different priorities", {{RequestKind::Stream, 1, 1}, {RequestKind::Stream, 0, 1}}, true},
+    {"a plain route", {{RequestKind::Stream, 1, 1}, {RequestKind::Idempotent, 0, 1}}, false},
+    {"a route without requests", {{RequestKind::Stream, 1, 1}, {RequestKind::Stream, 0, 0}}, false},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(StreamsAreOrderedByClassWhereRoutesDifferInPriority, OrderCases, Case) {
+  ServingConfig Config = config(1);
+  Config.Routes_.clear();
+  for (const auto &[Kind, Priority, Weight] : Case.Routes_) {
+    ServingRoute Route = route("r", "a.example", "/");
+    Route.Kind_ = Kind;
+    Route.Priority_ = Priority;
+    Route.Services_ = {{ServiceId("s"), Weight}};
+    Config.Routes_.push_back(Route);
+  }
+  const ServingIndex Index(Config);
+  BOOST_TEST(Index.ordersByClass(ServiceId("s")) == Case.Ordered_);
+  BOOST_TEST(!Index.ordersByClass(ServiceId("t")));
+}
--- a/Tests/Gateway/LateSendTest.cpp
+++ b/Tests/Gateway/LateSendTest.cpp
@@ -138,3 +138,55 @@
     BOOST_TEST(Each.Caller_->Status_ == 503U);
   }
 }
+
+namespace {
+
+/// A rejected stream for which no retry is left but those kept for streams that lost their engine,
+/// while requests of other callers obtain memory.
+struct RejectedStream : OneRequest {
+  RejectedStream() {
+    Retries_.setOptions({0.2, 100, 10s, /*KeptForLost=*/0.5}, Time_.now());
+    while (Retries_.tryRetry(Brief, Time_.now(), RetryPurpose::AfterRejection))
+      ;
+    for (int I = 0; I < 30; ++I)
+      Queue_.onPlaced(Brief, PriorityClass(0), 200, Time_.now());
+    Engines_.refuse(0);
+  }
+  void pass(Duration Span) {
+    for (Duration Passed{}; Passed < Span; Passed += 25ms) {
+      Time_.advance(25ms);
+      Handler_.tick();
+    }
+  }
+};
+
+} // namespace
+
+// It neither polls the budget nor passes others that wait.
+BOOST_AUTO_TEST_CASE(ARejectedStreamWaitsForItsTurnUntilThereIsARetry) {
+  for (const bool Freed : {true, false}) {
+    RejectedStream Each;
+    BOOST_TEST(Each.Queue_.size() == 1U);
+    Each.pass(200ms);
+    BOOST_TEST(Each.Engines_.sends() == 1U);
+    BOOST_TEST(Each.Caller_->Status_ == 0U);
+    const std::string Metrics = Each.Metrics_.prometheusText("");
+    BOOST_TEST(Metrics.find("\"kept\"} 1\n") != std::string::npos, Metrics);
+    if (Freed)
+      Each.Retries_.setOptions({0.2, 100, 10s, 0}, Each.Time_.now());
+    Each.pass(Freed ? 100ms : 400ms);
+    BOOST_TEST(Each.Engines_.sends() == (Freed ? 2U : 1U));
+    BOOST_TEST(Each.Caller_->Status_ == (Freed ? 0U : 503U));
+    BOOST_TEST(Each.Queue_.size() == 0U);
+    BOOST_TEST(Each.Log_.count(LogEvent::QueueWaitEnded) == 1U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AShutdownTellsTheCallerOfAWaitingStreamThatItHasNotRun) {
+  RejectedStream Each;
+  BOOST_REQUIRE(Each.Queue_.size() == 1U);
+  Each.Handler_.shutDown();
+  BOOST_TEST(Each.Caller_->Status_ == 503U);
+  BOOST_TEST(Each.Queue_.size() == 0U);
+  BOOST_TEST(Each.Handler_.inFlight() == 0U);
+}
--- a/Tests/Gateway/ScriptedRequest.h
+++ b/Tests/Gateway/ScriptedRequest.h
@@ -190,7 +190,7 @@
   PathChooser Paths_{Roster_, DataCenterId("east")};
   RetryShare Retries_{{0.2, 100, 10s}, Start - 1min};
   AllAnswer Health_;
-  EngineMemoryQueue Queue_;
+  StreamAdmissionQueue Queue_;
   PromptQuarantine Quarantine_;
   std::mt19937 Random_{1};
   EndpointLimiter Limiter_{Random_};
