A waiting stream's turn ends if it finds no memory, and no class waits longer than a more urgent one

Cause: the head of the queue held up the others for as long as it waited, such as a large request. Change: where streams are ordered by class, one lets the others go first for 50 ms after 150 ms; the longest wait is at most that of each more urgent class; half of the expected wait is left to spare. Ageing steps of 1.5, 2 and 4 s made no difference beyond noise.

--- a/Source/Core/Admission/StreamAdmissionQueue.cpp
+++ b/Source/Core/Admission/StreamAdmissionQueue.cpp
@@ -15,7 +15,7 @@
 constexpr double LeastRatePart = 1.0 / PlacementsPerLateOne;
 /// A request waits only if this many times its expected wait is left, where the wait is long:
 /// others that arrive later may go first.
-constexpr double WaitMargin = 1.25;
+constexpr double WaitMargin = 1.5;
 /// Range of the time after which a refused caller is told to come back, before jitter.
 constexpr Duration MinRetryAfter = milliseconds(400);
 constexpr Duration MaxRetryAfter = milliseconds(2000);
@@ -59,7 +59,15 @@
                                           const StreamAdmissionRequest &Request,
                                           TimePoint Now) const {
   const TimePoint Latest = Request.GivesUpAt_ - firstEventTime(Of);
-  return Request.OrderByClass_ ? Latest : std::min(Latest, Now + Options_.MaxWait_);
+  if (!Request.OrderByClass_)
+    return std::min(Latest, Now + Options_.MaxWait_);
+  // If the callers of a less urgent class wait longer, its requests would obtain the memory for
+  // which more urgent ones are refused.
+  Duration Timeout = Request.GivesUpAt_ - Request.ArrivedAt_;
+  for (const auto &[Priority, Each] : Of.FirstEventTimeouts_)
+    if (Priority <= Request.Priority_)
+      Timeout = std::min(Timeout, Each);
+  return Request.ArrivedAt_ + Timeout - firstEventTime(Of);
 }
 
 void StreamAdmissionQueue::push(ServiceState &To, const Entry &Added, TimePoint Now) {
@@ -137,7 +145,8 @@
 bool StreamAdmissionQueue::tryEnqueue(const StreamAdmissionRequest &Request, TimePoint Now) {
   ServiceState &Of = service(Request.Service_, Request.OrderByClass_);
   const std::optional<Duration> Wait = expectedWait(Request, Now);
-  Entry Added{Request, waitEndOf(Of, Request, Now), std::nullopt};
+  Of.FirstEventTimeouts_[Request.Priority_] = Request.GivesUpAt_ - Request.ArrivedAt_;
+  Entry Added{Request, waitEndOf(Of, Request, Now), std::nullopt, std::nullopt};
   const double Margin = Request.OrderByClass_ ? WaitMargin : 1;
   if (!Wait || std::chrono::duration<double>(*Wait) * Margin >= Added.WaitEnd_ - Now)
     return false;
@@ -165,6 +174,17 @@
   return next(Of, Now) == Ticket;
 }
 
+void StreamAdmissionQueue::onNotPlaced(AdmissionTicket Ticket, TimePoint Now) {
+  const auto Found = Waiting_.find(Ticket);
+  if (Found == Waiting_.end() || !Found->second.Request_.OrderByClass_)
+    return;
+  Entry &Waits = Found->second;
+  if (!Waits.TurnSince_)
+    Waits.TurnSince_ = Now;
+  else if (Now - *Waits.TurnSince_ >= Options_.MaxTurn_)
+    defer(Ticket, Now);
+}
+
 void StreamAdmissionQueue::defer(AdmissionTicket Ticket, TimePoint Now) {
   const auto Found = Waiting_.find(Ticket);
   if (Found == Waiting_.end() || Found->second.DeferredUntil_)
@@ -172,6 +192,7 @@
   ServiceState &Of = Services_.at(Found->second.Request_.Service_);
   if (!Of.InTime_.remove(Ticket))
     Of.Late_.remove(Ticket);
+  Found->second.TurnSince_.reset();
   Found->second.DeferredUntil_ = Now + Options_.DeferTime_;
   ++Of.Deferred_;
 }
--- a/Source/Core/Admission/StreamAdmissionQueue.h
+++ b/Source/Core/Admission/StreamAdmissionQueue.h
@@ -22,6 +22,9 @@
   Duration RateWindow_ = std::chrono::seconds(3);
   /// How long a request that can't be placed for a reason of its own lets others go first.
   Duration DeferTime_ = std::chrono::milliseconds(50);
+  /// Where requests are ordered by class, how long one whose turn it is may hold up the others,
+  /// such as a large one while there is memory for small ones.
+  Duration MaxTurn_ = std::chrono::milliseconds(150);
 };
 
 /// A stream that needs memory at the engines.
@@ -62,6 +65,9 @@
   bool isContended(const ServiceId &Service, TimePoint Now);
   /// Whether this request is to be placed next.
   bool isNext(AdmissionTicket Ticket, TimePoint Now);
+  /// Notes that the request, whose turn it is, found no memory. After some time it lets others go
+  /// first for a short time. An unknown ticket is ignored.
+  void onNotPlaced(AdmissionTicket Ticket, TimePoint Now);
   /// Lets others go first for a short time, since the request can't be placed for a reason of its
   /// own. An unknown ticket is ignored.
   void defer(AdmissionTicket Ticket, TimePoint Now);
@@ -97,6 +103,8 @@
     TimePoint WaitEnd_{};
     /// Until then the request is in none of the groups.
     std::optional<TimePoint> DeferredUntil_;
+    /// When its present turn began.
+    std::optional<TimePoint> TurnSince_;
   };
   struct Placement {
     TimePoint At_{};
@@ -120,6 +128,8 @@
     std::size_t Deferred_ = 0;
     /// Placements of the first group since the last one of the second, while both had requests.
     std::uint32_t InTimePlacements_ = 0;
+    /// How long callers wait for a first event, by class, as the latest requests have it.
+    std::map<PriorityClass, Duration> FirstEventTimeouts_;
     std::deque<Placement> Placements_;
     std::deque<Return> Returns_;
     double FirstEventSeconds_ = 0.15;
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -118,9 +118,7 @@
   if (!Over && Placement_.isNext(Now)) {
     if (sendQueued(Now))
       return Placement_.leaveQueue("sent", Now);
-    // Others are not held up for what only this request lacks.
-    if (BudgetSpent_ || Placement_.isConstrained())
-      Placement_.defer(Now);
+    Placement_.onNotPlaced(BudgetSpent_, Now);
   }
   if (!Placement_.isWaitOver(Now))
     return;
--- a/Source/Gateway/StreamPlacement.cpp
+++ b/Source/Gateway/StreamPlacement.cpp
@@ -168,14 +168,14 @@
          Shortage_ == PathShortage::LimitReached;
 }
 
-bool StreamPlacement::isConstrained() const {
-  return !Limits_.ExcludedEngines_.empty() || !Limits_.AllowedFirstEngines_.empty() ||
-         !Limits_.LimitedFirstEngines_.empty();
-}
-
-void StreamPlacement::defer(TimePoint Now) {
-  if (Ticket_)
+void StreamPlacement::onNotPlaced(bool LacksRetry, TimePoint Now) {
+  const bool Constrained = !Limits_.ExcludedEngines_.empty() ||
+                           !Limits_.AllowedFirstEngines_.empty() ||
+                           !Limits_.LimitedFirstEngines_.empty();
+  if (LacksRetry || Constrained)
     Context_.AdmissionQueue_.defer(*Ticket_, Now);
+  else
+    Context_.AdmissionQueue_.onNotPlaced(*Ticket_, Now);
 }
 
 void StreamPlacement::leaveQueue() {
--- a/Source/Gateway/StreamPlacement.h
+++ b/Source/Gateway/StreamPlacement.h
@@ -75,10 +75,9 @@
   bool isNext(TimePoint Now);
   /// Whether the request has waited for as long as it may, or waiting no longer helps.
   bool isWaitOver(TimePoint Now) const;
-  /// Whether some engines are ruled out for this request alone.
-  bool isConstrained() const;
-  /// Lets other requests go first for a short time.
-  void defer(TimePoint Now);
+  /// Notes that the request, whose turn it is, can't be placed now. Others are not held up for what
+  /// only this request lacks: some engines are ruled out for it, or LacksRetry.
+  void onNotPlaced(bool LacksRetry, TimePoint Now);
   /// Leaves the queue, if the request waits.
   void leaveQueue();
   /// Leaves the queue after a wait that ended in this way: sent or refused.
--- a/Tests/Core/Admission/StreamAdmissionQueueTest.cpp
+++ b/Tests/Core/Admission/StreamAdmissionQueueTest.cpp
@@ -77,8 +77,8 @@
     {"nothing placed lately", 0, true, 1, 0},
     {"one priority, longest wait 400 ms", 25, false, 0, 10},
     {"one priority, few placed", 4, false, 0, 2},
-    {"by class, until the caller gives up", 4, true, 1, 6},
-    {"by class, many placed", 25, true, 1, 37},
+    {"by class, until the caller gives up", 4, true, 1, 5},
+    {"by class, many placed", 25, true, 1, 31},
     {"by class, a more urgent one obtained the memory", 4, true, 0, 2},
 };
 
@@ -163,6 +163,22 @@
   BOOST_TEST(Queue.size() == 0U);
 }
 
+// A large request must not hold up small ones for which there is memory.
+BOOST_AUTO_TEST_CASE(ATurnEndsIfNoMemoryIsFound) {
+  StreamAdmissionQueue Queue;
+  place(Queue, 30, Start);
+  enqueue(Queue, 1, "a", 0, Start, true);
+  enqueue(Queue, 2, "a", 0, Start + 1ms, true);
+  for (Duration Passed = 1ms; Passed < 150ms; Passed += 10ms) {
+    BOOST_TEST(Queue.isNext(AdmissionTicket(1), Start + Passed));
+    Queue.onNotPlaced(AdmissionTicket(1), Start + Passed);
+  }
+  Queue.onNotPlaced(AdmissionTicket(1), Start + 160ms);
+  BOOST_TEST(Queue.isNext(AdmissionTicket(2), Start + 160ms));
+  // It has a turn again before it would be late.
+  BOOST_TEST(Queue.isNext(AdmissionTicket(1), Start + 220ms));
+}
+
 BOOST_AUTO_TEST_CASE(AServiceDoesNotWaitForAnother) {
   StreamAdmissionQueue Queue;
   place(Queue, 30, Start);
--- a/Tests/Core/Admission/StreamContentionTest.cpp
+++ b/Tests/Core/Admission/StreamContentionTest.cpp
@@ -170,8 +170,12 @@
       refuse(Each);
       return true;
     }
-    if (!Queue.isNext(Ticket, Now_) || !place(Each))
+    if (!Queue.isNext(Ticket, Now_))
       return false;
+    if (!place(Each)) {
+      Queue.onNotPlaced(Ticket, Now_);
+      return false;
+    }
     Queue.take(Ticket);
     return true;
   }
@@ -243,6 +247,7 @@
                                         << Run.LongestRetryAfter_ / 1ms << " ms");
   for (std::size_t Class = 1; Class < 3; ++Class) {
     BOOST_TEST(Run.ByClass_[0].inTime() >= Run.ByClass_[Class].inTime());
+    BOOST_TEST(Run.ByClass_[Class - 1].served() >= Run.ByClass_[Class].served() - 0.05);
     BOOST_TEST(Run.ByClass_[0].served() >= Run.ByClass_[Class].served() - 0.05);
   }
   for (const Outcomes &Of : Run.ByClass_)
