--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -88,7 +88,7 @@
   PathChooser Paths_;
   RetryShare Retries_;
   GatewayCountEstimator CountEstimator_;
-  EngineMemoryQueue AdmissionQueue_;
+  StreamAdmissionQueue AdmissionQueue_;
   PromptQuarantine Quarantine_;
   EndpointLimiter Limiter_;
   DatagramSocket Datagrams_;
