Admission: keep engine memory free for more urgent classes

Cause: where streaming routes of a service have different priorities, requests of all classes get the memory that becomes free in the order of their arrival, so urgent ones are rejected or refused as often as others.

Change: ClassReserve expects what more urgent classes need until the next reports (own demand times the gateways of the data centre), at most a sixth of the memory; a path for a less urgent request leaves it free. Waiting raises a request by one class each 200 ms. Nothing is kept where all streaming routes of a service have one priority. Gauge memory_kept_share, field kept_share in NoPath.

--- a/Source/Core/Layers/PathFinder.cpp
+++ b/Source/Core/Layers/PathFinder.cpp
@@ -54,9 +54,10 @@
   return (Step + Read) * Slowdown * Engine.RandomFactor_ / (freeShare(Engine) * Model.Layers_);
 }
 
-/// The number of layers for which the engine has memory for that many tokens.
-std::uint32_t layersThatFit(const StageCandidate &Engine, double Tokens) {
-  const double Free = freeTokenLayers(Engine);
+/// The number of layers for which the engine has memory for that many tokens beside the part of it
+/// that is kept for others.
+std::uint32_t layersThatFit(const StageCandidate &Engine, double Tokens, double KeptShare) {
+  const double Free = freeTokenLayers(Engine) - KeptShare * Engine.TotalTokenLayers_;
   if (Free == Infinite)
     return Engine.Layers_.End_;
   return Free <= 0 || Tokens <= 0 ? 0 : static_cast<std::uint32_t>(Free / Tokens);
@@ -91,7 +92,7 @@
     for (const StageCandidate &Engine : Candidates_) {
       CostPerLayer_.push_back(layerCost(Model_, Engine, Demand_));
       LayersThatFit_.push_back(
-          layersThatFit(Engine, Demand_.PromptTokens_ + Demand_.AnswerTokens_));
+          layersThatFit(Engine, Demand_.PromptTokens_ + Demand_.AnswerTokens_, Demand_.KeptShare_));
     }
     for (std::size_t Boundary = 0; Boundary + 1 < Boundaries_.size(); ++Boundary)
       if (Nodes_[Boundary].Cost_ < Infinite && Nodes_[Boundary].Hops_ < MaxPathStages)
--- a/Source/Core/Layers/PathFinder.h
+++ b/Source/Core/Layers/PathFinder.h
@@ -48,6 +48,8 @@
 struct PathDemand {
   double PromptTokens_ = 0;
   double AnswerTokens_ = 0;
+  /// The part of each engine's memory that the request must leave free for more urgent ones.
+  double KeptShare_ = 0;
 };
 
 /// The longest path that engines accept.
--- a/Source/Core/Membership/GatewayCountEstimator.cpp
+++ b/Source/Core/Membership/GatewayCountEstimator.cpp
@@ -92,6 +92,14 @@
   return {Sum, {}};
 }
 
+std::optional<std::uint32_t> GatewayCountEstimator::countAt(const DataCenterId &DataCenter,
+                                                            TimePoint Now) const {
+  const auto Found = DataCenters_.find(DataCenter);
+  if (Found == DataCenters_.end() || !count(Now).Gateways_)
+    return std::nullopt;
+  return gatewaysAt(Found->second, Now);
+}
+
 std::optional<std::uint32_t> GatewayCountEstimator::sum(TimePoint Now) const {
   std::uint32_t Sum = 0;
   for (const auto &[DataCenter, Each] : DataCenters_) {
--- a/Source/Core/Membership/GatewayCountEstimator.h
+++ b/Source/Core/Membership/GatewayCountEstimator.h
@@ -70,6 +70,8 @@
   void setOptions(GatewayCountOptions Options) { Options_ = Options; }
 
   GatewayCount count(TimePoint Now) const;
+  /// The number of gateways of one data centre; nothing if it is not known.
+  std::optional<std::uint32_t> countAt(const DataCenterId &DataCenter, TimePoint Now) const;
 
 private:
   struct CountReport {
--- a/Source/Core/Serving/EndpointRoster.cpp
+++ b/Source/Core/Serving/EndpointRoster.cpp
@@ -235,4 +235,15 @@
   return nullptr;
 }
 
+double tokenCapacity(const EndpointRoster &Roster, const ServingService &Service,
+                     const DataCenterId &DataCenter) {
+  if (!Service.Model_ || Service.Model_->Layers_ == 0)
+    return 0;
+  double TokenLayers = 0;
+  for (const auto &[Id, Record] : Roster.all())
+    if (Record.Listing_.Service_ == Service.Id_ && Record.Listing_.DataCenter_ == DataCenter)
+      TokenLayers += Record.Report_.TotalTokenLayers_;
+  return TokenLayers / Service.Model_->Layers_;
+}
+
 } // namespace rattancart
--- a/Source/Core/Serving/EndpointRoster.h
+++ b/Source/Core/Serving/EndpointRoster.h
@@ -183,4 +183,9 @@
   ConcurrentSendEstimate ConcurrentSends_;
 };
 
+/// The number of tokens that the service's engines in a data centre have memory for together, if it
+/// is evenly used; 0 if the service has no model or none of them has reported. Thread-safe.
+double tokenCapacity(const EndpointRoster &Roster, const ServingService &Service,
+                     const DataCenterId &DataCenter);
+
 } // namespace rattancart
--- a/Source/Core/Serving/EngineMemoryEstimate.h
+++ b/Source/Core/Serving/EngineMemoryEstimate.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Core/Common/Clock.h"
-#include "Core/Serving/DecayingRate.h"
+#include "Core/Common/DecayingRate.h"
 
 #include <deque>
 
--- a/Source/Core/Serving/ServingIndex.cpp
+++ b/Source/Core/Serving/ServingIndex.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <set>
 
 namespace rattancart {
 
@@ -27,6 +28,18 @@
   Keys_.erase("");
   for (const ServingService &Service : Config_.Services_)
     Services_.emplace(Service.Id_, &Service);
+  for (const ServingService &Service : Config_.Services_)
+    if (streamPriorities(Service.Id_).size() > 1)
+      StreamClasses_.insert(Service.Id_);
+}
+
+std::vector<std::uint32_t> ServingIndex::streamPriorities(const ServiceId &Service) const {
+  std::set<std::uint32_t> Found;
+  for (const ServingRoute &Route : Config_.Routes_)
+    for (const ServiceShare &Share : Route.Services_)
+      if (Route.Kind_ == RequestKind::Stream && Share.Service_ == Service && Share.Weight_ > 0)
+        Found.insert(Route.Priority_);
+  return {Found.begin(), Found.end()};
 }
 
 const ServingRoute *ServingIndex::match(std::string_view Host, std::string_view Path) const {
--- a/Source/Core/Serving/ServingIndex.h
+++ b/Source/Core/Serving/ServingIndex.h
@@ -5,6 +5,8 @@
 #include <memory>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
+#include <vector>
 
 namespace rattancart {
 
@@ -23,6 +25,11 @@
   bool requiresKey(const ServingRoute &Route) const;
   /// The service with that id, or null.
   const ServingService *service(const ServiceId &Id) const;
+  /// The priorities of the service's streaming routes, without duplicates, most urgent first.
+  /// Requests are ordered by class only where there are at least two.
+  std::vector<std::uint32_t> streamPriorities(const ServiceId &Service) const;
+  /// Whether streaming routes of the service have different priorities.
+  bool hasStreamClasses(const ServiceId &Service) const { return StreamClasses_.contains(Service); }
   /// Chooses the service of a request by the route's weights. Draw is a random number in [0, 1).
   /// Null if no service has a weight, or the configuration lacks the chosen one.
   const ServingService *chooseService(const ServingRoute &Route, double Draw) const;
@@ -33,6 +40,8 @@
   std::unordered_map<std::string, const ServingRoute *> Routes_;
   std::unordered_map<std::string, const ServingCustomer *> Keys_;
   std::unordered_map<ServiceId, const ServingService *> Services_;
+  /// Services whose streaming routes have different priorities.
+  std::unordered_set<ServiceId> StreamClasses_;
 };
 
 using ServingIndexPtr = std::shared_ptr<const ServingIndex>;
--- a/Source/Gateway/GatewayContext.h
+++ b/Source/Gateway/GatewayContext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/Admission/ClassReserve.h"
 #include "Core/Admission/EndpointLimiter.h"
 #include "Core/Admission/EngineMemoryQueue.h"
 #include "Core/Common/Logger.h"
@@ -42,6 +43,9 @@
   /// Ticket of the next request that enters the admission queue.
   AdmissionTicket NextTicket_{1};
 
+  /// The memory that requests leave free for more urgent classes.
+  ClassReserve Reserve_{};
+
   /// Called when a request finds no path in the home data centre, so that engines of other data
   /// centres are needed.
   std::function<void()> OnNoPathAtHome_;
--- a/Source/Gateway/GatewayGauges.cpp
+++ b/Source/Gateway/GatewayGauges.cpp
@@ -88,4 +88,16 @@
   }
 }
 
+void addReserveGauges(GaugeText &Gauges, const ConfigHolder &Config, const ClassReserve &Reserve,
+                      TimePoint Now) {
+  const ServingIndexPtr &Current = Config.current();
+  if (!Current)
+    return;
+  for (const ServingService &Service : Current->config().Services_)
+    if (Current->hasStreamClasses(Service.Id_))
+      for (const std::uint32_t Priority : Current->streamPriorities(Service.Id_))
+        Gauges.add("memory_kept_share", Reserve.keptShare(Service.Id_, Priority, Duration{}, Now),
+                   {{"service", Service.Id_.str()}, {"priority", std::to_string(Priority)}});
+}
+
 } // namespace rattancart
--- a/Source/Gateway/GatewayGauges.h
+++ b/Source/Gateway/GatewayGauges.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/Admission/ClassReserve.h"
 #include "Core/Layers/PathChooser.h"
 #include "Core/Recovery/RetryShare.h"
 #include "Core/Serving/EndpointRoster.h"
@@ -43,4 +44,9 @@
 void addServingGauges(GaugeText &Gauges, const ConfigHolder &Config, const EndpointRoster &Roster,
                       const PathChooser &Paths, const RetryShare &Retries, TimePoint Now);
 
+/// Adds for each service with several classes the part of the engines' memory that a new request of
+/// each class leaves free for more urgent ones.
+void addReserveGauges(GaugeText &Gauges, const ConfigHolder &Config, const ClassReserve &Reserve,
+                      TimePoint Now);
+
 } // namespace rattancart
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -221,6 +221,7 @@
     Log_.log(LogEvent::EndpointGone, {{"endpoint", Id.str()}, {"reason", "did not come back"}});
   }
   countGateways();
+  updateReserve();
   const std::string Reason = notReadyReason();
   if (Reason.empty() == WasReady_)
     return;
@@ -245,6 +246,17 @@
   Roster_.setGateways(Count.Gateways_);
 }
 
+void GatewayProcess::updateReserve() {
+  if (!Config_.current())
+    return;
+  Context_.Reserve_.setGateways(
+      CountEstimator_.countAt(Settings_.Process_.DataCenter_, Time_.now()));
+  for (const ServingService &Service : Config_.current()->config().Services_)
+    if (Config_.current()->hasStreamClasses(Service.Id_))
+      Context_.Reserve_.setCapacity(
+          Service.Id_, tokenCapacity(Roster_, Service, Settings_.Process_.DataCenter_));
+}
+
 void GatewayProcess::measureLoopDelay() {
   const TimePoint Due = Time_.now() + LoopDelayInterval;
   LoopDelayTimer_.after(LoopDelayInterval, [this, Due] {
@@ -394,6 +406,7 @@
     Gauges.add("list_age_seconds", std::chrono::duration<double>(Now - ListHeardAt_).count());
   addEndpointGauges(Gauges, Roster_, Now);
   addServingGauges(Gauges, Config_, Roster_, Paths_, Retries_, Now);
+  addReserveGauges(Gauges, Config_, Context_.Reserve_, Now);
   return Text + Gauges.text();
 }
 
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -61,6 +61,8 @@
   void subscribeToEngineEvents();
   void updateReadiness();
   void countGateways();
+  /// Tells the reserve of memory for urgent classes the size of this data centre.
+  void updateReserve();
   void measureLoopDelay();
   void onShutdownSignal();
   void drainTick();
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -69,13 +69,24 @@
   if (Caller.MaxAnswerTokens_ > 0)
     Answer = std::min(Answer, Caller.MaxAnswerTokens_);
   const double Prompt = Caller.PromptTokens_ > 0 ? Caller.PromptTokens_ : Model.MeanPromptTokens_;
-  return {Prompt, std::max(1.0, Answer)};
+  // A stream that has begun goes first.
+  const double Kept = Started_
+                          ? 0
+                          : Context_.Reserve_.keptShare(Routed_.Service_->Id_, priority(),
+                                                        Context_.Time_.now() - Routed_.ArrivedAt_,
+                                                        Context_.Time_.now());
+  return {Prompt, std::max(1.0, Answer), Kept};
 }
 
 void StreamExchange::begin() {
   LastEvent_ = Routed_.Caller_.LastEvent_;
   if (quarantinedPart())
     return refuseWithoutPath();
+  if (Routed_.Config_->hasStreamClasses(Routed_.Service_->Id_)) {
+    const PathDemand Demand = demand();
+    Context_.Reserve_.onArrival(Routed_.Service_->Id_, priority(),
+                                Demand.PromptTokens_ + Demand.AnswerTokens_, Routed_.ArrivedAt_);
+  }
   // Requests that are already queued go first.
   const bool OthersWait = Context_.AdmissionQueue_.size() > 0;
   Shortage_ = PathShortage::NoFreeMemory;
@@ -172,6 +183,7 @@
                                        {"engine", Bottleneck_.Engine_.str()},
                                        {"free", Bottleneck_.FreeTokens_},
                                        {"used", Bottleneck_.UsedTokens_},
+                                       {"kept_share", Demand.KeptShare_},
                                        {"avoided", Limits_.ExcludedEngines_.size()},
                                        {"waiting", Context_.AdmissionQueue_.size()},
                                        {"outcome", Outcome}});
--- a/Tests/Core/Layers/GatewayLoad.h
+++ b/Tests/Core/Layers/GatewayLoad.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/Admission/ClassReserve.h"
 #include "Core/Layers/LayoutMetrics.h"
 #include "Core/Layers/PathChooser.h"
 #include "Core/Recovery/RetryShare.h"
@@ -100,8 +101,13 @@
       Each.Total_ *= InFlight / (Options_.UsedShare_ * Tokens);
     for (const auto &Each : Gateways_)
       scheduleArrival(*Each);
-    for (const auto &Each : Gateways_)
+    for (const auto &Each : Gateways_) {
       setGateways(*Each, static_cast<std::uint32_t>(Gateways_.size()));
+      Each->Reserve_.setGateways(static_cast<std::uint32_t>(Options_.Gateways_));
+      Each->Reserve_.setCapacity(
+          ServiceId("model"),
+          InFlight / (Options_.UsedShare_ * static_cast<double>(DataCenters_.size())));
+    }
     report();
     Queue_.every(ReportInterval, [this] { report(); });
   }
@@ -177,6 +183,7 @@
     explicit Gateway(const DataCenterId &Home) : Paths_(Roster_, Home) {}
     EndpointRoster Roster_;
     PathChooser Paths_;
+    ClassReserve Reserve_;
     RetryShare Retries_{{0.2, 336, std::chrono::seconds(10)},
                         TimePoint{} - std::chrono::seconds(20)};
   };
@@ -250,6 +257,8 @@
     New->Tokens_ = uniform(0.4, 1.6) * MeanTokens;
     New->Since_ = Queue_.now();
     ++Outcomes_[New->Priority_].Requests_;
+    if (Options_.Classes_.size() > 1)
+      At.Reserve_.onArrival(ServiceId("model"), New->Priority_, New->Tokens_, Queue_.now());
     place(New);
   }
 
@@ -264,7 +273,10 @@
   /// Sends the stream, or tries again later, or gives up.
   void place(const StreamPtr &Of) {
     const TimePoint Now = Queue_.now();
-    const PathDemand Demand{0.8 * Of->Tokens_, 0.2 * Of->Tokens_};
+    PathDemand Demand{0.8 * Of->Tokens_, 0.2 * Of->Tokens_};
+    if (!Of->Resumed_)
+      Demand.KeptShare_ =
+          Of->At_->Reserve_.keptShare(ServiceId("model"), Of->Priority_, Now - Of->Since_, Now);
     PathChoice Choice;
     if (Of->Sends_ < MaxSends)
       Choice =
--- a/Tests/Core/Layers/PathFinderTest.cpp
+++ b/Tests/Core/Layers/PathFinderTest.cpp
@@ -119,6 +119,28 @@
   BOOST_TEST(Stages == Case.Expected_, boost::test_tools::per_element());
 }
 
+struct KeptCase {
+  const char *Name_;
+  double KeptShare_;
+  bool Found_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const KeptCase &Case) { return Out << Case.Name_; }
+
+const KeptCase KeptCases[] = {
+    {"nothing kept", 0, true},
+    {"enough is left beside the part kept", 0.09, true},
+    {"the request needs the part kept", 0.12, false},
+};
+
+// A request that takes the memory kept for more urgent ones leaves these without a path.
+BOOST_DATA_TEST_CASE(APathLeavesTheKeptMemoryFree, KeptCases, Case) {
+  const LayeredModel Model = makeModel(80);
+  // Of 1,111 tokens the request needs 900, and the path finder reserves a tenth.
+  const auto Candidates = candidates(Model, {{"a", "huge", {0, 80}, 1000}});
+  BOOST_TEST(findPath(Model, Candidates, {700, 200, Case.KeptShare_}).has_value() == Case.Found_);
+}
+
 BOOST_AUTO_TEST_CASE(EveryPathRunsEachLayerOnce) {
   const LayeredModel Model = makeModel(80);
   int Found = 0;
--- a/Tests/Core/Membership/GatewayCountEstimatorTest.cpp
+++ b/Tests/Core/Membership/GatewayCountEstimatorTest.cpp
@@ -130,6 +130,7 @@
 BOOST_AUTO_TEST_CASE(NothingIsCountedBeforeEachDataCentreHasReported) {
   GatewayCountEstimator Estimator({East, West}, East);
   BOOST_TEST(!Estimator.count(Start).Gateways_.has_value());
+  BOOST_TEST(!Estimator.countAt(East, Start).has_value());
   Estimator.onCountReported(East, 5, Start);
   BOOST_TEST(!Estimator.count(Start).Gateways_.has_value());
   BOOST_TEST(std::string(Estimator.count(Start).UnknownReason_) == "data centre never heard");
@@ -137,6 +138,8 @@
   // An owner that has just started does not know all of its gateways yet.
   BOOST_TEST(std::string(Estimator.count(Start + 9s).UnknownReason_) == "not settled yet");
   BOOST_TEST(Estimator.count(Start + 10s).Gateways_.value_or(0) == 12U);
+  BOOST_TEST(Estimator.countAt(East, Start + 10s).value_or(0) == 5U);
+  BOOST_TEST(!Estimator.countAt(DataCenterId("elsewhere"), Start + 10s).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(TimesFollowTheWindowOfTheLimit) {
--- a/Tests/Core/Serving/ServingIndexTest.cpp
+++ b/Tests/Core/Serving/ServingIndexTest.cpp
@@ -133,3 +133,40 @@
   BOOST_TEST(Holder.replaceIfNewer(config(9), TimePoint(4s)));
   BOOST_TEST((Holder.changedAt() == TimePoint(4s)));
 }
+
+namespace {
+
+struct ClassesCase {
+  const char *Name_;
+  RequestKind Kind_;
+  std::uint32_t Priority_;
+  const char *Service_;
+  bool HasClasses_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const ClassesCase &Case) { return Out << Case.Name_; }
+
+const ClassesCase ClassesCases[] = {
+    {"another streaming route of another priority", RequestKind::Stream, 1, "s", true},
+    {"another streaming route of the same priority", RequestKind::Stream, 0, "s", false},
+    {"another route that does not stream", RequestKind::Idempotent, 1, "s", false},
+    {"another service", RequestKind::Stream, 1, "t", false},
+};
+
+} // namespace
+
+// Ordering by class where all routes are equally urgent would only delay some of them.
+BOOST_DATA_TEST_CASE(OnlyStreamsOfOneServiceWithDifferentPrioritiesHaveClasses, ClassesCases,
+                     Case) {
+  ServingConfig Config = config(1);
+  Config.Routes_[0].Kind_ = RequestKind::Stream;
+  Config.Routes_[1].Kind_ = Case.Kind_;
+  Config.Routes_[1].Priority_ = Case.Priority_;
+  Config.Routes_[1].Services_ = {{ServiceId(Case.Service_), 1}};
+  const ServingIndex Index(std::move(Config));
+  BOOST_TEST(Index.hasStreamClasses(ServiceId("s")) == Case.HasClasses_);
+  BOOST_TEST(!Index.hasStreamClasses(ServiceId("t")));
+  const std::vector<std::uint32_t> Both = {0, 1};
+  if (Case.HasClasses_)
+    BOOST_TEST(Index.streamPriorities(ServiceId("s")) == Both, boost::test_tools::per_element());
+}
--- a/Tests/Gateway/GatewayGaugesTest.cpp
+++ b/Tests/Gateway/GatewayGaugesTest.cpp
@@ -52,6 +52,14 @@
   }
 };
 
+ServingRoute streamRoute(std::uint32_t Priority) {
+  ServingRoute Route;
+  Route.Kind_ = RequestKind::Stream;
+  Route.Services_ = {{Brief, 1}};
+  Route.Priority_ = Priority;
+  return Route;
+}
+
 struct GaugeCase {
   const char *Name_;
   void (*Modify_)(GaugeInputs &);
@@ -104,3 +112,24 @@
   addServingGauges(Gauges, ConfigHolder(), Inputs.Roster_, Inputs.Paths_, Inputs.Retries_, Start);
   BOOST_TEST(Gauges.text().empty());
 }
+
+// Without the gauge, an operator can't tell a lack of memory from memory kept for urgent classes.
+BOOST_AUTO_TEST_CASE(TheMemoryKeptIsShownByClass) {
+  GaugeInputs In;
+  ClassReserve Reserve;
+  Reserve.setCapacity(Brief, 1000);
+  Reserve.onArrival(Brief, 0, 400, Start);
+  const auto Text = [&] {
+    GaugeText Gauges("p_");
+    addReserveGauges(Gauges, In.Config_, Reserve, Start);
+    return Gauges.text();
+  };
+  BOOST_TEST(Text().empty());
+  ServingConfig Config = In.Config_.current()->config();
+  Config.Revision_ = Config.Revision_.next();
+  Config.Routes_ = {streamRoute(0), streamRoute(2)};
+  In.Config_.replaceIfNewer(std::move(Config), Start);
+  BOOST_TEST(Text() == "# TYPE p_memory_kept_share gauge\n"
+                       "p_memory_kept_share{service=\"brief\",priority=\"0\"} 0\n"
+                       "p_memory_kept_share{service=\"brief\",priority=\"2\"} 0.16\n");
+}
