--- a/Source/Core/Serving/ServingIndex.cpp
+++ b/Source/Core/Serving/ServingIndex.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <set>
 
 namespace rattancart {
 
@@ -27,18 +28,18 @@
   Keys_.erase("");
   for (const ServingService &Service : Config_.Services_)
     Services_.emplace(Service.Id_, &Service);
-  std::unordered_map<ServiceId, std::uint32_t> Priorities;
-  for (const ServingRoute &Route : Config_.Routes_) {
-    if (Route.Kind_ != RequestKind::Stream)
-      continue;
-    for (const ServiceShare &Share : Route.Services_) {
-      if (Share.Weight_ <= 0)
-        continue;
-      const auto [First, Added] = Priorities.try_emplace(Share.Service_, Route.Priority_);
-      if (!Added && First->second != Route.Priority_)
-        OrderedServices_.insert(Share.Service_);
-    }
-  }
+  for (const ServingService &Service : Config_.Services_)
+    if (streamPriorities(Service.Id_).size() > 1)
+      OrderedServices_.insert(Service.Id_);
+}
+
+std::vector<std::uint32_t> ServingIndex::streamPriorities(const ServiceId &Service) const {
+  std::set<std::uint32_t> Found;
+  for (const ServingRoute &Route : Config_.Routes_)
+    for (const ServiceShare &Share : Route.Services_)
+      if (Route.Kind_ == RequestKind::Stream && Share.Service_ == Service && Share.Weight_ > 0)
+        Found.insert(Route.Priority_);
+  return {Found.begin(), Found.end()};
 }
 
 const ServingRoute *ServingIndex::match(std::string_view Host, std::string_view Path) const {
--- a/Source/Core/Serving/ServingIndex.h
+++ b/Source/Core/Serving/ServingIndex.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace rattancart {
 
@@ -27,6 +28,8 @@
   /// Whether streaming routes of the service have different priorities, so that its requests are
   /// ordered by class.
   bool ordersByClass(const ServiceId &Id) const { return OrderedServices_.contains(Id); }
+  /// The priorities of the service's streaming routes, without duplicates, most urgent first.
+  std::vector<std::uint32_t> streamPriorities(const ServiceId &Service) const;
   /// Chooses the service of a request by the route's weights. Draw is a random number in [0, 1).
   /// Null if no service has a weight, or the configuration lacks the chosen one.
   const ServingService *chooseService(const ServingRoute &Route, double Draw) const;
@@ -37,6 +40,7 @@
   std::unordered_map<std::string, const ServingRoute *> Routes_;
   std::unordered_map<std::string, const ServingCustomer *> Keys_;
   std::unordered_map<ServiceId, const ServingService *> Services_;
+  /// Services whose streaming routes have different priorities.
   std::set<ServiceId> OrderedServices_;
 };
 
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -64,6 +64,8 @@
   /// Handles the requests that arrived before the configuration and the list, once both are there.
   void routeWaitingRequests();
   void countGateways();
+  /// Tells the reserve of memory for urgent classes the size of this data centre.
+  void updateReserve();
   void measureLoopDelay();
   void onShutdownSignal();
   void drainTick();
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -51,6 +51,7 @@
   LastEvent_ = Routed_.Caller_.LastEvent_;
   if (quarantinedPart())
     return refuseWithoutPath();
+  Placement_.noteArrival();
   // Requests that are already queued go first.
   const TimePoint Now = Context_.Time_.now();
   if (Placement_.othersWait(Now)) {
@@ -68,7 +69,7 @@
 bool StreamExchange::sendOnPath(bool Again) {
   const TimePoint Now = Context_.Time_.now();
   // A stream that has begun goes first.
-  PathChoice Choice = Placement_.choose(Started_ ? 0 : priority(), Now);
+  PathChoice Choice = Placement_.choose(Started_, Now);
   BudgetSpent_ = false;
   if (!Choice.Path_)
     return false;
--- a/Source/Gateway/StreamPlacement.cpp
+++ b/Source/Gateway/StreamPlacement.cpp
@@ -34,7 +34,7 @@
   if (Caller.MaxAnswerTokens_ > 0)
     Answer = std::min(Answer, Caller.MaxAnswerTokens_);
   const double Prompt = Caller.PromptTokens_ > 0 ? Caller.PromptTokens_ : Model.MeanPromptTokens_;
-  return {Prompt, std::max(1.0, Answer)};
+  return {Prompt, std::max(1.0, Answer), KeptShare_};
 }
 
 double StreamPlacement::tokens() const {
@@ -60,7 +60,8 @@
   Limits_.AllowedFirstEngines_ = Limited ? RanAt_ : std::set<EndpointId>();
 }
 
-PathChoice StreamPlacement::chooseAdmitted(std::uint32_t Priority, TimePoint Now) {
+PathChoice StreamPlacement::chooseAdmitted(bool Begun, TimePoint Now) {
+  const std::uint32_t Priority = Begun ? 0 : Routed_.priority();
   if (Now >= LimitedUntil_)
     Limits_.LimitedFirstEngines_.clear();
   while (true) {
@@ -76,9 +77,18 @@
   }
 }
 
-PathChoice StreamPlacement::choose(std::uint32_t Priority, TimePoint Now) {
+void StreamPlacement::noteArrival() {
+  if (isOrderedByClass())
+    Context_.Reserve_.onArrival(Routed_.Service_->Id_, Routed_.priority(), tokens(),
+                                Routed_.ArrivedAt_);
+}
+
+PathChoice StreamPlacement::choose(bool Begun, TimePoint Now) {
   limitFirstEngines(Now);
-  PathChoice Choice = chooseAdmitted(Priority, Now);
+  KeptShare_ = Begun ? 0
+                     : Context_.Reserve_.keptShare(Routed_.Service_->Id_, Routed_.priority(),
+                                                   Now - Routed_.ArrivedAt_, Now);
+  PathChoice Choice = chooseAdmitted(Begun, Now);
   Shortage_ = Choice.Shortage_;
   Bottleneck_ = Choice.Bottleneck_;
   if (Choice.DataCenter_ != Context_.Home_ && Context_.OnNoPathAtHome_)
@@ -120,6 +130,7 @@
                                        {"engine", Bottleneck_.Engine_.str()},
                                        {"free", Bottleneck_.FreeTokens_},
                                        {"used", Bottleneck_.UsedTokens_},
+                                       {"kept_share", KeptShare_},
                                        {"avoided", Limits_.ExcludedEngines_.size()},
                                        {"waiting", Context_.AdmissionQueue_.size()},
                                        {"outcome", Outcome}});
--- a/Source/Gateway/StreamPlacement.h
+++ b/Source/Gateway/StreamPlacement.h
@@ -29,9 +29,11 @@
 
   /// The memory and time that the request is expected to need.
   PathDemand demand() const;
+  /// Counts the request towards the memory that less urgent classes leave free.
+  void noteArrival();
   /// Chooses a path whose first engine's limit leaves room for the request; records why there is
-  /// none. A lower priority value is preferred by limits.
-  PathChoice choose(std::uint32_t Priority, TimePoint Now);
+  /// none. A stream that has begun goes before all others.
+  PathChoice choose(bool Begun, TimePoint Now);
   /// Reserves the memory of the request on the engines of a path. Begun tells whether its caller
   /// has received events.
   ReservedPath reserve(LayerPath Path, bool Begun, TimePoint Now);
@@ -89,7 +91,7 @@
   /// Once as many engines as the route allows may have run the request, only these may be the first
   /// engine of a path.
   void limitFirstEngines(TimePoint Now);
-  PathChoice chooseAdmitted(std::uint32_t Priority, TimePoint Now);
+  PathChoice chooseAdmitted(bool Begun, TimePoint Now);
   bool enqueue(std::string_view Reason);
   PriorityClass priorityClass() const;
   double tokens() const;
@@ -102,6 +104,8 @@
   /// Engines that the request was sent to and that may have run it.
   std::set<EndpointId> RanAt_;
   PathShortage Shortage_ = PathShortage::NoWholeModel;
+  /// The part of the memory that the last choice left free for more urgent classes.
+  double KeptShare_ = 0;
   BottleneckLayer Bottleneck_;
   /// Until then the engines in Limits_.LimitedFirstEngines_ are not asked again.
   TimePoint LimitedUntil_{};
--- a/Tests/Core/Serving/ServingIndexTest.cpp
+++ b/Tests/Core/Serving/ServingIndexTest.cpp
@@ -170,4 +170,6 @@
   const ServingIndex Index(Config);
   BOOST_TEST(Index.ordersByClass(ServiceId("s")) == Case.Ordered_);
   BOOST_TEST(!Index.ordersByClass(ServiceId("t")));
+  if (Case.Ordered_)
+    BOOST_TEST((Index.streamPriorities(ServiceId("s")) == std::vector<std::uint32_t>{0, 1}));
 }
