Slow start: used by calls and paths, settings, events, metrics

Also, an engine that turns work away despite free memory was left idle for up to 3.2 s after it took work again.

Change: PathChooser and CallExchange ask the slow start about each endpoint that they have chosen and choose again without those that it denies; if nothing is left, they choose among all, so that no request is refused for it. Answers reach it through Exchange::noteAnswer. With slow start, the back-off of an engine that declines is at most 400 ms. The cost is raised only when nothing else can take the request.

--- a/Source/Core/Layers/PathChooser.cpp
+++ b/Source/Core/Layers/PathChooser.cpp
@@ -1,5 +1,7 @@
 #include "Core/Layers/PathChooser.h"
 
+#include "Core/Layers/SlowStartFeed.h"
+
 #include <algorithm>
 
 namespace rattancart {
@@ -11,6 +13,9 @@
 constexpr double HomeFreeShare = 0.35;
 /// Copies of a layer whose costs differ by less than this factor share the requests.
 constexpr double MaxRandomFactor = 1.5;
+/// A path is searched again without the engines that their slow start denies at most this often;
+/// then it may be that all engines of a data centre have just started.
+constexpr int MaxDenials = 4;
 
 /// Whether an engine with the first layer may be the first of a path.
 bool canBegin(const std::vector<StageCandidate> &Candidates) {
@@ -66,9 +71,46 @@
   return Found;
 }
 
+bool PathChooser::denyWarming(const LayerPath &Path, const PathDemand &Demand, double Draw,
+                              TimePoint Now, std::set<EndpointId> &Denied) const {
+  bool Any = false;
+  for (const PathStage &Stage : Path.Stages_) {
+    const EndpointRecord &Record = *Roster_.find(Stage.Engine_);
+    const double TokenLayers =
+        (Demand.PromptTokens_ + Demand.AnswerTokens_) * (Stage.Layers_.End_ - Stage.Layers_.Begin_);
+    if (SlowStart_->mayTake(Stage.Engine_, requestCapacity(Record, TokenLayers),
+                            Record.OwnRequests_, Draw, Now))
+      continue;
+    Denied.insert(Stage.Engine_);
+    Any = true;
+  }
+  return Any;
+}
+
 PathChoice PathChooser::choose(const LayeredModel &Model, const ServiceId &Service,
                                const PathDemand &Demand, const PathConstraints &Limits,
                                std::mt19937 &Random, TimePoint Now) const {
+  if (!SlowStart_ || !SlowStart_->anyWarming())
+    return chooseAmongAll(Model, Service, Demand, Limits, Random, Now, nullptr);
+  // One draw for all engines: with one each, a path of several warming engines would hardly ever be
+  // allowed.
+  const double Draw = std::uniform_real_distribution<double>(0, 1)(Random);
+  PathConstraints Narrowed = Limits;
+  for (int Denials = 0; Denials < MaxDenials; ++Denials) {
+    PathChoice Choice = chooseAmongAll(Model, Service, Demand, Narrowed, Random, Now, nullptr);
+    if (!Choice.Path_)
+      break;
+    if (!denyWarming(*Choice.Path_, Demand, Draw, Now, Narrowed.ExcludedEngines_))
+      return Choice;
+  }
+  // No other engines can take the request, so warming ones do, as few of them as possible.
+  return chooseAmongAll(Model, Service, Demand, Limits, Random, Now, SlowStart_);
+}
+
+PathChoice PathChooser::chooseAmongAll(const LayeredModel &Model, const ServiceId &Service,
+                                       const PathDemand &Demand, const PathConstraints &Limits,
+                                       std::mt19937 &Random, TimePoint Now,
+                                       const EndpointSlowStart *Avoided) const {
   PathChoice None;
   std::vector<PathChoice> Found;
   double FreeShares = 0;
@@ -76,8 +118,11 @@
     PathChoice Here;
     Here.DataCenter_ = DataCenter;
     auto Candidates = candidates(Model, Service, DataCenter, Limits, Now, Here.OldestReport_);
-    for (StageCandidate &Each : Candidates)
+    for (StageCandidate &Each : Candidates) {
       Each.RandomFactor_ = std::uniform_real_distribution<double>(1, MaxRandomFactor)(Random);
+      if (Avoided)
+        Each.RandomFactor_ *= Avoided->costFactor(Each.Id_);
+    }
     if (!holdWholeModel(Model, Candidates))
       continue;
     Here.Path_ = findPath(Model, Candidates, Demand);
--- a/Source/Core/Layers/PathChooser.h
+++ b/Source/Core/Layers/PathChooser.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Layers/PathFinder.h"
+#include "Core/Recovery/EndpointSlowStart.h"
 #include "Core/Serving/EndpointRoster.h"
 
 #include <cstdint>
@@ -55,6 +56,10 @@
   PathChooser(const EndpointRoster &Roster, DataCenterId Home)
       : Roster_(Roster), Home_(std::move(Home)) {}
 
+  /// Keeps requests from engines that have just started or recovered, as far as other engines can
+  /// take them. Null, the default, switches that off. Precondition: SlowStart outlives this.
+  void setSlowStart(EndpointSlowStart *SlowStart) { SlowStart_ = SlowStart; }
+
   /// Chooses a path at Now. Random decides between copies of layers that are about as fast, and
   /// between the other data centres.
   PathChoice choose(const LayeredModel &Model, const ServiceId &Service, const PathDemand &Demand,
@@ -68,10 +73,20 @@
                                          const DataCenterId &DataCenter,
                                          const PathConstraints &Limits, TimePoint Now,
                                          Duration &OldestReport) const;
+  /// Raises the cost of engines that are warming by Avoided, if it is not null.
+  PathChoice chooseAmongAll(const LayeredModel &Model, const ServiceId &Service,
+                            const PathDemand &Demand, const PathConstraints &Limits,
+                            std::mt19937 &Random, TimePoint Now,
+                            const EndpointSlowStart *Avoided) const;
+  /// Asks the slow start about each engine of a path. Adds those that it denies to Denied and
+  /// returns whether there is one.
+  bool denyWarming(const LayerPath &Path, const PathDemand &Demand, double Draw, TimePoint Now,
+                   std::set<EndpointId> &Denied) const;
   std::vector<DataCenterId> dataCenters(const ServiceId &Service) const;
 
   const EndpointRoster &Roster_;
   DataCenterId Home_;
+  EndpointSlowStart *SlowStart_ = nullptr;
 };
 
 } // namespace rattancart
--- a/Source/Core/Recovery/EndpointSlowStart.cpp
+++ b/Source/Core/Recovery/EndpointSlowStart.cpp
@@ -146,20 +146,24 @@
     takeLoad(Condition.Id_, Each, *Condition.Load_, Now);
   if (Condition.Silent_ && !Each.SilentSince_)
     Each.SilentSince_ = Now;
-  const bool Answers = !Condition.Silent_ && Each.SilentSince_;
-  const bool AfterSilence = Answers && Now - *Each.SilentSince_ >= MinSilence;
-  if (Answers)
+  const bool Silence = Each.SilentSince_ && Now - *Each.SilentSince_ >= MinSilence;
+  if (!Condition.Silent_)
     Each.SilentSince_.reset();
-  const bool AfterDeclines = std::exchange(Each.Declines_, Condition.Declines_) && !Each.Declines_;
-  if (Each.Phase_ == Phase::Fresh || (!AfterSilence && !AfterDeclines))
-    return;
-  Each.EarlierUse_ = Each.Load_ ? Each.Load_->Use_ : 0;
-  // An endpoint that was refusing requests may well go on, so it is tried with few at first.
-  const double Window = Options_.InitialShare_ * (AfterDeclines ? FloorPart : 1);
+  const bool Declined = std::exchange(Each.Declines_, Condition.Declines_) || Each.Declines_;
+  if (Each.Phase_ != Phase::Fresh && (Silence || Declined))
+    suspend(Condition.Id_, Each, Declined, Now);
+}
+
+void EndpointSlowStart::suspend(const EndpointId &Id, State &Each, bool Declined, TimePoint Now) {
+  // An endpoint that refuses requests may well go on, so it is tried with few at first.
+  const double Window = Options_.InitialShare_ * (Declined ? FloorPart : 1);
   if (Each.Phase_ == Phase::Warm)
-    begin(Condition.Id_, Each, Window, AfterSilence ? "answers" : "declined", Now);
-  else
-    Each.Window_ = std::min(Each.Window_, Window);
+    begin(Id, Each, Window, Declined ? "declined" : "silent", Now);
+  Each.Window_ = std::min(Each.Window_, Window);
+  Each.EarlierUse_ = Each.Load_ ? Each.Load_->Use_ : 0;
+  // It counts from when the endpoint gets work again.
+  Each.GrownAt_ = Each.RoundAt_ = Each.BeganAt_ = Now;
+  Each.Credit_.reset();
 }
 
 void EndpointSlowStart::remove(const EndpointId &Id, TimePoint Now) {
--- a/Source/Core/Recovery/EndpointSlowStart.h
+++ b/Source/Core/Recovery/EndpointSlowStart.h
@@ -178,6 +178,8 @@
   void startRun(const EndpointCondition &Condition, State &Each, bool Known, TimePoint Now);
   void begin(const EndpointId &Id, State &Each, double Window, std::string_view Cause,
              TimePoint Now);
+  /// The endpoint gets no work, or got none until now: its slow start begins as soon as that ends.
+  void suspend(const EndpointId &Id, State &Each, bool Declined, TimePoint Now);
   void end(const EndpointId &Id, State &Each, std::string_view Cause, TimePoint Now);
   void endIfWarm(const EndpointId &Id, State &Each, TimePoint Now);
   void takeLoad(const EndpointId &Id, State &Each, const EndpointLoad &Load, TimePoint Now);
--- a/Source/Core/Serving/EndpointRoster.cpp
+++ b/Source/Core/Serving/EndpointRoster.cpp
@@ -16,9 +16,8 @@
 constexpr Duration RefusalWindow = std::chrono::milliseconds(2000);
 /// After this time, reports show the new layers of an engine that changed them quickly.
 constexpr Duration MinDeclineBackoff = std::chrono::milliseconds(400);
-/// A leaving engine continues for some seconds; the few requests that are sent to it at this
-/// interval show whether it still refuses them.
-constexpr Duration MaxDeclineBackoff = std::chrono::milliseconds(3200);
+/// Further refusals don't make the back-off longer than this.
+constexpr Duration LongestDeclineBackoff = std::chrono::milliseconds(3200);
 /// Two refusals and the report between them arrive within this time if the engine is still needed.
 constexpr Duration DeclineWindow = std::chrono::milliseconds(1500);
 /// Part of an engine's memory that must be free to count as ample. Reports lag, so those of full
@@ -188,8 +187,8 @@
   const bool Again =
       Record.DeclineBackoff_ > Duration{} && Now - Record.DeclinesUntil_ < DeclineWindow;
   Record.DeclineBackoff_ =
-      Again ? std::min(2 * Record.DeclineBackoff_, MaxDeclineBackoff) : MinDeclineBackoff;
-  Record.DeclinesUntil_ = Now + Record.DeclineBackoff_;
+      Again ? std::min(2 * Record.DeclineBackoff_, LongestDeclineBackoff) : MinDeclineBackoff;
+  Record.DeclinesUntil_ = Now + std::min(Record.DeclineBackoff_, MaxDeclineBackoff_);
   return true;
 }
 
--- a/Source/Core/Serving/EndpointRoster.h
+++ b/Source/Core/Serving/EndpointRoster.h
@@ -152,6 +152,10 @@
   /// each time that this is repeated.
   bool noteRefusal(const EndpointId &Id, TimePoint Now);
 
+  /// Sets the longest time for which an endpoint gets no new work after such refusals; by default
+  /// 3.2 s. Precondition: positive.
+  void setMaxDeclineBackoff(Duration Longest) { MaxDeclineBackoff_ = Longest; }
+
   /// The engine refused a request that needs TokenLayers of its memory.
   void noteMemoryRefusal(const EndpointId &Id, double TokenLayers, TimePoint Now);
   /// A request that needs TokenLayers of the engine's memory is sent to it now.
@@ -170,6 +174,9 @@
 
 private:
   std::map<EndpointId, EndpointRecord> Records_;
+  /// A leaving engine continues for some seconds; the few requests that are sent to it at this
+  /// interval show whether it still refuses them.
+  Duration MaxDeclineBackoff_ = std::chrono::milliseconds(3200);
 };
 
 } // namespace rattancart
--- a/Source/Gateway/CallExchange.cpp
+++ b/Source/Gateway/CallExchange.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/CallExchange.h"
 
+#include "Core/Layers/SlowStartFeed.h"
+
 #include <algorithm>
 
 namespace rattancart {
@@ -28,12 +30,12 @@
 
 } // namespace
 
-const EndpointRecord *CallExchange::chooseEndpoint() const {
+const EndpointRecord *CallExchange::chooseEndpoint(const std::set<EndpointId> &Excluded) const {
   const TimePoint Now = Context_.Time_.now();
   const EndpointRecord *Best = nullptr;
   double BestWeight = 0;
   for (const auto &[Id, Record] : Context_.Roster_.all()) {
-    if (Record.Listing_.Service_ != Routed_.Service_->Id_ || Tried_.contains(Id) ||
+    if (Record.Listing_.Service_ != Routed_.Service_->Id_ || Excluded.contains(Id) ||
         !Context_.Roster_.takesWork(Record, Now))
       continue;
     const double Remote = Record.Listing_.DataCenter_ == Context_.Home_ ? 0 : RemoteWeight;
@@ -46,8 +48,23 @@
   return Best;
 }
 
+const EndpointRecord *CallExchange::chooseAllowedEndpoint() {
+  if (!Context_.SlowStart_ || !Context_.SlowStart_->anyWarming())
+    return chooseEndpoint(Tried_);
+  const double Draw = Context_.randomFraction();
+  std::set<EndpointId> Excluded = Tried_;
+  while (const EndpointRecord *Endpoint = chooseEndpoint(Excluded)) {
+    const EndpointId &Id = Endpoint->Listing_.Id_;
+    if (Context_.SlowStart_->mayTake(Id, requestCapacity(*Endpoint, 0), Endpoint->OwnRequests_,
+                                     Draw, Context_.Time_.now()))
+      return Endpoint;
+    Excluded.insert(Id);
+  }
+  return chooseEndpoint(Tried_);
+}
+
 const EndpointRecord *CallExchange::admitToEndpoint() {
-  while (const EndpointRecord *Endpoint = chooseEndpoint()) {
+  while (const EndpointRecord *Endpoint = chooseAllowedEndpoint()) {
     if (Endpoint->Listing_.DataCenter_ != Context_.Home_ && Context_.OnRemoteLimit_ &&
         Context_.Limiter_.isLimited(Endpoint->Listing_.Id_, Endpoint->run()))
       Context_.OnRemoteLimit_();
@@ -65,7 +82,7 @@
 }
 
 bool CallExchange::canSendNext() const {
-  return chooseEndpoint() && Sends_ < MaxSends && timeLeft() > Duration{};
+  return chooseEndpoint(Tried_) && Sends_ < MaxSends && timeLeft() > Duration{};
 }
 
 bool CallExchange::sendNext() {
@@ -77,6 +94,8 @@
   const EndpointId Id = Endpoint->Listing_.Id_;
   Tried_.insert(Id);
   Context_.Roster_.addOwnLoad(Id, 1, 0);
+  if (Context_.SlowStart_)
+    Context_.SlowStart_->onSent(Id, Context_.Time_.now());
   auto Item = std::make_shared<CallAttempt>();
   Pending_.push_back(Item);
   ++PossibleRuns_;
@@ -103,8 +122,16 @@
   if (ended())
     return;
   const std::uint32_t Status = Item->Attempt_->Head_.Status_;
-  if (isComplete(*Item, Result) && Status >= 200 && Status < 500 && !Item->Attempt_->Info_.NotRun_)
+  if (isComplete(*Item, Result) && Status >= 200 && Status < 500 &&
+      !Item->Attempt_->Info_.NotRun_) {
+    noteAnswered(Item->Attempt_->Endpoint_, Item->Attempt_->SentAt_);
     return sendResponse(*Item);
+  }
+  // If it is cancelled, the retry budget or the limit of the endpoint no longer allowed the send.
+  if (Result.Error_ != ErrorCode::Cancelled)
+    noteAnswer(Item->Attempt_->Endpoint_,
+               Item->Attempt_->Info_.NotRun_ ? EndpointAnswer::Rejected : EndpointAnswer::Failed,
+               Item->Attempt_->SentAt_);
   logFailure(*Item->Attempt_, Result);
   onFailure(Item, Result);
 }
--- a/Source/Gateway/CallExchange.h
+++ b/Source/Gateway/CallExchange.h
@@ -30,7 +30,11 @@
   };
   using CallAttemptPtr = std::shared_ptr<CallAttempt>;
 
-  const EndpointRecord *chooseEndpoint() const;
+  /// Chooses an endpoint that is not in Excluded; null if there is none.
+  const EndpointRecord *chooseEndpoint(const std::set<EndpointId> &Excluded) const;
+  /// Chooses an endpoint that was not tried, preferably one whose slow start allows it; null if
+  /// there is none.
+  const EndpointRecord *chooseAllowedEndpoint();
   /// Chooses an endpoint whose limit leaves room for the request; null if there is none.
   const EndpointRecord *admitToEndpoint();
   /// Whether there is a further endpoint, and sends and time are left for the request.
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -176,6 +176,16 @@
   return false;
 }
 
+void Exchange::noteAnswer(const EndpointId &Endpoint, EndpointAnswer Answer, TimePoint SentAt) {
+  if (Context_.SlowStart_)
+    Context_.SlowStart_->onAnswer(Endpoint, Answer, SentAt, Context_.Time_.now());
+}
+
+void Exchange::noteAnswered(const EndpointId &Endpoint, TimePoint SentAt) {
+  const bool Late = Context_.Time_.now() - SentAt > Routed_.Route_->Objective_;
+  noteAnswer(Endpoint, Late ? EndpointAnswer::Late : EndpointAnswer::Good, SentAt);
+}
+
 bool Exchange::mayHandOverLate(const Attempt &Sent) {
   const EndpointRecord *Endpoint = Context_.Roster_.find(Sent.Endpoint_);
   return !Endpoint || !Context_.Limiter_.isLimited(Sent.Endpoint_, Endpoint->run()) ||
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -105,6 +105,10 @@
   /// Whether the limit that the endpoint names lets the request be sent to it. Call it once for
   /// each endpoint that the request would be sent to. A lower priority value is preferred.
   bool tryAdmit(const EndpointRecord &Endpoint, std::uint32_t Priority);
+  /// Tells the slow start of the endpoint what became of a request that was sent there at SentAt.
+  void noteAnswer(const EndpointId &Endpoint, EndpointAnswer Answer, TimePoint SentAt);
+  /// The same for an answer, or the first event of one, that arrives now.
+  void noteAnswered(const EndpointId &Endpoint, TimePoint SentAt);
   /// Takes one retry from the retry budget of the service; false if the budget is spent. Cause is
   /// written to the log.
   bool tryTakeRetry(std::string_view Cause);
--- a/Source/Gateway/GatewayContext.h
+++ b/Source/Gateway/GatewayContext.h
@@ -4,6 +4,7 @@
 #include "Core/Admission/EngineMemoryQueue.h"
 #include "Core/Common/Logger.h"
 #include "Core/Layers/PathChooser.h"
+#include "Core/Recovery/EndpointSlowStart.h"
 #include "Core/Recovery/PromptQuarantine.h"
 #include "Core/Recovery/RetryShare.h"
 #include "Core/Serving/EndpointRoster.h"
@@ -50,6 +51,9 @@
   /// so that the demand of all gateways there is needed.
   std::function<void()> OnRemoteLimit_;
 
+  /// Null if endpoints that have started or recovered are not treated differently.
+  EndpointSlowStart *SlowStart_ = nullptr;
+
   /// A random number in [0, 1).
   double randomFraction() { return std::uniform_real_distribution<double>(0, 1)(Random_); }
 };
--- a/Source/Gateway/GatewayGauges.cpp
+++ b/Source/Gateway/GatewayGauges.cpp
@@ -57,6 +57,15 @@
     Gauges.add("report_age_seconds", seconds(Age), {{"data_center", DataCenter}});
 }
 
+void addSlowStartGauges(GaugeText &Gauges, const EndpointSlowStart &SlowStart) {
+  if (!SlowStart.enabled())
+    return;
+  Gauges.add("endpoints_warming", static_cast<double>(SlowStart.warmingCount()));
+  SlowStart.visitWarming([&](const EndpointId &Id, double Window) {
+    Gauges.add("slow_start_window", Window, {{"endpoint", Id.str()}});
+  });
+}
+
 void addServingGauges(GaugeText &Gauges, const ConfigHolder &Config, const EndpointRoster &Roster,
                       const PathChooser &Paths, const RetryShare &Retries, TimePoint Now) {
   const ServingIndexPtr &Current = Config.current();
--- a/Source/Gateway/GatewayGauges.h
+++ b/Source/Gateway/GatewayGauges.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Layers/PathChooser.h"
+#include "Core/Recovery/EndpointSlowStart.h"
 #include "Core/Recovery/RetryShare.h"
 #include "Core/Serving/EndpointRoster.h"
 #include "Core/Serving/ServingIndex.h"
@@ -37,6 +38,9 @@
 /// report that paths are chosen from.
 void addEndpointGauges(GaugeText &Gauges, const EndpointRoster &Roster, TimePoint Now);
 
+/// Adds the number of endpoints whose slow start has begun, and the window of each.
+void addSlowStartGauges(GaugeText &Gauges, const EndpointSlowStart &SlowStart);
+
 /// Adds revision and age of the configuration in force, the retry budget of each service, and for
 /// each layered model which data centres hold all of its layers. Adds nothing while there is no
 /// configuration.
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/GatewayProcess.h"
 
 #include "Core/Common/ErrorCode.h"
+#include "Core/Layers/SlowStartFeed.h"
 #include "Gateway/GatewayGauges.h"
 #include "Process/ProcessUsage.h"
 
@@ -22,6 +23,10 @@
 constexpr Duration LastAnswersTime = milliseconds(200);
 /// Interval of a timer whose lateness measures the delay of the event loop.
 constexpr Duration LoopDelayInterval = milliseconds(250);
+/// How long an engine that refuses requests despite free memory gets none at most. With slow start,
+/// the few requests that it gets afterwards show sooner whether it takes them again.
+constexpr Duration MaxDeclineBackoff = milliseconds(3200);
+constexpr Duration SlowStartDeclineBackoff = milliseconds(400);
 /// Retry-After of a request that another gateway can take at once.
 constexpr Duration ShutdownRetry{};
 /// Maximum number of idle connections kept per endpoint; a stream occupies one until it ends.
@@ -68,7 +73,7 @@
       Paths_(Roster_, Settings_.Process_.DataCenter_), Retries_(Settings_.Retries_, Time.now()),
       CountEstimator_(Settings_.DataCenters_, Settings_.Process_.DataCenter_,
                       GatewayCountOptions::forWindow(Settings_.Retries_.Window_)),
-      Limiter_(Random_),
+      Limiter_(Random_), SlowStart_(Settings_.SlowStart_),
       StateBroadcast_(Loop_, Time, Log, Metrics_, *Store_, Roster_, CountEstimator_, Quarantine_,
                       Limiter_, Settings_.Process_.DataCenter_, Settings_.DataCenters_),
       PlacementCoordinator_({Loop_, Time, Log, Metrics_, Client_, Platform.Protocol_, *Store_,
@@ -124,6 +129,9 @@
 }
 
 void GatewayProcess::subscribeToEngineEvents() {
+  Context_.SlowStart_ = &SlowStart_;
+  Paths_.setSlowStart(&SlowStart_);
+  takeSlowStartOptions(Settings_.SlowStart_);
   Context_.OnNoPathAtHome_ = [this] { StateBroadcast_.noteRemoteUse(); };
   Context_.OnRemoteLimit_ = [this] { StateBroadcast_.noteRemoteUse(); };
   Limiter_.onChange([this](const EndpointLimit &Limit) {
@@ -176,6 +184,7 @@
   const EndpointRoster::Change Change = Roster_.updateListing(std::move(Listing), Time_.now());
   if (Change == EndpointRoster::Change::None)
     return;
+  SlowStart_.observe(conditionOf(*Roster_.find(Id), Time_.wallNow(), Time_.now()), Time_.now());
   const EndpointListing &Now = Roster_.find(Id)->Listing_;
   const bool Leaving = Now.State_ != EndpointState::Live;
   Log_.log(Leaving ? LogEvent::EndpointLeaving : LogEvent::EndpointAdded,
@@ -198,8 +207,10 @@
   if (Change == EndpointRoster::Change::None)
     return;
   const bool Missing = Change == EndpointRoster::Change::Missing;
-  if (!Missing)
+  if (!Missing) {
     Limiter_.remove(Id);
+    SlowStart_.remove(Id, Now);
+  }
   Log_.log(Missing ? LogEvent::EndpointMissing : LogEvent::EndpointGone,
            {{"endpoint", Id.str()},
             {"reason", "unlisted"},
@@ -218,9 +229,11 @@
 void GatewayProcess::updateReadiness() {
   for (const EndpointId &Id : Roster_.prune(Time_.now())) {
     Limiter_.remove(Id);
+    SlowStart_.remove(Id, Time_.now());
     Log_.log(LogEvent::EndpointGone, {{"endpoint", Id.str()}, {"reason", "did not come back"}});
   }
   countGateways();
+  updateSlowStart();
   const std::string Reason = notReadyReason();
   if (Reason.empty() == WasReady_)
     return;
@@ -242,6 +255,38 @@
             {"doubt", Count.UnknownReason_.empty() ? "-" : Count.UnknownReason_}});
   Retries_.setProcesses(Count.Gateways_);
   Limiter_.setGateways(Count.Gateways_);
+  SlowStart_.setGateways(Count.Gateways_);
+}
+
+void GatewayProcess::takeSlowStartOptions(SlowStartOptions Options) {
+  SlowStart_.setOptions(Options);
+  Roster_.setMaxDeclineBackoff(Options.Enabled_ ? SlowStartDeclineBackoff : MaxDeclineBackoff);
+}
+
+void GatewayProcess::updateSlowStart() {
+  if (!SlowStart_.enabled())
+    return;
+  const TimePoint Now = Time_.now();
+  for (const auto &[Id, Record] : Roster_.all())
+    SlowStart_.observe(conditionOf(Record, Time_.wallNow(), Now), Now);
+  for (const SlowStartChange &Each : SlowStart_.takeChanges()) {
+    if (Each.Began_) {
+      Metrics_.count("slow_starts_total", Each.Cause_);
+      Log_.log(LogEvent::SlowStartBegan, {{"endpoint", Each.Id_.str()},
+                                          {"run", Each.Run_.value()},
+                                          {"cause", Each.Cause_},
+                                          {"window", Each.Window_}});
+      continue;
+    }
+    Metrics_.observe("slow_start_seconds", Each.Cause_, Each.Took_);
+    Log_.log(LogEvent::SlowStartEnded, {{"endpoint", Each.Id_.str()},
+                                        {"run", Each.Run_.value()},
+                                        {"outcome", Each.Cause_},
+                                        {"took_ms", Each.Took_ / milliseconds(1)},
+                                        {"sent", Each.Sent_},
+                                        {"rejected", Each.Rejections_},
+                                        {"withheld", Each.Withheld_}});
+  }
 }
 
 void GatewayProcess::measureLoopDelay() {
@@ -339,6 +384,8 @@
   Settings_.Retries_ = Loaded.Retries_;
   Settings_.ResponseLimits_ = Loaded.ResponseLimits_;
   Context_.ResponseLimits_ = Loaded.ResponseLimits_;
+  Settings_.SlowStart_ = Loaded.SlowStart_;
+  takeSlowStartOptions(Loaded.SlowStart_);
   Retries_.setOptions(Loaded.Retries_, Time_.now());
   CountEstimator_.setOptions(GatewayCountOptions::forWindow(Loaded.Retries_.Window_));
   Log_.log(LogEvent::SettingsReloaded, {{"file", SettingsFile_}});
@@ -392,6 +439,7 @@
   if (ListHeardAt_ != TimePoint{})
     Gauges.add("list_age_seconds", std::chrono::duration<double>(Now - ListHeardAt_).count());
   addEndpointGauges(Gauges, Roster_, Now);
+  addSlowStartGauges(Gauges, SlowStart_);
   addServingGauges(Gauges, Config_, Roster_, Paths_, Retries_, Now);
   return Text + Gauges.text();
 }
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Recovery/DrainState.h"
+#include "Core/Recovery/EndpointSlowStart.h"
 #include "Gateway/EngineStateBroadcast.h"
 #include "Gateway/GatewayRequestHandler.h"
 #include "Gateway/GatewaySettings.h"
@@ -61,6 +62,9 @@
   void subscribeToEngineEvents();
   void updateReadiness();
   void countGateways();
+  /// Tells the slow start what is known of all endpoints, and logs which began or ended.
+  void updateSlowStart();
+  void takeSlowStartOptions(SlowStartOptions Options);
   void measureLoopDelay();
   void onShutdownSignal();
   void drainTick();
@@ -88,6 +92,7 @@
   EngineMemoryQueue AdmissionQueue_;
   PromptQuarantine Quarantine_;
   EndpointLimiter Limiter_;
+  EndpointSlowStart SlowStart_;
   EngineStateBroadcast StateBroadcast_;
   PlacementCoordinator PlacementCoordinator_;
   GatewayContext Context_;
--- a/Source/Gateway/GatewaySettings.cpp
+++ b/Source/Gateway/GatewaySettings.cpp
@@ -38,6 +38,12 @@
       Retries.duration("window", Settings.Retries_.Window_, {milliseconds(100), hours(1)});
   Retries.reportUnknownFields();
 
+  YamlSection SlowStart = Root.section("slow-start");
+  Settings.SlowStart_.Enabled_ = SlowStart.flag("enabled", Settings.SlowStart_.Enabled_);
+  Settings.SlowStart_.InitialShare_ =
+      SlowStart.real("initial-share", Settings.SlowStart_.InitialShare_, 0.01, 1);
+  SlowStart.reportUnknownFields();
+
   YamlSection Answers = Root.section("answers");
   const auto ReadBytes = [&](const char *Name, std::size_t &Value) {
     Value = static_cast<std::size_t>(
--- a/Source/Gateway/GatewaySettings.h
+++ b/Source/Gateway/GatewaySettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Config/ProcessSettings.h"
+#include "Core/Recovery/EndpointSlowStart.h"
 #include "Core/Recovery/RetryShare.h"
 #include "Core/Recovery/StorePolling.h"
 #include "Gateway/ResponseLimits.h"
@@ -25,6 +26,7 @@
   FreshnessBounds Freshness_;
   std::vector<DataCenterId> DataCenters_;
   RetryShareOptions Retries_;
+  SlowStartOptions SlowStart_;
   ResponseLimits ResponseLimits_;
   /// A shutdown keeps accepting requests for this long, until the load balancer has noticed it.
   Duration ShutdownGrace_ = std::chrono::seconds(2);
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -141,6 +141,8 @@
     const double TokenLayers = ReservedTokens_ * (Stage.Layers_.End_ - Stage.Layers_.Begin_);
     Context_.Roster_.addOwnLoad(Stage.Engine_, 1, TokenLayers);
     Context_.Roster_.noteSent(Stage.Engine_, TokenLayers, Now);
+    if (Context_.SlowStart_)
+      Context_.SlowStart_->onSent(Stage.Engine_, Now);
   }
   Events_.reset();
   BytesSinceEvent_ = 0;
@@ -305,6 +307,8 @@
     Context_.Metrics_.observe("first_event_seconds", Routed_.Service_->Id_.str(),
                               Monitor_.firstEventAt() - Routed_.ArrivedAt_);
     Context_.Quarantine_.onServed(Routed_.Caller_.SharedPromptParts_, Now);
+    for (const PathStage &Stage : Path_.Stages_)
+      noteAnswered(Stage.Engine_, Attempt_->SentAt_);
     Routed_.Responder_->startChunked(Context_.Protocol_.responseForCaller(Attempt_->Head_));
   }
   Routed_.Responder_->sendChunk(Event.Text_);
@@ -400,6 +404,9 @@
     if (const EndpointRecord *Engine =
             Context_.Roster_.findByAddress(*Attempt_->Info_.FaultyEngine_)) {
       Limits_.ExcludedEngines_.insert(Engine->Listing_.Id_);
+      noteAnswer(Engine->Listing_.Id_,
+                 Attempt_->Info_.NotRun_ ? EndpointAnswer::Rejected : EndpointAnswer::Failed,
+                 Attempt_->SentAt_);
       if (Attempt_->Info_.NotRun_)
         noteRefusal(*Engine);
       Context_.Health_.check({Engine->Listing_.Id_}, Attempt_->SentAt_,
@@ -408,6 +415,8 @@
     }
   }
   Limits_.ExcludedEngines_.insert(First);
+  noteAnswer(First, Attempt_->Info_.NotRun_ ? EndpointAnswer::Rejected : EndpointAnswer::Failed,
+             Attempt_->SentAt_);
   if (endedAtStart(*Attempt_))
     checkCrashedEngine(First);
   else if (Result.Error_)
--- a/Tests/Core/Recovery/EndpointSlowStartTest.cpp
+++ b/Tests/Core/Recovery/EndpointSlowStartTest.cpp
@@ -267,6 +267,20 @@
   BOOST_TEST(Taken <= 2);
 }
 
+/// Guards against the gap between the end of a silence and the next observation, in which all
+/// gateways would return at once.
+BOOST_AUTO_TEST_CASE(TheSlowStartBeginsBeforeAnyWorkIsSent) {
+  Fixture F;
+  F.observe(seconds(60));
+  F.observe(seconds(60), true);
+  F.pass(milliseconds(1100));
+  F.observe(seconds(60), true);
+  BOOST_TEST(F.taken(40) <= 4);
+  F.pass(seconds(20));
+  F.observe(seconds(60), true);
+  BOOST_TEST(F.window() == 0.125);
+}
+
 /// A spell of failures or of slow answers while the health probes are good. Rejections of a warm
 /// endpoint only show that it is full.
 BOOST_AUTO_TEST_CASE(ASeriesOfBadAnswersStartsItAgain) {
--- a/Tests/Core/Serving/EndpointRosterTest.cpp
+++ b/Tests/Core/Serving/EndpointRosterTest.cpp
@@ -180,6 +180,32 @@
   BOOST_TEST((Roster.find(Id)->LastActivityAt_ == TimePoint{}));
 }
 
+/// Guards against an engine that works again but stays idle for the rest of a long back-off, where
+/// slow start tries it with few requests.
+BOOST_AUTO_TEST_CASE(TheBackOffOfAnEndpointThatDeclinesWorkCanBeLimited) {
+  for (const bool Limited : {false, true}) {
+    EndpointRoster Roster;
+    Roster.updateListing(listing(1), Start);
+    if (Limited)
+      Roster.setMaxDeclineBackoff(400ms);
+    TimePoint Now = Start;
+    for (int Decline = 0; Decline < 4; ++Decline) {
+      Roster.noteRefusal(Id, Now);
+      EngineReport Report = report(1, {0, 8});
+      Report.TotalTokenLayers_ = 100;
+      Roster.updateReport(Id, Report, Now + 350ms);
+      Now += 360ms;
+      BOOST_TEST(Roster.noteRefusal(Id, Now));
+      Now = Roster.find(Id)->DeclinesUntil_;
+    }
+    const Duration Held = Roster.find(Id)->DeclineBackoff_;
+    BOOST_TEST((Held == 3200ms));
+    BOOST_TEST(Roster.find(Id)->declinesForLong(Now));
+    BOOST_TEST(takesWork(Roster, Now));
+    BOOST_TEST((Roster.find(Id)->DeclinesUntil_ - Start < 4s) == Limited);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AnEndpointThatDeclinesWorkDespiteFreeMemoryIsRetriedLessAndLessOften) {
   EndpointRoster Roster;
   Roster.updateListing(listing(1), Start);
