Slow start: a late first event is not blamed on every engine of the path

Change: without an objective no answer is late, and late answers don't count for endpoints that report their load.

--- a/Source/Core/Recovery/EndpointSlowStart.cpp
+++ b/Source/Core/Recovery/EndpointSlowStart.cpp
@@ -45,6 +45,9 @@
 constexpr std::uint32_t MaxRelapses = 3;
 /// An endpoint with this slowdown or more does not get a larger window by reports or time.
 constexpr double MaxSlowdown = 1.5;
+/// Reports of this slowdown over a round start a slow start, which lasts as long as they do: once
+/// the endpoint is fast again, all gateways would return at once.
+constexpr double SlowSpellSlowdown = 2;
 /// An endpoint with more waiting requests than this part of the running ones is too full.
 constexpr double MaxWaitingPart = 0.25;
 /// Requests of one data centre's gateways seldom reach the endpoints of another one, so that only
@@ -193,6 +196,14 @@
   else if (Each.Phase_ == Phase::Warming && Load.At_ >= Each.RoundAt_ + ReportRound)
     adjustToLoad(Each, Now);
   endIfWarm(Id, Each, Now);
+  if (Load.Slowdown_ < SlowSpellSlowdown)
+    Each.SlowSince_.reset();
+  else if (!Each.SlowSince_)
+    Each.SlowSince_ = Load.At_;
+  if (Each.Phase_ != Phase::Warm || !Each.SlowSince_ || Load.At_ - *Each.SlowSince_ < ReportRound)
+    return;
+  Each.EarlierUse_ = Load.Use_;
+  begin(Id, Each, Options_.InitialShare_, "slow", Now);
 }
 
 void EndpointSlowStart::adjustToLoad(State &Each, TimePoint Now) {
@@ -311,6 +322,9 @@
     double &Mean = AnswerSeconds_.try_emplace(Each.Service_, Took).first->second;
     Mean += AnswerWeight * (Took - Mean);
   }
+  // A path of several engines is late by any one of them; their reports show which is slow.
+  if (Answer == EndpointAnswer::Late && Each.Load_)
+    return;
   if (Each.Phase_ == Phase::Warm) {
     // A warm endpoint rejects requests while it is full; that is no reason for a slow start.
     if (Answer == EndpointAnswer::Rejected)
--- a/Source/Core/Recovery/EndpointSlowStart.h
+++ b/Source/Core/Recovery/EndpointSlowStart.h
@@ -51,7 +51,7 @@
 enum class EndpointAnswer : std::uint8_t {
   /// Complete, or with its first event, within the objective.
   Good,
-  /// The same, but after the objective.
+  /// The same, but after the objective. Not counted for an endpoint that reports its load.
   Late,
   /// Refused without having run.
   Rejected,
@@ -168,6 +168,8 @@
     TimePoint EndedAt_{};
     std::optional<TimePoint> SilentSince_;
     bool Declines_ = false;
+    /// Since when its reports show a slow spell.
+    std::optional<TimePoint> SlowSince_;
     std::uint32_t Sent_ = 0;
     std::uint32_t Rejections_ = 0;
     std::uint32_t Withheld_ = 0;
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -182,7 +182,8 @@
 }
 
 void Exchange::noteAnswered(const EndpointId &Endpoint, TimePoint SentAt) {
-  const bool Late = Context_.Time_.now() - SentAt > Routed_.Route_->Objective_;
+  const Duration Objective = Routed_.Route_->Objective_;
+  const bool Late = Objective > Duration{} && Context_.Time_.now() - SentAt > Objective;
   noteAnswer(Endpoint, Late ? EndpointAnswer::Late : EndpointAnswer::Good, SentAt);
 }
 
--- a/Source/SiteModel/SimulatedSite.cpp
+++ b/Source/SiteModel/SimulatedSite.cpp
@@ -1,5 +1,7 @@
 #include "SiteModel/SimulatedSite.h"
 
+#include "Core/Layers/SlowStartFeed.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -191,6 +193,7 @@
                                           Home},
         Handler_(Context_, Site.Config_), Home_(Home), Owner_(Owner) {
     Retries_.setProcesses(Count);
+    SlowStart_.setGateways(Count);
     Quarantine_.onReport([this, &Site] { Site.reportSuspects(*this); });
   }
 
@@ -203,6 +206,7 @@
   MetricSet Metrics_;
   std::mt19937 Random_;
   EndpointLimiter Limiter_{Random_};
+  EndpointSlowStart SlowStart_{{}};
   GatewayContext Context_;
   GatewayRequestHandler Handler_;
   DataCenterId Home_;
@@ -287,7 +291,7 @@
     Reports.emplace_back(Each, Answers ? std::optional(Engines_.report(Each.Id_)) : std::nullopt);
   }
   Queue_.after(ReportLag, [this, MeasuredAt, Reports = std::move(Reports)] {
-    for (const auto &Each : Gateways_)
+    for (const auto &Each : Gateways_) {
       for (const auto &[Listing, Report] : Reports) {
         if (UnlistedEngines_.contains(Listing.Id_))
           continue;
@@ -295,9 +299,28 @@
         if (Report)
           Each->Roster_.updateReport(Listing.Id_, *Report, MeasuredAt);
       }
+      updateSlowStart(*Each);
+    }
   });
 }
 
+void SimulatedSite::enableSlowStart(SlowStartOptions Options) {
+  for (const auto &Each : Gateways_) {
+    Each->SlowStart_.setOptions(Options);
+    Each->Context_.SlowStart_ = &Each->SlowStart_;
+    Each->Paths_.setSlowStart(&Each->SlowStart_);
+    updateSlowStart(*Each);
+  }
+}
+
+void SimulatedSite::updateSlowStart(Gateway &Each) {
+  const TimePoint Now = Queue_.now();
+  for (const auto &[Id, Record] : Each.Roster_.all())
+    Each.SlowStart_.observe(conditionOf(Record, Queue_.clock().wallNow(), Now), Now);
+  for (const SlowStartChange &Change : Each.SlowStart_.takeChanges())
+    SlowStarts_ += Change.Began_ ? 1 : 0;
+}
+
 void SimulatedSite::updatePlacement() {
   const auto DataCenters = static_cast<std::size_t>(std::count_if(
       Gateways_.begin(), Gateways_.end(), [](const auto &Each) { return Each->Owner_; }));
--- a/Source/SiteModel/SimulatedSite.h
+++ b/Source/SiteModel/SimulatedSite.h
@@ -86,6 +86,10 @@
   void replaceConfig(ServingConfig Config) {
     Config_.replaceIfNewer(std::move(Config), Queue_.now());
   }
+  /// All gateways use slow start from now on; they don't by default.
+  void enableSlowStart(SlowStartOptions Options);
+  /// The number of slow starts that have begun so far, added up over all gateways.
+  std::uint64_t slowStarts() const { return SlowStarts_; }
   /// Uses up the retry budgets of all gateways for this window.
   void exhaustRetryBudget();
   /// The share of datagrams about suspected parts of prompts that are lost; 0 by default.
@@ -115,6 +119,8 @@
   class HealthMonitor;
   struct Gateway;
 
+  /// Tells the slow start of a gateway what is in its roster.
+  void updateSlowStart(Gateway &Each);
   /// Sends the reports of all engines to all gateways.
   void updateRosters();
   void updatePlacement();
@@ -140,6 +146,7 @@
   std::map<EndpointId, Incarnation> LeavingEngines_;
   std::uint64_t NextId_ = 1;
   LogCounts Counts_;
+  std::uint64_t SlowStarts_ = 0;
   double DatagramLoss_ = 0;
   std::mt19937 LossRandom_;
 };
--- a/Tests/Core/Recovery/EndpointSlowStartTest.cpp
+++ b/Tests/Core/Recovery/EndpointSlowStartTest.cpp
@@ -307,6 +307,38 @@
   }
 }
 
+/// Guards against slow starts of all engines of a path because one of them is slow.
+BOOST_AUTO_TEST_CASE(LateAnswersOfAnEndpointThatReportsAreNotCounted) {
+  Fixture F;
+  F.Reports_ = true;
+  F.report(0.5, 16);
+  for (int Answer = 0; Answer < 10; ++Answer)
+    F.answer(EndpointAnswer::Late);
+  BOOST_TEST(F.SlowStart_.warmingCount() == 0U);
+}
+
+/// Guards against all gateways returning at once to an engine whose slow spell ends.
+BOOST_AUTO_TEST_CASE(ReportsOfASlowSpellStartItUntilTheyEnd) {
+  Fixture F;
+  F.Reports_ = true;
+  F.report(0.5, 16);
+  F.pass(milliseconds(200));
+  F.report(0.5, 16, 0, 3);
+  BOOST_TEST(F.SlowStart_.warmingCount() == 0U);
+  for (int Report = 0; Report < 40; ++Report) {
+    F.pass(milliseconds(200));
+    F.report(0.5, 16, 0, 3);
+  }
+  BOOST_TEST(F.window() == 0.125);
+  F.pass(milliseconds(200));
+  F.report(0.1, 3);
+  const int Taken = F.taken(40);
+  BOOST_TEST(Taken >= 1);
+  BOOST_TEST(Taken <= 4);
+  F.pass(seconds(10));
+  BOOST_TEST(F.window() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(SingleBadAnswersAmongGoodOnesDoNotStartIt) {
   Fixture F;
   F.observe(seconds(60));
--- a/Tests/Gateway/LossLoadTest.cpp
+++ b/Tests/Gateway/LossLoadTest.cpp
@@ -38,9 +38,13 @@
 
 } // namespace
 
-BOOST_DATA_TEST_CASE(RequestsAreInTimeAgainSoonAfterALostEngineReturns, LossCases, Case) {
+// Slow start must neither delay the recovery nor cost requests.
+BOOST_DATA_TEST_CASE(RequestsAreInTimeAgainSoonAfterALostEngineReturns,
+                     LossCases *boost::unit_test::data::make({false, true}), Case, SlowStart) {
   SimulatedSite Site(/*Seed=*/7, peakModel(), peakDataCenters());
   Site.runUntilLoaded();
+  if (SlowStart)
+    Site.enableSlowStart({true, 0.125});
   CallerViews Before = runLoad(Site, peakLoad(), NormalTime);
   // Requests that the loss interrupts do not belong to the normal time.
   std::erase_if(Before, [](const auto &Each) { return !Each->ended(); });
@@ -52,9 +56,12 @@
   const std::size_t Sends = Site.engines().sendCount();
   const CallerViews After = runLoad(Site, peakLoad(), AfterTime);
   Site.queue().run(20s);
-  BOOST_TEST_MESSAGE(Case << ": in time " << fractionInTime(Before) << ", "
-                          << fractionInTime(During) << ", " << fractionInTime(Recovering) << ", "
-                          << fractionInTime(After) << ", resumes " << Resumes);
+  BOOST_TEST_MESSAGE(Case << (SlowStart ? ", slow start" : "") << ": in time "
+                          << fractionInTime(Before) << ", " << fractionInTime(During) << ", "
+                          << fractionInTime(Recovering) << ", " << fractionInTime(After)
+                          << ", resumes " << Resumes << ", sends " << Site.engines().sendCount()
+                          << ", slow starts " << Site.slowStarts());
+  BOOST_TEST((Site.slowStarts() > 0) == SlowStart);
   BOOST_TEST(fractionInTime(Before) >= 0.99);
   BOOST_TEST(fractionInTime(After) >= 0.99);
   // Resends must not sustain themselves: after the recovery each request is sent once.
