Slow start: ends with time also where no request asks about the endpoint

Cause: the window grew by time only when a request or a report arrived, so that a plain endpoint without requests stayed in the metrics, and its end was not logged until the next request.

Change: each observation applies the growth. New cases for that, for a server that restarts every two seconds and for the gauges.

--- a/Source/Core/Recovery/EndpointSlowStart.cpp
+++ b/Source/Core/Recovery/EndpointSlowStart.cpp
@@ -147,6 +147,10 @@
     startRun(Condition, Each, !Added, Now);
   if (Condition.Load_ && (!Each.Load_ || Condition.Load_->At_ > Each.Load_->At_))
     takeLoad(Condition.Id_, Each, *Condition.Load_, Now);
+  if (Each.Phase_ == Phase::Warming && !Condition.Silent_ && !Condition.Declines_) {
+    growByTime(Each, Now);
+    endIfWarm(Condition.Id_, Each, Now);
+  }
   if (Condition.Silent_ && !Each.SilentSince_)
     Each.SilentSince_ = Now;
   const bool Silence = Each.SilentSince_ && Now - *Each.SilentSince_ >= MinSilence;
--- a/Tests/Core/Recovery/EndpointSlowStartTest.cpp
+++ b/Tests/Core/Recovery/EndpointSlowStartTest.cpp
@@ -365,6 +365,36 @@
   }
 }
 
+/// Guards against a slow start that stays in metrics and logs because no request asks about it.
+BOOST_AUTO_TEST_CASE(ASlowStartEndsWithoutRequests) {
+  Fixture F;
+  F.observe(milliseconds(1));
+  for (int Second = 1; Second <= 10; ++Second) {
+    F.pass(seconds(1));
+    F.observe(seconds(Second));
+  }
+  BOOST_TEST(F.SlowStart_.warmingCount() == 0U);
+  const auto Changes = F.SlowStart_.takeChanges();
+  BOOST_REQUIRE(Changes.size() == 2U);
+  BOOST_TEST(Changes.back().Cause_ == "warm");
+  BOOST_TEST((Changes.back().Took_ > seconds(5)));
+}
+
+/// Guards against a server that keeps restarting and is flooded by each of its runs.
+BOOST_AUTO_TEST_CASE(EachRunOfAFlappingEndpointStartsSlowly) {
+  Fixture F;
+  F.observe(seconds(60));
+  for (std::uint64_t Run = 2; Run < 8; ++Run) {
+    F.observe(milliseconds(50), false, false, Run);
+    const int Taken = F.taken(100);
+    BOOST_TEST(Taken >= 1);
+    BOOST_TEST(Taken <= 4);
+    for (int Answer = 0; Answer < Taken; ++Answer)
+      F.answer(EndpointAnswer::Good, milliseconds(5));
+    F.pass(seconds(2));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ARemovedEndpointIsForgotten) {
   Fixture F;
   F.observe(milliseconds(1));
--- a/Tests/Gateway/GatewayGaugesTest.cpp
+++ b/Tests/Gateway/GatewayGaugesTest.cpp
@@ -21,6 +21,7 @@
   ConfigHolder Config_;
   RetryShare Retries_{{0.2, 100, 10s}, Start - 1min};
   PathChooser Paths_{Roster_, DataCenterId("east")};
+  EndpointSlowStart SlowStart_{{true, 0.125}};
 
   GaugeInputs() {
     Retries_.setProcesses(4);
@@ -47,6 +48,7 @@
   std::string text(TimePoint Now) const {
     GaugeText Gauges("p_");
     addEndpointGauges(Gauges, Roster_, Now);
+    addSlowStartGauges(Gauges, SlowStart_);
     addServingGauges(Gauges, Config_, Roster_, Paths_, Retries_, Now);
     return Gauges.text();
   }
@@ -70,6 +72,12 @@
       "p_retry_budget_spent{service=\"brief\"} 0\n", "p_retry_budget_gateways 4\n",
       "p_holds_whole_model{service=\"brief\",data_center=\"east\"} 1\n",
       "p_holds_whole_model{service=\"brief\",data_center=\"west\"} 0\n"}},
+    {"one warming",
+     [](GaugeInputs &In) {
+       In.SlowStart_.observe(
+           {EndpointId("desk"), Brief, Incarnation(1), 1ms, false, {}, false, false}, Start);
+     },
+     {"p_endpoints_warming 1\n", "p_slow_start_window{endpoint=\"desk\"} 0.125\n"}},
     {"one silent",
      [](GaugeInputs &In) { In.Roster_.markSilent(EndpointId("east-a"), Start, Start + 3s); },
      {"p_endpoints{data_center=\"east\",state=\"silent\"} 1\n",
