--- a/Source/Core/Serving/EndpointRoster.h
+++ b/Source/Core/Serving/EndpointRoster.h
@@ -162,6 +162,9 @@
   /// that was taken before is dropped.
   bool noteAddressTaken(const EndpointId &Id, const NetAddress &Address, Incarnation ListedRun,
                         TimePoint Now);
+  /// Sets the longest time for which an endpoint gets no new work after such refusals; by default
+  /// 3.2 s. Precondition: positive.
+  void setMaxDeclineBackoff(Duration Longest) { MaxDeclineBackoff_ = Longest; }
 
   /// The engine refused a request that needs TokenLayers of its memory.
   void noteMemoryRefusal(const EndpointId &Id, double TokenLayers, TimePoint Now);
@@ -196,6 +199,9 @@
 
   std::map<EndpointId, EndpointRecord> Records_;
   ConcurrentSendEstimate ConcurrentSends_;
+  /// A leaving engine continues for some seconds; the few requests that are sent to it at this
+  /// interval show whether it still refuses them.
+  Duration MaxDeclineBackoff_ = std::chrono::milliseconds(3200);
 };
 
 /// The number of tokens that the service's engines in a data centre have memory for together, if it
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Recovery/DrainState.h"
+#include "Core/Recovery/EndpointSlowStart.h"
 #include "Gateway/EngineStateBroadcast.h"
 #include "Gateway/GatewayRequestHandler.h"
 #include "Gateway/GatewaySettings.h"
@@ -66,6 +67,9 @@
   void countGateways();
   /// Tells the reserve of memory for urgent classes the size of this data centre.
   void updateReserve();
+  /// Tells the slow start what is known of all endpoints, and logs which began or ended.
+  void updateSlowStart();
+  void takeSlowStartOptions(SlowStartOptions Options);
   void measureLoopDelay();
   void onShutdownSignal();
   void drainTick();
@@ -94,6 +98,7 @@
   PromptQuarantine Quarantine_;
   EndpointLimiter Limiter_;
   DatagramSocket Datagrams_;
+  EndpointSlowStart SlowStart_;
   EngineStateBroadcast StateBroadcast_;
   StoreRelay StoreRelay_;
   PlacementCoordinator PlacementCoordinator_;
--- a/Source/Gateway/GatewaySettings.h
+++ b/Source/Gateway/GatewaySettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Config/ProcessSettings.h"
+#include "Core/Recovery/EndpointSlowStart.h"
 #include "Core/Recovery/RetryShare.h"
 #include "Core/Recovery/StorePolling.h"
 #include "Gateway/ResponseLimits.h"
@@ -28,6 +29,7 @@
   std::size_t StoreReaders_ = 0;
   std::vector<DataCenterId> DataCenters_;
   RetryShareOptions Retries_;
+  SlowStartOptions SlowStart_;
   ResponseLimits ResponseLimits_;
   /// After the start of the process, requests wait this long at most for its configuration and the
   /// list of endpoints.
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -82,9 +82,12 @@
 
   ForwardOptions Options = forwardOptions();
   Options.LastEvent_ = LastEvent_;
-  for (const PathStage &Stage : Path_.Stages_)
+  for (const PathStage &Stage : Path_.Stages_) {
     Options.Path_.push_back(
         {Context_.Roster_.find(Stage.Engine_)->Listing_.Address_, Stage.Layers_});
+    if (Context_.SlowStart_)
+      Context_.SlowStart_->onSent(Stage.Engine_, Now);
+  }
   Events_.reset();
   BytesSinceEvent_ = 0;
   FailureBody_.clear();
@@ -239,6 +242,8 @@
                               Monitor_.firstEventAt() - Routed_.ArrivedAt_);
     Placement_.onFirstEvent(Monitor_.firstEventAt() - Attempt_->SentAt_);
     Context_.Quarantine_.onServed(Routed_.Caller_.SharedPromptParts_, Now);
+    for (const PathStage &Stage : Path_.Stages_)
+      noteAnswered(Stage.Engine_, Attempt_->SentAt_);
     Routed_.Responder_->startChunked(Context_.Protocol_.responseForCaller(Attempt_->Head_));
   }
   Routed_.Responder_->sendChunk(Event.Text_);
@@ -336,6 +341,9 @@
     if (const EndpointRecord *Engine =
             Context_.Roster_.findByAddress(*Attempt_->Info_.FaultyEngine_)) {
       Placement_.exclude(Engine->Listing_.Id_);
+      noteAnswer(Engine->Listing_.Id_,
+                 Attempt_->Info_.NotRun_ ? EndpointAnswer::Rejected : EndpointAnswer::Failed,
+                 Attempt_->SentAt_);
       if (Attempt_->Info_.NotRun_)
         noteRefusal(*Engine);
       Context_.Health_.check({Engine->Listing_.Id_}, Attempt_->SentAt_,
@@ -344,6 +352,8 @@
     }
   }
   Placement_.exclude(First);
+  noteAnswer(First, Attempt_->Info_.NotRun_ ? EndpointAnswer::Rejected : EndpointAnswer::Failed,
+             Attempt_->SentAt_);
   if (endedAtStart(*Attempt_))
     checkCrashedEngine(First);
   else if (Result.Error_)
