--- a/Tests/Core/Layers/ClassLoadTest.cpp
+++ b/Tests/Core/Layers/ClassLoadTest.cpp
@@ -50,15 +50,15 @@
                                   << " requests, " << Each.PlacedInTime_ << " placed in time, "
                                   << Each.Refused_ << " refused; engines rejected "
                                   << Each.rejected() << " of " << Each.sends() << " sends");
-  const auto refused = [&](std::uint32_t Priority) {
+  const auto RefusedShare = [&](std::uint32_t Priority) {
     return ratio(Classes[Priority].Refused_, Classes[Priority].Requests_);
   };
-  const auto rejected = [&](std::uint32_t Priority) {
+  const auto RejectedShare = [&](std::uint32_t Priority) {
     return ratio(Classes[Priority].rejected(), Classes[Priority].sends());
   };
-  BOOST_TEST(refused(0) + 0.05 <= refused(2));
-  BOOST_TEST(refused(0) <= refused(1));
-  BOOST_TEST(rejected(0) <= rejected(2) + 0.02);
+  BOOST_TEST(RefusedShare(0) + 0.05 <= RefusedShare(2));
+  BOOST_TEST(RefusedShare(0) <= RefusedShare(1));
+  BOOST_TEST(RejectedShare(0) <= RejectedShare(2) + 0.02);
   LoadOutcome Sum;
   for (const auto &[Priority, Each] : Classes)
     Sum += Each;
