--- a/Source/Core/Admission/StreamAdmissionQueue.cpp
+++ b/Source/Core/Admission/StreamAdmissionQueue.cpp
@@ -13,8 +13,9 @@
 constexpr std::uint32_t PlacementsPerLateOne = 4;
 /// The part of the rate that a class can count on, whatever more urgent classes take.
 constexpr double LeastRatePart = 1.0 / PlacementsPerLateOne;
-/// A request waits only if this many times its expected wait is left, where the wait is long:
-/// others that arrive later may go first.
+/// Where requests are ordered by class, one waits only if this many times its expected wait is left,
+/// since others that arrive later may go first. With a factor of 1, 564 requests instead of 439 were
+/// refused after a wait in StreamContentionTest.
 constexpr double WaitMargin = 1.5;
 /// Range of the time after which a refused caller is told to come back, before jitter.
 constexpr Duration MinRetryAfter = milliseconds(400);
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -438,6 +438,10 @@
     return giveUp();
   if (mayResend() && waitForTurn())
     return;
+  // It must not pass those that wait by trying over and over.
+  const bool Rejected = !attemptIsLive() && retryPurpose() == RetryPurpose::AfterRejection;
+  if (Rejected && Placement_.isOrderedByClass() && Placement_.othersWait(Context_.Time_.now()))
+    return giveUp();
   // Within about a second, a lost layer is loaded again and memory and retry budget become
   // available.
   ResumeUntil_ = Monitor_.progressAt() + (Started_ ? ResumeTimeLimit : FirstEventTimeLimit);
--- a/Source/SiteModel/SimulatedSite.cpp
+++ b/Source/SiteModel/SimulatedSite.cpp
@@ -395,14 +395,16 @@
 
 std::shared_ptr<CallerView> SimulatedSite::sendRequest(std::size_t GatewayIndex, double Prompt,
                                                        std::uint64_t Events,
-                                                       const std::string &Parts) {
+                                                       const std::string &Parts,
+                                                       const std::string &Host) {
   auto View = std::make_shared<CallerView>();
   View->Id_ = "r" + std::to_string(NextId_++);
+  View->Host_ = Host;
   View->SentAt_ = Queue_.now();
   View->ExpectedEvents_ = Events;
   HttpRequest Request;
   Request.Method_ = "POST";
-  Request.Headers_.add("Host", "site");
+  Request.Headers_.add("Host", Host);
   Request.Headers_.add("id", View->Id_);
   Request.Headers_.add("prompt", std::to_string(Prompt));
   Request.Headers_.add("events", std::to_string(Events));
--- a/Source/SiteModel/SimulatedSite.h
+++ b/Source/SiteModel/SimulatedSite.h
@@ -19,6 +19,8 @@
 /// What a caller saw of one request.
 struct CallerView {
   std::string Id_;
+  /// The host that the request names, which selects its route.
+  std::string Host_;
   TimePoint SentAt_{};
   std::uint64_t ExpectedEvents_ = 0;
   /// 0 until the response begins.
@@ -94,7 +96,8 @@
   /// parts of its prompt that other requests share are separated by commas. The view is updated as
   /// simulated time passes.
   std::shared_ptr<CallerView> sendRequest(std::size_t GatewayIndex, double Prompt,
-                                          std::uint64_t Events, const std::string &Parts = {});
+                                          std::uint64_t Events, const std::string &Parts = {},
+                                          const std::string &Host = "site");
   std::size_t gatewayCount() const { return Gateways_.size(); }
   /// The number of parts of prompts that are quarantined, added up over all gateways.
   std::size_t quarantinedParts() const;
--- a/Source/SiteModel/SiteLoad.cpp
+++ b/Source/SiteModel/SiteLoad.cpp
@@ -29,7 +29,10 @@
       const double Prompt =
           40 + boundedExponential(Random, Load.MeanPromptTokens_, Load.MaxPromptTokens_);
       const double Events = 1 + boundedExponential(Random, Load.MeanEvents_, Load.MaxEvents_);
-      Seen.push_back(Site.sendRequest(GatewayIndex, Prompt, static_cast<std::uint64_t>(Events)));
+      // One host takes no random number, so that the load stays the same for each seed.
+      const std::size_t Host = Load.Hosts_.size() < 2 ? 0 : Random() % Load.Hosts_.size();
+      Seen.push_back(Site.sendRequest(GatewayIndex, Prompt, static_cast<std::uint64_t>(Events), {},
+                                      Load.Hosts_[Host]));
     }
     Site.queue().run(LoadStep);
   }
--- a/Source/SiteModel/SiteLoad.h
+++ b/Source/SiteModel/SiteLoad.h
@@ -3,6 +3,7 @@
 #include "SiteModel/SimulatedSite.h"
 
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace rattancart {
@@ -17,6 +18,8 @@
   double MaxPromptTokens_ = 2280;
   double MeanEvents_ = 87;
   double MaxEvents_ = 220;
+  /// Hosts that the requests name, with equal shares.
+  std::vector<std::string> Hosts_ = {"site"};
 };
 
 using CallerViews = std::vector<std::shared_ptr<CallerView>>;
