System test: layers of an engine whose address is taken are loaded elsewhere

The stand-in for engines can be replaced by another one at its address whose reports do not name it and which answers 421 to orders and requests, while the list keeps the old entry. GatewayTest checks that the layers are loaded elsewhere after at most one order to it; without the handling of 421 to orders the model stays incomplete for the 30 s of the test's limit.

--- a/Source/StandIns/Site/ActivityLog.h
+++ b/Source/StandIns/Site/ActivityLog.h
@@ -37,6 +37,8 @@
   std::map<std::string, std::vector<std::string>> Executions_;
   /// Number of refused requests, by the id of the engine that could not take them.
   std::map<std::string, std::size_t> Refusals_;
+  /// By engine: orders for it that another engine refused, which has its address.
+  std::map<std::string, std::size_t> MisdirectedOrders_;
   /// The crashes caused by a prompt part, by part, in order.
   std::map<std::string, std::vector<PromptCrash>> PromptCrashes_;
   /// The requests with a prompt part that crashes engines, whether executed or refused, by part, in
--- a/Source/StandIns/Site/FakeLayerEngine.cpp
+++ b/Source/StandIns/Site/FakeLayerEngine.cpp
@@ -77,6 +77,18 @@
   Server_->stop();
 }
 
+void FakeLayerEngine::replace() {
+  LayersBefore_ = layers();
+  Replaced_ = true;
+  for (Stream &Each : Streams_)
+    Each.Responder_->abort();
+  Streams_.clear();
+  HeldLayers_ = {};
+  LoadedAt_ = {};
+  OrderCount_ = 0;
+  HighestFence_ = 0;
+}
+
 LayerRange FakeLayerEngine::layers() const {
   return Time_.now() < LoadedAt_ ? LayerRange{} : HeldLayers_;
 }
@@ -93,6 +105,11 @@
     return;
   }
   const std::string_view Expected = Request.Headers_.get("X-Expect-Instance");
+  if (Replaced_ && Request.path() != "/-/report") {
+    if (Request.path() == "/-/order")
+      ++Activity_.MisdirectedOrders_[Options_.Id_];
+    return refuse(*Responder, Request, 421, address());
+  }
   if (!Expected.empty() && Expected != Options_.Id_)
     return refuse(*Responder, Request, 421, address());
   if (Request.path() == "/-/report")
@@ -111,7 +128,7 @@
                            {"kv_used", usedTokenLayers()},
                            {"kv_total", totalTokenLayers()},
                            {"pace", 1.0},
-                           {"born", Incarnation_},
+                           {"born", Incarnation_ + (Replaced_ ? 1 : 0)},
                            {"stalled", boost::json::array{}}};
   if (Layers.End_ > Layers.Begin_)
     Body["layers"] = {{"from", Layers.Begin_}, {"target", Layers.End_}, {"version", 1}};
--- a/Source/StandIns/Site/FakeLayerEngine.h
+++ b/Source/StandIns/Site/FakeLayerEngine.h
@@ -80,6 +80,11 @@
   /// again after CrashDowntime_, at the same address, without layers and as a new incarnation. An
   /// empty part ends this.
   void setCrashingPromptPart(std::string Part) { CrashingPromptPart_ = std::move(Part); }
+  /// Another engine takes over the address: a later run without layers, which refuses requests and
+  /// orders for this one. Its reports do not name it. The list keeps the entry of this one.
+  void replace();
+  /// The layers that the engine's entry in the list names.
+  LayerRange listedLayers() const { return Replaced_ ? LayersBefore_ : layers(); }
   /// Layers held now; empty while layers load.
   LayerRange layers() const;
   /// Changes when the engine runs again after a crash.
@@ -153,6 +158,9 @@
   std::uint64_t OrderCount_ = 0;
   std::int64_t HighestFence_ = 0;
   std::uint64_t Incarnation_ = 0;
+  bool Replaced_ = false;
+  /// The layers held before it was replaced.
+  LayerRange LayersBefore_;
   std::string CrashingPromptPart_;
   RunState RunState_ = RunState::Running;
   bool Leaving_ = false;
--- a/Source/StandIns/Site/Site.cpp
+++ b/Source/StandIns/Site/Site.cpp
@@ -149,7 +149,7 @@
       Store_.append(EndpointTopic, {Options.Id_, std::nullopt});
     return;
   }
-  const LayerRange Layers = Engine.layers();
+  const LayerRange Layers = Engine.listedLayers();
   boost::json::object Entry{{"service", "engines"},
                             {"address", Engine.address().str()},
                             {"zone", Options.DataCenter_},
@@ -232,6 +232,14 @@
   });
 }
 
+void Site::replaceEngine(const std::string &Id) {
+  runOnLoop([&] {
+    for (const auto &Engine : Engines_)
+      if (Engine->options().Id_ == Id)
+        Engine->replace();
+  });
+}
+
 void Site::setLoseOrderAnswers(bool Lose) {
   runOnLoop([&] {
     for (const auto &Engine : Engines_)
--- a/Source/StandIns/Site/Site.h
+++ b/Source/StandIns/Site/Site.h
@@ -72,6 +72,9 @@
   void setEngineRunState(const std::string &Id, FakeLayerEngine::RunState State);
   /// Makes an engine announce that it leaves and refuse new streams.
   void drainEngine(const std::string &Id);
+  /// Another engine, which is not listed, takes over the address of an engine; see
+  /// FakeLayerEngine::replace.
+  void replaceEngine(const std::string &Id);
   void setLoseOrderAnswers(bool Lose);
   /// Changes the time that all engines take to prefill the prompts of new streams.
   void setEnginePrefillTime(Duration Time);
--- a/Tests/System/GatewayTest.cpp
+++ b/Tests/System/GatewayTest.cpp
@@ -411,6 +411,29 @@
   }
 }
 
+// Guards against a placement owner that sends one order after the other to an engine whose address
+// another one has now, so that the layers that are lost are loaded nowhere.
+BOOST_AUTO_TEST_CASE(LayersOfAnEngineWhoseAddressIsTakenAreLoadedElsewhere) {
+  GatewayDeployment Deployment({"east", "west"});
+  BOOST_TEST(statusOrZero(Deployment.call(0, "a", "POST", site::BriefPath, 3)) == 200U);
+  const std::size_t Owner = Deployment.placementOwner("east");
+  const std::string Replaced = Deployment.soleHolder("east", "");
+  Deployment.site().replaceEngine(Replaced);
+  GatewayDeployment::await([&] { return Deployment.site().holdsAllLayers("east"); },
+                           "the model to be whole again");
+  for (int I = 0; I < 5; ++I) {
+    const HttpResult Result =
+        Deployment.call(0, "b" + std::to_string(I), "POST", site::BriefPath, 3);
+    BOOST_TEST(consistsOfEvents(Result.Response_.Body_, 1, 3));
+  }
+  BOOST_TEST(Deployment.site().activity().MisdirectedOrders_[Replaced] <= 1U);
+  const std::string Metrics = Deployment.metrics(Owner);
+  for (const char *Line : {"rattancart_gateway_addresses_taken_total",
+                           "rattancart_gateway_placement_losses_total", "state=\"address_taken\""})
+    BOOST_TEST(Metrics.find(Line) != std::string::npos, Line << " in " << Metrics);
+  checkNoFaults(Deployment.site());
+}
+
 BOOST_AUTO_TEST_CASE(EngineLeavingDuringStoreOutageIsNotTriedByEachRequest) {
   GatewayDeployment Deployment({"east", "west"});
   BOOST_TEST(statusOrZero(Deployment.call(0, "a", "POST", site::BriefPath, 3)) == 200U);
