Fewer late streams wait, since each leaves less memory for those that can be in time

Change: where streams are ordered by class, the expected wait includes memory for one stream of mean size, and a late stream counts only on the placements that late ones get. A stream that the queue does not take still gets a path if there is one. Ruled out by trials: shorter turns, no turns, a late placement in 8, 16 or 32.

--- a/Source/Core/Admission/StreamAdmissionQueue.cpp
+++ b/Source/Core/Admission/StreamAdmissionQueue.cpp
@@ -1,6 +1,7 @@
 #include "Core/Admission/StreamAdmissionQueue.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace rattancart {
 
@@ -11,11 +12,11 @@
 /// Of this many placements, one goes to a request whose first event will be late, so that these do
 /// not starve.
 constexpr std::uint32_t PlacementsPerLateOne = 4;
+constexpr double LateRatePart = 1.0 / PlacementsPerLateOne;
 /// The part of the rate that a class can count on, whatever more urgent classes take.
-constexpr double LeastRatePart = 1.0 / PlacementsPerLateOne;
-/// Where requests are ordered by class, one waits only if this many times its expected wait is left,
-/// since others that arrive later may go first. With a factor of 1, 564 requests instead of 439 were
-/// refused after a wait in StreamContentionTest.
+constexpr double LeastRatePart = 0.25;
+/// Where requests are ordered by class, the expected wait is multiplied by this, since others that
+/// arrive later may go first.
 constexpr double WaitMargin = 1.5;
 /// Range of the time after which a refused caller is told to come back, before jitter.
 constexpr Duration MinRetryAfter = milliseconds(400);
@@ -65,6 +66,8 @@
   // If the callers of a less urgent class wait longer, its requests would obtain the memory for
   // which more urgent ones are refused.
   Duration Timeout = Request.GivesUpAt_ - Request.ArrivedAt_;
+  if (!Options_.WaitsBeyondObjective_)
+    Timeout = std::min(Timeout, Request.Objective_);
   for (const auto &[Priority, Each] : Of.FirstEventTimeouts_)
     if (Priority <= Request.Priority_)
       Timeout = std::min(Timeout, Each);
@@ -135,12 +138,21 @@
   const double Cost = std::max(1.0, Request.Tokens_);
   const double InTimeAhead =
       Of.InTime_.costAhead(Request.Customer_, Request.Priority_, Cost, 1, Now);
-  const double InTimeRate = Of.Late_.size() == 0 ? Rate : Rate * (1 - LeastRatePart);
-  const Duration InTimeWait = seconds(InTimeAhead / InTimeRate);
+  if (!Request.OrderByClass_)
+    return seconds(InTimeAhead / Rate);
+  // Memory for the request itself has to become free as well; the mean of all requests counts, so
+  // that large ones aren't refused for their size. A late request counts on no more than the
+  // placements that late ones get in any case: each that obtains memory leaves less for those that
+  // can be in time.
+  double Mean = 0;
+  for (const Placement &Each : Of.Placements_)
+    Mean += std::abs(Each.Tokens_) / static_cast<double>(Of.Placements_.size());
+  const double InTimeRate = Of.Late_.size() == 0 ? Rate : Rate * (1 - LateRatePart);
+  const Duration InTimeWait = seconds((InTimeAhead + Mean) / InTimeRate * WaitMargin);
   if (canBeInTime(Of, Request, InTimeWait, Now))
     return InTimeWait;
   const double LateAhead = Of.Late_.costAhead(Request.Customer_, Request.Priority_, Cost, 1, Now);
-  return seconds((InTimeAhead + LateAhead) / Rate);
+  return seconds((InTimeAhead / Rate + (LateAhead + Mean) / (Rate * LateRatePart)) * WaitMargin);
 }
 
 bool StreamAdmissionQueue::tryEnqueue(const StreamAdmissionRequest &Request, TimePoint Now) {
@@ -148,8 +160,7 @@
   const std::optional<Duration> Wait = expectedWait(Request, Now);
   Of.FirstEventTimeouts_[Request.Priority_] = Request.GivesUpAt_ - Request.ArrivedAt_;
   Entry Added{Request, waitEndOf(Of, Request, Now), std::nullopt, std::nullopt};
-  const double Margin = Request.OrderByClass_ ? WaitMargin : 1;
-  if (!Wait || std::chrono::duration<double>(*Wait) * Margin >= Added.WaitEnd_ - Now)
+  if (!Wait || Now + *Wait >= Added.WaitEnd_)
     return false;
   if (!Request.OrderByClass_)
     Added.Request_.ArrivedAt_ = Now;
--- a/Source/Core/Admission/StreamAdmissionQueue.h
+++ b/Source/Core/Admission/StreamAdmissionQueue.h
@@ -17,6 +17,9 @@
   /// requests are not ordered by class, and where they are.
   Duration AgeingStep_ = std::chrono::milliseconds(200);
   Duration ClassAgeingStep_ = std::chrono::milliseconds(1000);
+  /// Where requests are ordered by class, whether they wait until the caller gives up, or only
+  /// while their first event can still be in time.
+  bool WaitsBeyondObjective_ = true;
   /// The time over which placements are counted. Long enough to include some at a gateway with a
   /// few requests a second, and short enough to notice when memory no longer becomes free.
   Duration RateWindow_ = std::chrono::seconds(3);
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -56,8 +56,8 @@
   if (Placement_.othersWait(Now)) {
     const bool Queued = Placement_.enterQueueBehindOthers();
     // A more urgent request may be the next one at once.
-    if (Placement_.isOrderedByClass())
-      return Queued ? tryQueued(Now) : refuseWithoutPath();
+    if (Queued && Placement_.isOrderedByClass())
+      return tryQueued(Now);
     if (Queued)
       return;
   }
--- a/Tests/Core/Admission/StreamAdmissionQueueTest.cpp
+++ b/Tests/Core/Admission/StreamAdmissionQueueTest.cpp
@@ -77,9 +77,9 @@
     {"nothing placed lately", 0, true, 1, 0},
     {"one priority, longest wait 400 ms", 25, false, 0, 10},
     {"one priority, few placed", 4, false, 0, 2},
-    {"by class, until the caller gives up", 4, true, 1, 5},
-    {"by class, many placed", 25, true, 1, 31},
-    {"by class, a more urgent one obtained the memory", 4, true, 0, 2},
+    {"by class, until the caller gives up", 4, true, 1, 1},
+    {"by class, many placed", 25, true, 1, 27},
+    {"by class, a more urgent one obtained the memory", 4, true, 0, 0},
 };
 
 } // namespace
@@ -121,7 +121,7 @@
 
 BOOST_AUTO_TEST_CASE(ALateRequestGetsOnePlacementInFour) {
   StreamAdmissionQueue Queue;
-  place(Queue, 30, Start);
+  place(Queue, 100, Start, 1);
   for (std::uint64_t Ticket = 1; Ticket <= 2; ++Ticket)
     BOOST_TEST(enqueue(Queue, Ticket, "a", 0, Start - 800ms, true));
   for (std::uint64_t Ticket = 3; Ticket <= 9; ++Ticket)
@@ -187,6 +187,15 @@
   BOOST_TEST(!Queue.isContended(ServiceId("other"), Start));
 }
 
+BOOST_AUTO_TEST_CASE(TheWaitCanEndWhileTheFirstEventCanBeInTime) {
+  StreamAdmissionOptions Options;
+  Options.WaitsBeyondObjective_ = false;
+  StreamAdmissionQueue Queue(Options);
+  place(Queue, 30, Start);
+  enqueue(Queue, 1, "a", 0, Start, true);
+  BOOST_TEST((Queue.waitEnd(AdmissionTicket(1)) == Start + 500ms - 150ms));
+}
+
 BOOST_AUTO_TEST_CASE(TheWaitEndsWhileTheFirstEventCanArrive) {
   StreamAdmissionQueue Queue;
   place(Queue, 30, Start);
@@ -199,6 +208,17 @@
              boost::test_tools::tolerance(0.01));
 }
 
+// Otherwise it would obtain the memory for which more urgent requests are refused.
+BOOST_AUTO_TEST_CASE(ALessUrgentRequestWaitsNoLongerThanAMoreUrgentOneMay) {
+  StreamAdmissionQueue Queue;
+  place(Queue, 30, Start, 2);
+  enqueue(Queue, 1, "a", 0, Start, true);
+  auto Patient = request(2, "a", 2, Start, true);
+  Patient.GivesUpAt_ = Start + 4s;
+  BOOST_TEST(Queue.tryEnqueue(Patient, Start));
+  BOOST_TEST((Queue.waitEnd(AdmissionTicket(2)) == Start + 2s - 150ms));
+}
+
 namespace {
 
 struct RetryAfterCase {
--- a/Tests/Core/Admission/StreamContentionTest.cpp
+++ b/Tests/Core/Admission/StreamContentionTest.cpp
@@ -258,7 +258,7 @@
     checkNotStarved(Of, Run.All_);
   // The load is one that has to be refused in part. Most refusals come at once.
   BOOST_TEST(Run.RefusedAtOnce_ > 500);
-  BOOST_TEST(Run.RefusedLater_ <= 0.5 * Run.RefusedAtOnce_);
+  BOOST_TEST(Run.RefusedLater_ <= 0.1 * Run.RefusedAtOnce_);
   BOOST_TEST((Run.LeastRetryAfter_ >= 400ms && Run.LongestRetryAfter_ <= 3s));
   BOOST_TEST((Run.LongestRetryAfter_ >= 1500ms));
 }
