--- a/Source/Core/Layers/PathChooser.cpp
+++ b/Source/Core/Layers/PathChooser.cpp
@@ -100,7 +100,9 @@
 PathChoice PathChooser::choose(const LayeredModel &Model, const ServiceId &Service,
                                const PathDemand &Demand, const PathConstraints &Limits,
                                std::mt19937 &Random, TimePoint Now) const {
-  if (!SlowStart_ || !SlowStart_->anyWarming())
+  // An engine with memory to spare takes all that is sent to it, so holding requests back from one
+  // that has just started would only lengthen the paths of others.
+  if (!Demand.Contended_ || !SlowStart_ || !SlowStart_->anyWarming())
     return chooseAmongAll(Model, Service, Demand, Limits, Random, Now, nullptr);
   // One draw for all engines: with one each, a path of several warming engines would hardly ever be
   // allowed.
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -280,15 +280,21 @@
     return;
   Context_.Reserve_.setGateways(
       CountEstimator_.countAt(Settings_.Process_.DataCenter_, Time_.now()));
-  for (const ServingService &Service : Config_.current()->config().Services_)
-    if (Config_.current()->ordersByClass(Service.Id_))
-      Context_.Reserve_.setCapacity(
-          Service.Id_, tokenCapacity(Roster_, Service, Settings_.Process_.DataCenter_));
+  bool Contended = false;
+  for (const ServingService &Service : Config_.current()->config().Services_) {
+    if (!Config_.current()->ordersByClass(Service.Id_))
+      continue;
+    Contended = true;
+    Context_.Reserve_.setCapacity(Service.Id_,
+                                  tokenCapacity(Roster_, Service, Settings_.Process_.DataCenter_));
+  }
+  // The slow start of engines, which limits what a declining engine gets, applies only there.
+  Roster_.setMaxDeclineBackoff(SlowStart_.enabled() && Contended ? SlowStartDeclineBackoff
+                                                                 : MaxDeclineBackoff);
 }
 
 void GatewayProcess::takeSlowStartOptions(SlowStartOptions Options) {
   SlowStart_.setOptions(Options);
-  Roster_.setMaxDeclineBackoff(Options.Enabled_ ? SlowStartDeclineBackoff : MaxDeclineBackoff);
 }
 
 void GatewayProcess::updateSlowStart() {
--- a/Tests/Core/Layers/SlowStartPathTest.cpp
+++ b/Tests/Core/Layers/SlowStartPathTest.cpp
@@ -50,7 +50,8 @@
     std::map<std::string, int> Got;
     const LayeredModel Model = makeModel(80);
     for (int Each = 0; Each < Count; ++Each) {
-      const auto Choice = Paths_.choose(Model, ServiceId("llm"), {700, 200}, {}, Random_, Start);
+      const auto Choice = Paths_.choose(Model, ServiceId("llm"), {700, 200, 0, /*Contended_=*/true},
+                                        {}, Random_, Start);
       if (!Choice.Path_) {
         ++Got["none"];
         continue;
