Test: slow start of engines with and without classes of streams

The fixture can have two routes of different priorities now, and a second case shows that a new engine is used like the others without them.

--- a/Tests/Gateway/ScriptedRequest.h
+++ b/Tests/Gateway/ScriptedRequest.h
@@ -204,8 +204,9 @@
   std::shared_ptr<Caller> Caller_ = std::make_shared<Caller>();
   std::vector<EndpointId> Ids_{EndpointId("a"), EndpointId("b"), EndpointId("c")};
 
+  /// With Classes, another streaming route of the service has another priority.
   explicit OneRequest(std::optional<std::uint64_t> LastEvent = {},
-                      RequestKind Kind = RequestKind::Stream) {
+                      RequestKind Kind = RequestKind::Stream, bool Classes = false) {
     Retries_.setProcesses(1);
     ServingConfig Config;
     Config.Revision_ = ConfigRevision(1);
@@ -221,6 +222,12 @@
     Route.Objective_ = 1s;
     Route.Resumable_ = true;
     Config.Routes_.push_back(Route);
+    if (Classes) {
+      Route.Id_ = RouteId("note");
+      Route.Host_ = "other-site";
+      Route.Priority_ = 1;
+      Config.Routes_.push_back(Route);
+    }
     Config.Services_.push_back({Brief, 10, {}});
     if (Kind == RequestKind::Stream)
       Config.Services_.back().Model_ = makeModel(80);
--- a/Tests/Gateway/SlowStartExchangeTest.cpp
+++ b/Tests/Gateway/SlowStartExchangeTest.cpp
@@ -10,7 +10,7 @@
 
 /// A request that was sent before, whose gateway then learns that some endpoints are new.
 struct Warming {
-  explicit Warming(RequestKind Kind) : Request_({}, Kind) {
+  explicit Warming(RequestKind Kind, bool Classes = true) : Request_({}, Kind, Classes) {
     SlowStart_.setGateways(1'000'000);
     Request_.Context_.SlowStart_ = &SlowStart_;
     Request_.Paths_.setSlowStart(&SlowStart_);
@@ -59,6 +59,22 @@
   }
 }
 
+/// Where callers do not compete for memory, a slow start of engines would only make paths longer.
+BOOST_AUTO_TEST_CASE(WithoutClassesANewEngineIsUsedLikeTheOthers) {
+  int Used = 0;
+  for (unsigned Seed = 0; Seed < 20; ++Seed) {
+    Warming Each(RequestKind::Stream, /*Classes=*/false);
+    Each.Request_.Random_.seed(Seed);
+    const EndpointId First = Each.current();
+    const EndpointId New = Each.Request_.Ids_[First == Each.Request_.Ids_[0] ? 1 : 0];
+    Each.observe(New, 100ms);
+    Each.Request_.Engines_.refuse(0);
+    BOOST_REQUIRE(Each.Request_.Engines_.sends() == 2U);
+    Used += Each.current() == New ? 1 : 0;
+  }
+  BOOST_TEST(Used > 0);
+}
+
 /// Guards against answers that don't reach the slow start, which then would follow time alone.
 BOOST_AUTO_TEST_CASE(AnswersMoveTheWindow) {
   for (const RequestKind Kind : {RequestKind::Stream, RequestKind::Idempotent})
