The retry budget can be asked for a time before its last slot

The kernel's log names the instruction, in RetryShare::steadyShare: an index into the first sends by their age. The tick of waiting streams passes the time at which it began, and asks with it whether a retry is left; if a retry was counted in the next slot of 333 ms meanwhile, the age is negative. Ages are at least zero now, so later slots count as the newest.

--- a/Source/Core/Recovery/RetryShare.cpp
+++ b/Source/Core/Recovery/RetryShare.cpp
@@ -63,9 +63,12 @@
 void RetryShare::visitLast(const Ring &Known, std::size_t Count, TimePoint Now,
                            Function Visit) const {
   const std::int64_t Index = indexOf(Now);
-  for (const Slot &Each : Known)
-    if (Each.Index_ >= 0 && Index - Each.Index_ < static_cast<std::int64_t>(Count))
-      Visit(Each, static_cast<std::size_t>(Index - Each.Index_));
+  for (const Slot &Each : Known) {
+    // A caller may pass the time at which its round of work began, after others were counted later.
+    const std::int64_t Age = std::max<std::int64_t>(0, Index - Each.Index_);
+    if (Each.Index_ >= 0 && Age < static_cast<std::int64_t>(Count))
+      Visit(Each, static_cast<std::size_t>(Age));
+  }
 }
 
 double RetryShare::steadyShare(const Ring &Known, TimePoint Now) const {
--- a/Tests/Core/Recovery/RetryShareTest.cpp
+++ b/Tests/Core/Recovery/RetryShareTest.cpp
@@ -212,3 +212,19 @@
     }
   }
 }
+
+// A gateway's tick passes the time at which it began. A retry that was counted in a later slot
+// meanwhile ended the process: its negative age was used as an index.
+BOOST_AUTO_TEST_CASE(TheBudgetIsAskedForATimeBeforeTheLastSend) {
+  RetryShare Share({0.2, 100, 10s}, TimePoint{1h});
+  Share.setProcesses(1);
+  const TimePoint Later{2h};
+  for (int I = 0; I < 20; ++I)
+    Share.onFirstSend(ServiceId("s"), Later);
+  BOOST_TEST(Share.tryRetry(ServiceId("s"), Later));
+  for (const Duration Before : {Duration(1ms), Duration(400ms), Duration(3s), Duration(9s)}) {
+    BOOST_TEST(Share.spent(ServiceId("s"), Later - Before) == 1U);
+    BOOST_TEST(Share.left(ServiceId("s"), Later - Before) <= 91);
+    BOOST_TEST(Share.mayRetry(ServiceId("s"), Later - Before, RetryPurpose::AfterLoss));
+  }
+}
