A gateway subscribes at the owner that the store names

Cause: when the owner fell silent, the gateway looked up the new one, but renewAt put a stand-in of the former owner in its place before the subscription was sent. Other data centres were looked up only after 8 s, also while requests were sent there.

Change: the owner that was looked up gets the subscription and 1.7 s to send states before a stand-in is tried; 2.5 s without states count as silence in data centres in use.

Test: StatesArriveSoonAfterTheOwnerChanged fails in three of five cases before (no states for 25.1 s, to the end of the test) and passes now.

--- a/Source/Gateway/EngineStateBroadcast.cpp
+++ b/Source/Gateway/EngineStateBroadcast.cpp
@@ -257,7 +257,7 @@
 void EngineStateBroadcast::subscribe() {
   Datagrams_.logDropped(Subscriptions_.subscriberCount());
   reportPromptSuspects();
-  Subscriptions_.renew(!Fence_);
+  Subscriptions_.renew(!Fence_, Time_.now() < RemoteInUseUntil_);
 }
 
 void EngineStateBroadcast::sendSubscriptions(const DataCenterId &DataCenter,
--- a/Source/Gateway/StateSubscriptions.cpp
+++ b/Source/Gateway/StateSubscriptions.cpp
@@ -11,17 +11,20 @@
 
 /// A subscription that is not renewed for this long ends; it survives three lost datagrams.
 constexpr Duration SubscriptionLifetime = milliseconds(3500);
-/// If no states arrive for this long, the owner at home is looked up again.
-constexpr Duration HomeSilenceLimit = milliseconds(2500);
+/// If an owner that sends every update sends nothing for this long, it is looked up again.
+constexpr Duration SilenceLimit = milliseconds(2500);
 /// Gateways of other data centres need the states of these engines only while they send requests
 /// here; for the first such requests, the endpoint list is enough. The number of datagrams would
 /// otherwise grow with engines times gateways.
 constexpr Duration RemoteSendInterval = milliseconds(3000);
-constexpr Duration RemoteSilenceLimit = milliseconds(8000);
+constexpr Duration UnusedSilenceLimit = milliseconds(8000);
 /// Maximum number of gateways that are named as stand-ins of the owner.
 constexpr std::size_t MaxStandIns = 8;
 /// Minimum time between two lookups of one owner; each lookup is a store call that is charged for.
 constexpr Duration LookupInterval = milliseconds(2000);
+/// A gateway that may be the owner has this long to send states before another one is tried: a
+/// renewal of the subscription and the longest interval between two updates.
+constexpr Duration CandidateTimeout = milliseconds(1700);
 
 } // namespace
 
@@ -38,7 +41,11 @@
   return "rattancart-" + DataCenter.str();
 }
 
-void StateSubscriptions::renew(bool SubscribeHome) {
+void StateSubscriptions::renew(bool SubscribeHome, bool RemoteInUse) {
+  if (!RemoteInUse)
+    RemoteInUseSince_.reset();
+  else if (!RemoteInUseSince_)
+    RemoteInUseSince_ = Time_.now();
   for (auto &[DataCenter, Subscription] : Owners_)
     if (SubscribeHome || DataCenter != Home_)
       renewAt(DataCenter, Subscription);
@@ -126,27 +133,40 @@
   return Members;
 }
 
-Duration StateSubscriptions::silenceLimit(const DataCenterId &DataCenter) const {
-  return DataCenter == Home_ ? HomeSilenceLimit : RemoteSilenceLimit;
+bool StateSubscriptions::isStale(const DataCenterId &DataCenter,
+                                 const OwnerSubscription &Subscription) const {
+  const TimePoint Now = Time_.now();
+  if (Subscription.Owner_.empty())
+    return true;
+  if (DataCenter == Home_)
+    return Now - Subscription.HeardAt_ > SilenceLimit;
+  // The owner sends every update only from the next renewal of the subscription on.
+  const bool LacksUpdates =
+      RemoteInUseSince_ && Now - std::max(Subscription.HeardAt_, *RemoteInUseSince_) > SilenceLimit;
+  return LacksUpdates || Now - Subscription.HeardAt_ > UnusedSilenceLimit;
 }
 
 void StateSubscriptions::renewAt(const DataCenterId &DataCenter, OwnerSubscription &Subscription) {
   const TimePoint Now = Time_.now();
-  const bool Stale =
-      Subscription.Owner_.empty() || Now - Subscription.HeardAt_ > silenceLimit(DataCenter);
-  if (Stale)
+  if (isStale(DataCenter, Subscription)) {
     logOwnerSilence(DataCenter, Subscription, Now);
-  if (Stale && !Subscription.LookupPending_ &&
-      (Subscription.LookupAt_ == TimePoint{} || Now - Subscription.LookupAt_ > LookupInterval))
-    findOwner(DataCenter, Subscription);
-  // The store names a lost owner until its membership expires, and no owner while the store itself
-  // is unreachable. Meanwhile one of the stand-ins may be the owner.
-  if (Stale && !Subscription.Members_.empty())
-    Subscription.Owner_ =
-        Subscription.Members_[Subscription.NextMember_++ % Subscription.Members_.size()];
+    if (!Subscription.LookupPending_ &&
+        (Subscription.LookupAt_ == TimePoint{} || Now - Subscription.LookupAt_ > LookupInterval))
+      findOwner(DataCenter, Subscription);
+    // The store names a lost owner until its membership expires, and no owner while the store
+    // itself is unreachable. Meanwhile one of the stand-ins may be the owner.
+    if (!Subscription.Members_.empty() && Now - Subscription.TriedSince_ >= CandidateTimeout)
+      tryOwner(Subscription,
+               Subscription.Members_[Subscription.NextMember_++ % Subscription.Members_.size()]);
+  }
   Renew_(DataCenter, Subscription.Owner_);
 }
 
+void StateSubscriptions::tryOwner(OwnerSubscription &Subscription, std::string Owner) const {
+  Subscription.Owner_ = std::move(Owner);
+  Subscription.TriedSince_ = Time_.now();
+}
+
 void StateSubscriptions::findOwner(const DataCenterId &DataCenter,
                                    OwnerSubscription &Subscription) {
   Subscription.LookupPending_ = true;
@@ -160,8 +180,8 @@
     if (Owner->empty() || *Owner == Known.Owner_)
       return;
     Log_.log(LogEvent::OwnerFound, {{"data_center", DataCenter.str()}, {"owner", *Owner}});
-    Known.Owner_ = std::move(*Owner);
-    renewAt(DataCenter, Known);
+    tryOwner(Known, std::move(*Owner));
+    Renew_(DataCenter, Known.Owner_);
   });
 }
 
--- a/Source/Gateway/StateSubscriptions.h
+++ b/Source/Gateway/StateSubscriptions.h
@@ -32,7 +32,8 @@
   static std::string groupName(const DataCenterId &DataCenter);
 
   /// Renews the subscriptions at the owners; that at home only if SubscribeHome is set.
-  void renew(bool SubscribeHome);
+  /// RemoteInUse: requests are sent to other data centres, so their owners send every update.
+  void renew(bool SubscribeHome, bool RemoteInUse);
   /// The owners of the data centres, by data centre; an empty name if the owner is not known.
   std::map<DataCenterId, std::string> owners() const;
   /// The owner of a data centre; empty if it is not known, null if there is no such data centre.
@@ -62,6 +63,8 @@
   /// The subscription at the owner of one data centre.
   struct OwnerSubscription {
     std::string Owner_;
+    /// When the first subscription was sent to Owner_.
+    TimePoint TriedSince_{};
     TimePoint HeardAt_{};
     TimePoint LookupAt_{};
     bool LookupPending_ = false;
@@ -79,9 +82,10 @@
     TimePoint NextSendAt_{};
   };
 
-  /// If no states arrive for this long, the owner of the data centre is looked up again.
-  Duration silenceLimit(const DataCenterId &DataCenter) const;
+  /// Whether the owner is not known or should have sent states by now.
+  bool isStale(const DataCenterId &DataCenter, const OwnerSubscription &Subscription) const;
   void renewAt(const DataCenterId &DataCenter, OwnerSubscription &Subscription);
+  void tryOwner(OwnerSubscription &Subscription, std::string Owner) const;
   void findOwner(const DataCenterId &DataCenter, OwnerSubscription &Subscription);
   /// Logs, once, that an owner sends no more states.
   void logOwnerSilence(const DataCenterId &DataCenter, OwnerSubscription &Subscription,
@@ -93,6 +97,8 @@
   GatewayCountEstimator &CountEstimator_;
   DataCenterId Home_;
   std::function<void(const DataCenterId &, const std::string &)> Renew_;
+  /// Since when requests are sent to other data centres; nothing if they are not.
+  std::optional<TimePoint> RemoteInUseSince_;
   std::map<DataCenterId, OwnerSubscription> Owners_;
   std::map<DatagramSocket::Endpoint, Subscriber> Subscribers_;
 };
