--- a/Source/Core/Serving/ServingIndex.cpp
+++ b/Source/Core/Serving/ServingIndex.cpp
@@ -29,17 +29,44 @@
   for (const ServingService &Service : Config_.Services_)
     Services_.emplace(Service.Id_, &Service);
   for (const ServingService &Service : Config_.Services_)
-    if (streamPriorities(Service.Id_).size() > 1)
-      OrderedServices_.insert(Service.Id_);
+    if (auto Classes = streamClasses(Service.Id_); !Classes.empty())
+      Classes_.emplace(Service.Id_, std::move(Classes));
 }
 
-std::vector<std::uint32_t> ServingIndex::streamPriorities(const ServiceId &Service) const {
-  std::set<std::uint32_t> Found;
+std::vector<ServingIndex::ClassKey> ServingIndex::streamClasses(const ServiceId &Service) const {
+  std::set<std::uint32_t> OfRoutes;
   for (const ServingRoute &Route : Config_.Routes_)
     for (const ServiceShare &Share : Route.Services_)
       if (Route.Kind_ == RequestKind::Stream && Share.Service_ == Service && Share.Weight_ > 0)
-        Found.insert(Route.Priority_);
-  return {Found.begin(), Found.end()};
+        OfRoutes.insert(Route.Priority_);
+  if (OfRoutes.size() < 2)
+    return {};
+  std::set<ClassKey> Classes;
+  for (const std::uint32_t OfRoute : OfRoutes) {
+    Classes.emplace(OfRoute, OfRoute);
+    if (Config_.Customers_)
+      for (const ServingCustomer &Customer : *Config_.Customers_)
+        Classes.emplace(Customer.Priority_.value_or(OfRoute), OfRoute);
+  }
+  return {Classes.begin(), Classes.end()};
+}
+
+std::uint32_t ServingIndex::classCount(const ServiceId &Id) const {
+  const auto Found = Classes_.find(Id);
+  return Found == Classes_.end() ? 0 : static_cast<std::uint32_t>(Found->second.size());
+}
+
+std::uint32_t ServingIndex::priority(const ServingRoute &Route, const ServiceId &Service,
+                                     const ServingCustomer *Customer) const {
+  const std::uint32_t First =
+      Customer ? Customer->Priority_.value_or(Route.Priority_) : Route.Priority_;
+  const auto Found = Classes_.find(Service);
+  if (Found == Classes_.end() || Route.Kind_ != RequestKind::Stream)
+    return First;
+  const std::vector<ClassKey> &Classes = Found->second;
+  const auto Class =
+      std::lower_bound(Classes.begin(), Classes.end(), ClassKey{First, Route.Priority_});
+  return static_cast<std::uint32_t>(Class - Classes.begin());
 }
 
 const ServingRoute *ServingIndex::match(std::string_view Host, std::string_view Path) const {
--- a/Source/Core/Serving/ServingIndex.h
+++ b/Source/Core/Serving/ServingIndex.h
@@ -3,9 +3,9 @@
 #include "Core/Serving/ServingConfig.h"
 
 #include <memory>
-#include <set>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace rattancart {
@@ -27,21 +27,36 @@
   const ServingService *service(const ServiceId &Id) const;
   /// Whether streaming routes of the service have different priorities, so that its requests are
   /// ordered by class.
-  bool ordersByClass(const ServiceId &Id) const { return OrderedServices_.contains(Id); }
-  /// The priorities of the service's streaming routes, without duplicates, most urgent first.
-  std::vector<std::uint32_t> streamPriorities(const ServiceId &Service) const;
+  bool ordersByClass(const ServiceId &Id) const { return Classes_.contains(Id); }
+  /// The number of classes of the service's streaming requests; 0 if they are not ordered by class.
+  std::uint32_t classCount(const ServiceId &Id) const;
+  /// How urgent a request is among those of its service; 0 is the most urgent. This is the
+  /// customer's priority if it has one, otherwise the route's. Where streaming requests are ordered
+  /// by class, it is the class: the customer's priority goes first, and the route's decides among
+  /// customers of the same priority. Null stands for a request without a customer.
+  ///
+  /// Precondition: the route and the customer are those of this index.
+  std::uint32_t priority(const ServingRoute &Route, const ServiceId &Service,
+                         const ServingCustomer *Customer) const;
   /// Chooses the service of a request by the route's weights. Draw is a random number in [0, 1).
   /// Null if no service has a weight, or the configuration lacks the chosen one.
   const ServingService *chooseService(const ServingRoute &Route, double Draw) const;
 
 private:
+  /// The priority of the customer, or of the route if the customer has none, and of the route.
+  using ClassKey = std::pair<std::uint32_t, std::uint32_t>;
+
+  /// The classes that requests of the service may have, most urgent first; empty if its streaming
+  /// routes all have the same priority.
+  std::vector<ClassKey> streamClasses(const ServiceId &Service) const;
+
   ServingConfig Config_;
   /// The key is the host in lower case followed by the path prefix.
   std::unordered_map<std::string, const ServingRoute *> Routes_;
   std::unordered_map<std::string, const ServingCustomer *> Keys_;
   std::unordered_map<ServiceId, const ServingService *> Services_;
-  /// Services whose streaming routes have different priorities.
-  std::set<ServiceId> OrderedServices_;
+  /// The classes of the services whose streaming routes have different priorities.
+  std::unordered_map<ServiceId, std::vector<ClassKey>> Classes_;
 };
 
 using ServingIndexPtr = std::shared_ptr<const ServingIndex>;
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -18,8 +18,7 @@
 } // namespace
 
 std::uint32_t RoutedRequest::priority() const {
-  const std::uint32_t Own = Route_->Priority_;
-  return Customer_ ? Customer_->Priority_.value_or(Own) : Own;
+  return Config_->priority(*Route_, Service_->Id_, Customer_);
 }
 
 HeadDecision Attempt::onHead(const HttpResponse &Head) {
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -27,7 +27,7 @@
   const ServingCustomer *Customer_ = nullptr;
   TimePoint ArrivedAt_{};
 
-  /// The customer's priority if it has one, otherwise the route's.
+  /// How urgent the request is; see ServingIndex::priority. Precondition: all members are set.
   std::uint32_t priority() const;
 };
 
--- a/Source/Gateway/GatewayGauges.cpp
+++ b/Source/Gateway/GatewayGauges.cpp
@@ -105,10 +105,9 @@
   if (!Current)
     return;
   for (const ServingService &Service : Current->config().Services_)
-    if (Current->ordersByClass(Service.Id_))
-      for (const std::uint32_t Priority : Current->streamPriorities(Service.Id_))
-        Gauges.add("memory_kept_share", Reserve.keptShare(Service.Id_, Priority, Duration{}, Now),
-                   {{"service", Service.Id_.str()}, {"priority", std::to_string(Priority)}});
+    for (std::uint32_t Class = 0; Class < Current->classCount(Service.Id_); ++Class)
+      Gauges.add("memory_kept_share", Reserve.keptShare(Service.Id_, Class, Duration{}, Now),
+                 {{"service", Service.Id_.str()}, {"class", std::to_string(Class)}});
 }
 
 } // namespace rattancart
--- a/Tests/Core/Serving/ServingIndexTest.cpp
+++ b/Tests/Core/Serving/ServingIndexTest.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <map>
+#include <optional>
 #include <tuple>
 #include <vector>
 
@@ -170,6 +171,51 @@
   const ServingIndex Index(Config);
   BOOST_TEST(Index.ordersByClass(ServiceId("s")) == Case.Ordered_);
   BOOST_TEST(!Index.ordersByClass(ServiceId("t")));
-  if (Case.Ordered_)
-    BOOST_TEST((Index.streamPriorities(ServiceId("s")) == std::vector<std::uint32_t>{0, 1}));
+  // Classes of customers without a priority, and of the one with priority 3.
+  BOOST_TEST(Index.classCount(ServiceId("s")) == (Case.Ordered_ ? 4U : 0U));
+}
+
+namespace {
+
+struct ClassCase {
+  const char *Name_;
+  std::vector<std::uint32_t> RoutePriorities_;
+  std::vector<std::optional<std::uint32_t>> CustomerPriorities_;
+  /// For each customer in turn, the priority of its request on each route.
+  std::vector<std::uint32_t> Expected_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const ClassCase &Case) { return Out << Case.Name_; }
+
+const ClassCase ClassCases[] = {
+    {"no customer has a priority", {0, 1, 2}, {std::nullopt}, {0, 1, 2}},
+    {"routes of equal priority", {1, 1}, {std::nullopt, 0, 3}, {1, 1, 0, 0, 3, 3}},
+    {"the route decides among customers of one priority", {0, 1, 2}, {1}, {1, 2, 3}},
+    {"the customer goes before the route", {0, 1}, {0, 1, 2}, {0, 1, 2, 3, 4, 5}},
+    {"gaps between priorities are closed", {2, 7}, {5, 9}, {1, 2, 4, 5}},
+    {"some customers have a priority", {0, 1}, {std::nullopt, 1}, {0, 2, 1, 2}},
+};
+
+} // namespace
+
+// Where every customer has a priority of its own, the priorities of the routes were ignored, so
+// urgent routes were served last under load.
+BOOST_DATA_TEST_CASE(ClassesFollowTheCustomerAndThenTheRoute, ClassCases, Case) {
+  ServingConfig Config = config(1);
+  Config.Routes_.clear();
+  for (const std::uint32_t Priority : Case.RoutePriorities_) {
+    ServingRoute Route = route("r", "a.example", "/");
+    Route.Kind_ = RequestKind::Stream;
+    Route.Priority_ = Priority;
+    Config.Routes_.push_back(Route);
+  }
+  Config.Customers_->clear();
+  for (const auto &Priority : Case.CustomerPriorities_)
+    Config.Customers_->push_back({CustomerId("c"), {}, Priority});
+  const ServingIndex Index(Config);
+  std::vector<std::uint32_t> Found;
+  for (const ServingCustomer &Customer : *Index.config().Customers_)
+    for (const ServingRoute &Route : Index.config().Routes_)
+      Found.push_back(Index.priority(Route, ServiceId("s"), &Customer));
+  BOOST_TEST(Found == Case.Expected_, boost::test_tools::per_element());
 }
