The growth of an engine's memory is forgotten if its reports stop

Cause: the growth between the last two reports was added, for 0.8 s of it, however old the last report was.

'Growth is forgotten' failed before (500 instead of 340).

--- a/Source/Core/Serving/EngineMemoryEstimate.cpp
+++ b/Source/Core/Serving/EngineMemoryEstimate.cpp
@@ -13,6 +13,9 @@
 constexpr Duration ReportLag = milliseconds(200);
 /// Growth is not extrapolated beyond this time.
 constexpr Duration MaxExtrapolation = milliseconds(800);
+/// Without a report for this long, nothing is known of what the engine's memory does, and its own
+/// rejections show it sooner than the last growth.
+constexpr Duration GrowthLifetime = milliseconds(1500);
 /// Reports that are closer together do not give a new growth rate.
 constexpr Duration MinReportInterval = milliseconds(100);
 /// Without a later report, a refusal counts for this long.
@@ -60,7 +63,8 @@
 }
 
 double EngineMemoryEstimate::used(TimePoint Now) const {
-  const double Grown = GrowthPerSecond_ * Seconds(stateAge(Now)).count();
+  const double Grown =
+      Now - MeasuredAt_ < GrowthLifetime ? GrowthPerSecond_ * Seconds(stateAge(Now)).count() : 0;
   double Used = Used_ + std::max(Grown, sentSince(MeasuredAt_ - ReportLag));
   const bool Refused = RefusedAt_ != TimePoint{} && Now - RefusedAt_ < RefusalLifetime &&
                        MeasuredAt_ < RefusedAt_ + ReportLag;
