A gateway that receives nothing finds no engine silent, and probes of reported engines are spread

Running engines were declared silent while the gateways' own links were full, and the probes by which all gateways checked a report at once confirmed it (docs/design/detection.md). The new tests show both with the detection off: after 100 ms without reception 36 of 84 running engines are silent and after 1 s all 84; of 132 gateways that hear of one running engine 84 find it silent, of 60 gateways 12. With it on there are none.

Core/Recovery/ProbeVerdict decides what an expired time limit means and when a reported or silent engine is probed; EngineProber asks it and now takes an HttpSender, so that tests play the connections. EngineSilent names the gateway that probed and whether it was refused; the owner passes on at most three reports of one silence. A request that ends by the HTTP client's own time limit no longer counts as the engine's failure, which after a pause of the process it did. An owner's state does not make an engine silent that this gateway heard within 250 ms.

Three lost engines of a path of twelve are found after 50 ms as before, a data centre that is cut off after 400 ms.

--- a/Schemas/Gateway_generated.h
+++ b/Schemas/Gateway_generated.h
@@ -1204,6 +1204,8 @@
   typedef EngineSilent TableType;
   std::string data_center{};
   std::string id{};
+  bool refused = false;
+  std::string reporter{};
 };
 
 struct EngineSilent FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1211,7 +1213,9 @@
   typedef EngineSilentBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_DATA_CENTER = 4,
-    VT_ID = 6
+    VT_ID = 6,
+    VT_REFUSED = 8,
+    VT_REPORTER = 10
   };
   const flatbuffers::String *data_center() const {
     return GetPointer<const flatbuffers::String *>(VT_DATA_CENTER);
@@ -1219,12 +1223,21 @@
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
   }
+  bool refused() const {
+    return GetField<uint8_t>(VT_REFUSED, 0) != 0;
+  }
+  const flatbuffers::String *reporter() const {
+    return GetPointer<const flatbuffers::String *>(VT_REPORTER);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_DATA_CENTER) &&
            verifier.VerifyString(data_center()) &&
            VerifyOffset(verifier, VT_ID) &&
            verifier.VerifyString(id()) &&
+           VerifyField<uint8_t>(verifier, VT_REFUSED, 1) &&
+           VerifyOffset(verifier, VT_REPORTER) &&
+           verifier.VerifyString(reporter()) &&
            verifier.EndTable();
   }
   EngineSilentT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1242,6 +1255,12 @@
   void add_id(flatbuffers::Offset<flatbuffers::String> id) {
     fbb_.AddOffset(EngineSilent::VT_ID, id);
   }
+  void add_refused(bool refused) {
+    fbb_.AddElement<uint8_t>(EngineSilent::VT_REFUSED, static_cast<uint8_t>(refused), 0);
+  }
+  void add_reporter(flatbuffers::Offset<flatbuffers::String> reporter) {
+    fbb_.AddOffset(EngineSilent::VT_REPORTER, reporter);
+  }
   explicit EngineSilentBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1256,23 +1275,32 @@
 inline flatbuffers::Offset<EngineSilent> CreateEngineSilent(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> data_center = 0,
-    flatbuffers::Offset<flatbuffers::String> id = 0) {
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    bool refused = false,
+    flatbuffers::Offset<flatbuffers::String> reporter = 0) {
   EngineSilentBuilder builder_(_fbb);
+  builder_.add_reporter(reporter);
   builder_.add_id(id);
   builder_.add_data_center(data_center);
+  builder_.add_refused(refused);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<EngineSilent> CreateEngineSilentDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *data_center = nullptr,
-    const char *id = nullptr) {
+    const char *id = nullptr,
+    bool refused = false,
+    const char *reporter = nullptr) {
   auto data_center__ = data_center ? _fbb.CreateString(data_center) : 0;
   auto id__ = id ? _fbb.CreateString(id) : 0;
+  auto reporter__ = reporter ? _fbb.CreateString(reporter) : 0;
   return rattancart::wire::CreateEngineSilent(
       _fbb,
       data_center__,
-      id__);
+      id__,
+      refused,
+      reporter__);
 }
 
 flatbuffers::Offset<EngineSilent> CreateEngineSilent(flatbuffers::FlatBufferBuilder &_fbb, const EngineSilentT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2344,6 +2372,8 @@
   (void)_resolver;
   { auto _e = data_center(); if (_e) _o->data_center = _e->str(); }
   { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = refused(); _o->refused = _e; }
+  { auto _e = reporter(); if (_e) _o->reporter = _e->str(); }
 }
 
 inline flatbuffers::Offset<EngineSilent> EngineSilent::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineSilentT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2356,10 +2386,14 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EngineSilentT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _data_center = _o->data_center.empty() ? 0 : _fbb.CreateString(_o->data_center);
   auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
+  auto _refused = _o->refused;
+  auto _reporter = _o->reporter.empty() ? 0 : _fbb.CreateString(_o->reporter);
   return rattancart::wire::CreateEngineSilent(
       _fbb,
       _data_center,
-      _id);
+      _id,
+      _refused,
+      _reporter);
 }
 
 inline ListSubscribeT *ListSubscribe::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Gateway/EngineHealthMonitor.h
+++ b/Source/Gateway/EngineHealthMonitor.h
@@ -22,6 +22,8 @@
   virtual void suspect(const EndpointId &Engine) = 0;
   /// A stream event came through the engine, so it works and need not be checked.
   virtual void noteActivity(const EndpointId &Engine) = 0;
+  /// The head of a response of the endpoint arrived, so this gateway's reception works.
+  virtual void noteReceived(const EndpointId & /*Endpoint*/) {}
 };
 
 } // namespace rattancart
--- a/Source/Gateway/EngineStateBroadcast.cpp
+++ b/Source/Gateway/EngineStateBroadcast.cpp
@@ -51,12 +51,14 @@
 
 void EngineStateBroadcast::onDatagram(wire::GatewayDatagramT &Content,
                                       const DatagramSocket::Endpoint &From) {
+  if (ReceivedHandler_)
+    ReceivedHandler_();
   if (auto *States = Content.payload.AsEngineStates()) {
     Datagrams_.forward(*States);
     return onStates(*States);
   }
   if (const auto *Message = Content.payload.AsEngineSilent())
-    return onEngineSilent(*Message);
+    return onEngineSilent(*Message, From);
   if (const auto *Report = Content.payload.AsPromptReport())
     return Quarantine_.merge(fromWire(Report->suspects, Time_.now()), Time_.now());
   if (const auto *Request = Content.payload.AsEngineSubscribe())
@@ -97,7 +99,7 @@
     if (!State)
       continue;
     const EndpointId Id(State->id);
-    if (State->silent)
+    if (State->silent && !(RejectsOwnerFinding_ && RejectsOwnerFinding_(Id)))
       Roster_.markSilent(Id, Now, Now + SilentHold);
     if (State->reported)
       Roster_.updateReport(Id, reportFromWire(*State), Now - milliseconds(State->age_ms));
@@ -201,22 +203,31 @@
       Datagrams_.send(Owner, Packed);
 }
 
-void EngineStateBroadcast::onEngineSilent(const wire::EngineSilentT &Message) {
-  const EndpointId Engine(Message.id);
-  const EndpointRecord *Record = Roster_.find(Engine);
-  if (!Record || Record->silent(Time_.now()))
+void EngineStateBroadcast::onEngineSilent(const wire::EngineSilentT &Message,
+                                          const DatagramSocket::Endpoint &From) {
+  const SilenceReport Report{EndpointId(Message.id),
+                             Message.reporter.empty() ? addressText(From) : Message.reporter,
+                             Message.refused};
+  const EndpointRecord *Record = Roster_.find(Report.Engine_);
+  // An owner also sends a report back to the gateway it came from.
+  if (!Record || Record->silent(Time_.now()) || Report.Reporter_ == member())
     return;
-  if (Fence_ && Message.data_center == Home_.str())
-    announceSilent(Engine, Home_);
-  if (SilentHandler_)
-    SilentHandler_(Engine);
+  const bool Forward = !SilentHandler_ || SilentHandler_(Report);
+  if (Forward && Fence_ && Message.data_center == Home_.str())
+    sendReport(Report, Home_);
 }
 
-void EngineStateBroadcast::announceSilent(const EndpointId &Engine,
-                                          const DataCenterId &DataCenter) {
+void EngineStateBroadcast::announceSilent(const EndpointId &Engine, const DataCenterId &DataCenter,
+                                          bool Refused) {
+  sendReport({Engine, member(), Refused}, DataCenter);
+}
+
+void EngineStateBroadcast::sendReport(const SilenceReport &Report, const DataCenterId &DataCenter) {
   wire::EngineSilentT Message;
   Message.data_center = DataCenter.str();
-  Message.id = Engine.str();
+  Message.id = Report.Engine_.str();
+  Message.refused = Report.Refused_;
+  Message.reporter = Report.Reporter_;
   const DatagramBytes Packed = packPayload(std::move(Message));
   if (Fence_ && DataCenter == Home_) {
     for (const DatagramSocket::Endpoint &To : Subscriptions_.subscribers())
--- a/Source/Gateway/EngineStateBroadcast.h
+++ b/Source/Gateway/EngineStateBroadcast.h
@@ -3,6 +3,7 @@
 #include "Core/Admission/EndpointLimiter.h"
 #include "Core/Common/Logger.h"
 #include "Core/Membership/GatewayCountEstimator.h"
+#include "Core/Recovery/ProbeVerdict.h"
 #include "Core/Recovery/PromptQuarantine.h"
 #include "Core/Serving/EndpointRoster.h"
 #include "Gateway/DatagramSocket.h"
@@ -50,17 +51,26 @@
   /// Requests use engines of other data centres now. For some seconds this gateway receives their
   /// states as often as those of the engines at home.
   void noteRemoteUse();
-  /// Notifies the other gateways that an engine does not answer.
-  void announceSilent(const EndpointId &Engine, const DataCenterId &DataCenter);
+  /// Notifies the other gateways that an engine does not answer this one. Refused: the engine
+  /// refused or reset the connections.
+  void announceSilent(const EndpointId &Engine, const DataCenterId &DataCenter, bool Refused);
   /// Sends what this process has newly seen of prompt parts that may crash engines to the owners of
   /// all data centres, which pass it on.
   void reportPromptSuspects();
   /// Tells the owner of the endpoint's data centre what this process learned of its limit.
   void reportLimit(const EndpointId &Endpoint);
-  /// Sets the handler for engines that another gateway found silent.
-  void onSilent(std::function<void(const EndpointId &)> Handler) {
+  /// Sets the handler for engines that another gateway found silent. It returns whether the owner
+  /// of the engine's data centre passes the report on.
+  void onSilent(std::function<bool(const SilenceReport &)> Handler) {
     SilentHandler_ = std::move(Handler);
   }
+  /// Sets the handler that decides whether this gateway rejects the finding of an engine's owner
+  /// that the engine is silent.
+  void onOwnerFinding(std::function<bool(const EndpointId &)> Rejects) {
+    RejectsOwnerFinding_ = std::move(Rejects);
+  }
+  /// Sets the handler that is called for every datagram.
+  void onReceived(std::function<void()> Handler) { ReceivedHandler_ = std::move(Handler); }
   /// Sets the fencing number under which this gateway owns the placement at home; nothing if it
   /// does not own it.
   void setOwner(std::optional<FencingNumber> Fence) { Fence_ = Fence; }
@@ -85,7 +95,8 @@
   void onDatagram(wire::GatewayDatagramT &Content, const DatagramSocket::Endpoint &From);
   void onStates(const wire::EngineStatesT &States);
   void onSubscribe(const wire::EngineSubscribeT &Request, const DatagramSocket::Endpoint &From);
-  void onEngineSilent(const wire::EngineSilentT &Message);
+  void onEngineSilent(const wire::EngineSilentT &Message, const DatagramSocket::Endpoint &From);
+  void sendReport(const SilenceReport &Report, const DataCenterId &DataCenter);
   /// The states of the home data centre's engines, split so that each datagram fits into a packet.
   std::vector<wire::EngineStatesT> stateDatagrams() const;
   /// Sets the fields that all datagrams of the owner have.
@@ -110,7 +121,9 @@
   DataCenterId Home_;
   StateSubscriptions Subscriptions_;
   Timer Timer_;
-  std::function<void(const EndpointId &)> SilentHandler_;
+  std::function<bool(const SilenceReport &)> SilentHandler_;
+  std::function<bool(const EndpointId &)> RejectsOwnerFinding_;
+  std::function<void()> ReceivedHandler_;
   std::function<void(FencingNumber)> OutrankedHandler_;
   std::optional<FencingNumber> Fence_;
   TimePoint RemoteInUseUntil_{};
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -131,6 +131,7 @@
 void Exchange::onResponseInfo(Attempt &Sent, const EndpointListing &SentTo, Incarnation Run) {
   const ResponseInfo &Info = Sent.Info_;
   const TimePoint Now = Context_.Time_.now();
+  Context_.Health_.noteReceived(SentTo.Id_);
   if (!Info.Misdirected_)
     return Context_.Limiter_.onAnswer(SentTo.Id_, Run, Info.Limit_, Now);
   if (Info.FaultyEngine_ && *Info.FaultyEngine_ != SentTo.Address_)
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -69,7 +69,8 @@
       Log_(Log), Random_(std::random_device{}()), Client_(Loop_, IdleConnections),
       StoreClient_(Loop_, IdleConnections),
       Store_(Platform.MakeStore_(Loop_, Time, Log, Metrics_, StoreClient_, Settings_.Store_)),
-      Prober_(Loop_, Time, Log, Metrics_, Client_, Platform.Protocol_, Roster_),
+      Prober_({Loop_, Time, Log, Metrics_, Client_, Platform.Protocol_, Roster_, Random_},
+              Settings_.Detection_),
       Paths_(Roster_, Settings_.Process_.DataCenter_), Retries_(Settings_.Retries_, Time.now()),
       CountEstimator_(Settings_.DataCenters_, Settings_.Process_.DataCenter_,
                       GatewayCountOptions::forWindow(Settings_.Retries_.Window_)),
@@ -153,10 +154,14 @@
       Prober_.suspect(Record->Listing_.Id_);
   });
   Quarantine_.onReport([this] { StateBroadcast_.reportPromptSuspects(); });
-  StateBroadcast_.onSilent([this](const EndpointId &Engine) { Prober_.suspect(Engine); });
-  Prober_.onSilent([this](const EndpointId &Engine) {
+  StateBroadcast_.onReceived([this] { Prober_.noteOtherReception(); });
+  StateBroadcast_.onSilent(
+      [this](const SilenceReport &Report) { return Prober_.onReported(Report); });
+  StateBroadcast_.onOwnerFinding(
+      [this](const EndpointId &Engine) { return Prober_.rejectsOwnerFinding(Engine); });
+  Prober_.onSilent([this](const EndpointId &Engine, bool Refused) {
     if (const EndpointRecord *Record = Roster_.find(Engine))
-      StateBroadcast_.announceSilent(Engine, Record->Listing_.DataCenter_);
+      StateBroadcast_.announceSilent(Engine, Record->Listing_.DataCenter_, Refused);
     RequestHandler_.onEngineSilent(Engine);
     PlacementCoordinator_.onEngineSilent(Engine);
   });
@@ -187,6 +192,7 @@
 
 void GatewayProcess::onListed(EndpointListing Listing) {
   ListHeardAt_ = Time_.now();
+  Prober_.noteOtherReception();
   const EndpointId Id = Listing.Id_;
   const EndpointRoster::Change Change = Roster_.updateListing(std::move(Listing), Time_.now());
   if (Change == EndpointRoster::Change::None)
@@ -273,6 +279,7 @@
   Limiter_.setGateways(Count.Gateways_);
   Roster_.setGateways(Count.Gateways_);
   SlowStart_.setGateways(Count.Gateways_);
+  Prober_.setGateways(Count.Gateways_);
 }
 
 void GatewayProcess::updateReserve() {
@@ -342,6 +349,7 @@
 }
 
 void GatewayProcess::handle(HttpRequest Request, HttpResponderPtr Responder) {
+  Prober_.noteOtherReception();
   if (Drain_.takesRequests())
     return RequestHandler_.handle(std::move(Request), std::move(Responder));
   const CallerRequest Caller = Protocol_.parseRequest(Request);
@@ -420,6 +428,8 @@
   Context_.ResponseLimits_ = Loaded.ResponseLimits_;
   Settings_.SlowStart_ = Loaded.SlowStart_;
   takeSlowStartOptions(Loaded.SlowStart_);
+  Settings_.Detection_ = Loaded.Detection_;
+  Prober_.setOptions(Loaded.Detection_);
   Retries_.setOptions(Loaded.Retries_, Time_.now());
   CountEstimator_.setOptions(GatewayCountOptions::forWindow(Loaded.Retries_.Window_));
   Log_.log(LogEvent::SettingsReloaded, {{"file", SettingsFile_}});
--- a/Source/Gateway/GatewaySettings.cpp
+++ b/Source/Gateway/GatewaySettings.cpp
@@ -49,6 +49,10 @@
       SlowStart.real("initial-share", Settings.SlowStart_.InitialShare_, 0.01, 1);
   SlowStart.reportUnknownFields();
 
+  YamlSection Detection = Root.section("detection");
+  Settings.Detection_.Enabled_ = Detection.flag("enabled", Settings.Detection_.Enabled_);
+  Detection.reportUnknownFields();
+
   YamlSection Answers = Root.section("answers");
   const auto ReadBytes = [&](const char *Name, std::size_t &Value) {
     Value = static_cast<std::size_t>(
--- a/Source/Gateway/GatewaySettings.h
+++ b/Source/Gateway/GatewaySettings.h
@@ -2,6 +2,7 @@
 
 #include "Config/ProcessSettings.h"
 #include "Core/Recovery/EndpointSlowStart.h"
+#include "Core/Recovery/ProbeVerdict.h"
 #include "Core/Recovery/RetryShare.h"
 #include "Core/Recovery/StorePolling.h"
 #include "Gateway/ResponseLimits.h"
@@ -30,6 +31,7 @@
   std::vector<DataCenterId> DataCenters_;
   RetryShareOptions Retries_;
   SlowStartOptions SlowStart_;
+  DetectionOptions Detection_;
   ResponseLimits ResponseLimits_;
   /// After the start of the process, requests wait this long at most for its configuration and the
   /// list of endpoints.
--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -153,6 +153,7 @@
   std::error_code TimerReason_;
   bool BytesHandedOver_ = false;
   bool Reused_ = false;
+  bool Refused_ = false;
   bool Finished_ = false;
   bool HeadReceived_ = false;
   bool Skipping_ = false;
@@ -214,8 +215,11 @@
       *Target, [Self = shared_from_this(), Pending](boost::system::error_code E) {
         if (Pending->Finished_)
           return;
-        if (E)
+        if (E) {
+          Pending->Refused_ = E == boost::asio::error::connection_refused ||
+                              E == boost::asio::error::connection_reset;
           return Self->finish(Pending, ErrorCode::ConnectFailed);
+        }
         boost::system::error_code Ignored;
         Pending->Connection_->Socket_.set_option(tcp::no_delay(true), Ignored);
         setDeadPeerTimeouts(Pending->Connection_->Socket_);
@@ -359,6 +363,7 @@
   Outcome.Error_ = Failure;
   Outcome.BytesHandedOver_ = Pending->BytesHandedOver_;
   Outcome.Reused_ = Pending->Reused_;
+  Outcome.Refused_ = Pending->Refused_ || Failure == ErrorCode::ConnectionClosed;
   if (!Failure) {
     // Reuse ends this long before the server closes the connection, so that no request is sent
     // while it is being closed.
--- a/Source/Net/HttpSender.h
+++ b/Source/Net/HttpSender.h
@@ -66,6 +66,8 @@
   bool BytesHandedOver_ = false;
   /// Whether the request went over a connection that had been idle in the pool.
   bool Reused_ = false;
+  /// Whether the server refused the connection, or reset or closed it before the response ended.
+  bool Refused_ = false;
   /// Whether the response had no length and was ended by the close of its connection.
   bool CloseDelimited_ = false;
 };
--- a/Tests/Gateway/ScriptedRequest.h
+++ b/Tests/Gateway/ScriptedRequest.h
@@ -73,10 +73,11 @@
   /// Whether the request of a call, which may be cancelled, would be handed to its connection.
   bool wouldSend(std::size_t Number) const { return Calls_.at(Number).BeforeSend_(); }
   /// The call ends before any byte of the request was handed to a connection.
-  void endBeforeSend(std::size_t Number, std::error_code Error) {
+  void endBeforeSend(std::size_t Number, std::error_code Error, bool Refused = false) {
     Calls_.at(Number).Ended_ = true;
     HttpResult Result;
     Result.Error_ = Error;
+    Result.Refused_ = Refused;
     const HttpCallback Done = std::move(Calls_[Number].Done_);
     Done(std::move(Result));
   }
