--- a/Source/StandIns/Site/Site.cpp
+++ b/Source/StandIns/Site/Site.cpp
@@ -126,13 +126,14 @@
                      "data-centers: [{}]\n"
                      "shutdown: {{grace: {}ms, limit: {}ms}}\n"
                      "retries: {{ratio: {}, extra: {}, window: {}ms}}\n"
-                     "store-readers: {}\n",
+                     "store-readers: {}\n"
+                     "detection: {{enabled: {}}}\n",
                      Instance, DataCenter, PeerPort, StoreAddress_.str(), DataCenters,
                      Options_.ShutdownGrace_ / std::chrono::milliseconds(1),
                      Options_.ShutdownLimit_ / std::chrono::milliseconds(1),
                      Options_.Retries_.Ratio_, Options_.Retries_.Extra_,
                      Options_.Retries_.Window_ / std::chrono::milliseconds(1),
-                     Options_.StoreReaders_);
+                     Options_.StoreReaders_, Options_.Detection_);
 }
 
 void Site::writeEndpointEntries() {
--- a/Source/StandIns/Site/Site.h
+++ b/Source/StandIns/Site/Site.h
@@ -48,6 +48,8 @@
   RetryShareOptions Retries_{.Ratio_ = 10};
   /// The number of gateways in each data centre that read the store for the others.
   int StoreReaders_ = 0;
+  /// Whether the gateways judge unanswered probes by their own reception.
+  bool Detection_ = false;
 };
 
 /// A stand-in for the users' platform in one process: the store, the layered engines and the desks,
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -115,6 +115,7 @@
   while (!Got && Loop_.run_one())
     ;
   BOOST_TEST(Got->Error_ == ErrorCode::ConnectionClosed);
+  BOOST_TEST(Got->Refused_);
 }
 
 BOOST_FIXTURE_TEST_CASE(RequestToASilentServerTimesOutAndItsHandlerIsNotified, Fixture) {
@@ -123,6 +124,7 @@
   const HttpResult R = call(get("/silent"), Options);
   BOOST_TEST(R.Error_ == ErrorCode::ResponseTimeout);
   BOOST_TEST(R.BytesHandedOver_);
+  BOOST_TEST(!R.Refused_);
   while (!Handler_.CallerDisconnected_ && Loop_.run_one())
     ;
   BOOST_TEST(Handler_.CallerDisconnected_);
@@ -137,6 +139,7 @@
     ;
   BOOST_TEST(Got->Error_ == ErrorCode::ConnectFailed);
   BOOST_TEST(!Got->BytesHandedOver_);
+  BOOST_TEST(Got->Refused_);
 }
 
 BOOST_FIXTURE_TEST_CASE(BeforeSendCanCancelTheRequest, Fixture) {
