--- a/Tests/Gateway/EngineProberTest.cpp
+++ b/Tests/Gateway/EngineProberTest.cpp
@@ -61,6 +61,25 @@
     {"response timeout", true, ErrorCode::ResponseTimeout, false, false},
 };
 
+/// What arrives while a probe is open that the engine does not answer.
+struct ArrivalCase {
+  const char *Name_;
+  bool Enabled_;
+  void (*Arrive_)(EngineProber &);
+  bool FoundSilent_;
+};
+std::ostream &operator<<(std::ostream &Out, const ArrivalCase &Case) { return Out << Case.Name_; }
+
+const EndpointId Other("other");
+
+const ArrivalCase ArrivalCases[] = {
+    {"off, nothing", false, [](EngineProber &) {}, true},
+    {"nothing", true, [](EngineProber &) {}, false},
+    {"a datagram", true, [](EngineProber &Prober) { Prober.noteOtherReception(); }, false},
+    {"a stream event", true, [](EngineProber &Prober) { Prober.noteActivity(Other); }, true},
+    {"a response head", true, [](EngineProber &Prober) { Prober.noteReceived(Other); }, true},
+};
+
 struct SignCase {
   const char *Name_;
   void (*Sign_)(Gateway &);
@@ -93,6 +112,27 @@
     BOOST_TEST(Home.Silent_.front() == Case.Refused_);
 }
 
+// Guards against a gateway that takes the congestion of its own link for the silence of an engine.
+BOOST_DATA_TEST_CASE(AnUnansweredProbeIsJudgedByWhatElseArrives, ArrivalCases, Case) {
+  Gateway Home({Case.Enabled_});
+  Home.Prober_.suspect(Engine);
+  Home.Time_.advance(1ms);
+  Case.Arrive_(Home.Prober_);
+  Home.Time_.advance(ProbeVerdict::SecondRequestDelay - 1ms);
+  while (Home.Engines_.sends() < 2)
+    Home.Loop_.run_one();
+  Home.Time_.advance(ProbeVerdict::FirstLimit - ProbeVerdict::SecondRequestDelay);
+  while (Home.Silent_.empty() && Home.Log_.count(LogEvent::ProbeExtended) == 0)
+    Home.Loop_.run_one();
+  BOOST_TEST(!Home.Silent_.empty() == Case.FoundSilent_);
+}
+
+BOOST_AUTO_TEST_CASE(AResponseHeadIsReportedToTheHealthMonitor) {
+  OneRequest Request;
+  Request.Engines_.head(0, 200);
+  BOOST_TEST(Request.Health_.Received_.size() == 1U);
+}
+
 // Guards against probes of engines that were heard since another gateway reported them.
 BOOST_DATA_TEST_CASE(AReportedEngineIsProbedUnlessItIsHeard, SignCases, Case) {
   Gateway Home({true});
--- a/Tests/Gateway/ScriptedRequest.h
+++ b/Tests/Gateway/ScriptedRequest.h
@@ -132,6 +132,10 @@
   void check(const std::vector<EndpointId> &, TimePoint, Callback Done) override { Done({}); }
   void suspect(const EndpointId &) override {}
   void noteActivity(const EndpointId &) override {}
+  void noteReceived(const EndpointId &Endpoint) override { Received_.push_back(Endpoint); }
+
+  /// The endpoints whose response heads arrived.
+  std::vector<EndpointId> Received_;
 };
 
 struct Caller {
