--- a/Tests/System/GatewayTest.cpp
+++ b/Tests/System/GatewayTest.cpp
@@ -193,13 +193,8 @@
 
 } // namespace
 
-BOOST_DATA_TEST_CASE(StreamResumesAfterLossOfAnEngine,
-                     boost::unit_test::data::make(LossCases) *
-                         boost::unit_test::data::make({false, true}),
-                     Case, Detection) {
-  SiteOptions Options;
-  Options.Detection_ = Detection;
-  GatewayDeployment Deployment({"east", "west"}, Options);
+BOOST_DATA_TEST_CASE(StreamResumesAfterLossOfAnEngine, LossCases, Case) {
+  GatewayDeployment Deployment({"east", "west"});
   auto Answer = Deployment.callAsync(0, "brief-1", "POST", site::BriefPath, Events);
   const std::string First = Deployment.awaitStream();
   Case.Lose_(Deployment, First);
