The gauge of kept memory is labelled by class

Its test expected the label of the former, route-only classes; missed when classes of customer and route were merged, since only serving_test had been run.

--- a/Tests/Gateway/GatewayGaugesTest.cpp
+++ b/Tests/Gateway/GatewayGaugesTest.cpp
@@ -138,6 +138,6 @@
   Config.Routes_ = {streamRoute(0), streamRoute(2)};
   In.Config_.replaceIfNewer(std::move(Config), Start);
   BOOST_TEST(Text() == "# TYPE p_memory_kept_share gauge\n"
-                       "p_memory_kept_share{service=\"brief\",priority=\"0\"} 0\n"
-                       "p_memory_kept_share{service=\"brief\",priority=\"2\"} 0.16\n");
+                       "p_memory_kept_share{service=\"brief\",class=\"0\"} 0\n"
+                       "p_memory_kept_share{service=\"brief\",class=\"1\"} 0.16\n");
 }
