--- a/Source/Core/Serving/ServingIndex.cpp
+++ b/Source/Core/Serving/ServingIndex.cpp
@@ -6,8 +6,6 @@
 
 namespace rattancart {
 
-namespace {
-
 std::string hostName(std::string_view Host) {
   std::string Name(Host.substr(0, Host.find(':')));
   std::transform(Name.begin(), Name.end(), Name.begin(),
@@ -15,8 +13,6 @@
   return Name;
 }
 
-} // namespace
-
 ServingIndex::ServingIndex(ServingConfig Config) : Config_(std::move(Config)) {
   for (const ServingRoute &Route : Config_.Routes_)
     Routes_.emplace(hostName(Route.Host_) + Route.PathPrefix_, &Route);
--- a/Source/Core/Serving/ServingIndex.h
+++ b/Source/Core/Serving/ServingIndex.h
@@ -4,12 +4,16 @@
 
 #include <memory>
 #include <set>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
 namespace rattancart {
 
+/// The part of a host by which routes are found: without the port, in lower case. Thread-safe.
+std::string hostName(std::string_view Host);
+
 /// A configuration, indexed for the lookups that a request needs. Immutable, thus thread-safe.
 class ServingIndex {
 public:
