Many entries of one name are compared in linear time

numberRepeated counted from 2 for each repeated name, which took quadratic time in a file with many entries of one name. Tests: three routes of a name; weights that distort the other shares, the reason of invalid-weight.

--- a/Source/Core/Serving/ConfigDiff.cpp
+++ b/Source/Core/Serving/ConfigDiff.cpp
@@ -4,8 +4,8 @@
 
 #include <fmt/format.h>
 
-#include <set>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 namespace rattancart {
@@ -114,11 +114,15 @@
 
 /// Numbers repeated texts, so that each one finds its counterpart in the other configuration.
 template <typename Item> void numberRepeated(std::vector<Item> &Items, std::string Item::*Text) {
-  std::set<std::string> Seen;
+  std::unordered_set<std::string> Seen;
+  // The last number of each text, so that many equal texts take linear time.
+  std::unordered_map<std::string, unsigned> Numbers;
   for (Item &Each : Items) {
     const std::string Plain = Each.*Text;
-    for (unsigned Number = 2; !Seen.insert(Each.*Text).second; ++Number)
-      Each.*Text = fmt::format("{} ({})", Plain, Number);
+    while (!Seen.insert(Each.*Text).second) {
+      unsigned &Number = Numbers.try_emplace(Plain, 1).first->second;
+      Each.*Text = fmt::format("{} ({})", Plain, ++Number);
+    }
   }
 }
 
--- a/Tests/Core/Serving/ConfigCheckTest.cpp
+++ b/Tests/Core/Serving/ConfigCheckTest.cpp
@@ -281,6 +281,24 @@
   }
 }
 
+// Guards against the removal of invalid-weight while the index has no defence of its own: such a
+// weight changes what the other shares get. When the index ignores it, this test must change.
+BOOST_AUTO_TEST_CASE(InvalidWeightsDistortOtherShares) {
+  const auto Chosen = [](double SecondWeight, double Draw) {
+    ServingConfig Config;
+    Config.Routes_ = {route("r", "a.example", "/", "s1")};
+    for (const auto &[Service, Weight] : {std::pair{"s2", SecondWeight}, {"s3", 1.0}})
+      Config.Routes_[0].Services_.push_back({ServiceId(Service), Weight});
+    for (const char *Service : {"s1", "s2", "s3"})
+      Config.Services_.emplace_back().Id_ = ServiceId(Service);
+    const ServingIndex Index(Config);
+    return Index.chooseService(Index.config().Routes_[0], Draw)->Id_.str();
+  };
+  BOOST_TEST(Chosen(0, 0.9) == "s3");
+  BOOST_TEST(Chosen(-1, 0.9) == "s1");
+  BOOST_TEST(Chosen(Infinity, 0.1) == "s3");
+}
+
 // Guards against a check that disagrees with the index about what matches: a route without a
 // finding about its match gets the requests of its host and prefix, and a hidden or duplicate one
 // gets none at all.
--- a/Tests/Core/Serving/ConfigDiffTest.cpp
+++ b/Tests/Core/Serving/ConfigDiffTest.cpp
@@ -102,6 +102,13 @@
     {"a second route of a name",
      [](ServingConfig &Config) { Config.Routes_.push_back(Config.Routes_[1]); },
      "added route r2 (2)\n"},
+    {"three routes of a name, the third changed",
+     [](ServingConfig &Config) {
+       Config.Routes_.push_back(Config.Routes_[1]);
+       Config.Routes_.push_back(Config.Routes_[1]);
+       Config.Routes_[3].Priority_ = 9;
+     },
+     "added route r2 (2)\nadded route r2 (3)\n"},
     {"connections", [](ServingConfig &Config) { Config.Services_[1].MaxConnections_ = 9; },
      "changed service s2.connections 0 -> 9\n"},
     {"a service more",
