--- a/Source/Core/Serving/ServingIndex.h
+++ b/Source/Core/Serving/ServingIndex.h
@@ -3,6 +3,7 @@
 #include "Core/Serving/ServingConfig.h"
 
 #include <memory>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
@@ -10,6 +11,9 @@
 
 namespace rattancart {
 
+/// The part of a host by which routes are found: without the port, in lower case. Thread-safe.
+std::string hostName(std::string_view Host);
+
 /// A configuration, indexed for the lookups that a request needs. Immutable, thus thread-safe.
 class ServingIndex {
 public:
