A request that can't be sent is answered 400 instead of ending the process

Callers saw: one request with the method TRACE and a body ended the gateway's process, and all requests under way on other connections were lost.

Cause: HttpClient builds its messages with a library that throws std::invalid_argument for a body of TRACE and std::length_error for fields of more than 65,533 bytes. Nothing between there and the event loop catches exceptions. The same holds for exceptions of a server's handler.

Change: HttpClient checks the syntax of a request, which the library doesn't, and turns the library's refusal into error 713 (RequestNotSendable) before a connection is opened. It removes a length or transfer coding that the request brings along, since both follow from the body. The gateway answers 400 with 713 after the first send: no endpoint could get the request, so none is tried or held responsible. HttpServer answers an exception of its handler with 500 and error 315 (HandlerFailed), or cuts the response if it has begun.

Conclusion: the exceptions are caught where the library states its rules, so the fix covers every method and field that it refuses, not TRACE alone. An exception in a timer or in the callback of a finished request still ends the process; no input is known that causes one.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -117,8 +117,13 @@
   Sent->Call_ = Context_.Client_.send(
       Endpoint.Listing_.Address_, Context_.Protocol_.requestForEndpoint(Routed_.Request_, Options),
       Http, [Self = shared_from_this(), Sent, Done = std::move(Done)](const HttpResult &Result) {
-        if (!std::exchange(Sent->Live_, false))
+        if (!Sent->Live_)
           return;
+        // No endpoint would get the request, so the caller's request is at fault. A later send
+        // differs from the first, which was possible, only in what the gateway adds.
+        if (Result.Error_ == ErrorCode::RequestNotSendable && Self->Sends_ == 1)
+          return Self->refuse(400, ErrorCode::RequestNotSendable, std::nullopt);
+        Sent->Live_ = false;
         if (!Sent->MalformedBody_)
           return Done(Sent, Result);
         HttpResult Rejected = Result;
--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -8,9 +8,11 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <deque>
 #include <optional>
+#include <stdexcept>
 #include <unordered_map>
 #include <utility>
 
@@ -52,8 +54,40 @@
   return E != boost::asio::error::would_block;
 }
 
-http::request<http::string_body> toBeast(const NetAddress &Address, HttpRequest Request,
-                                         bool KeepHost) {
+bool isTokenChar(char C) {
+  static constexpr std::string_view Others = "!#$%&'*+-.^_`|~";
+  return (C >= 'a' && C <= 'z') || (C >= 'A' && C <= 'Z') || (C >= '0' && C <= '9') ||
+         Others.find(C) != std::string_view::npos;
+}
+
+bool isToken(std::string_view Text) {
+  return !Text.empty() && std::all_of(Text.begin(), Text.end(), isTokenChar);
+}
+
+/// Whether a server would read the field as it is, rather than as several fields or a body.
+bool isFieldValue(std::string_view Text) {
+  return std::all_of(Text.begin(), Text.end(), [](char C) {
+    return C == '\t' || (static_cast<unsigned char>(C) >= 0x20 && C != 0x7f);
+  });
+}
+
+/// The same for the target of a request.
+bool isTarget(std::string_view Text) {
+  return !Text.empty() && std::all_of(Text.begin(), Text.end(), [](char C) {
+    return static_cast<unsigned char>(C) > 0x20 && C != 0x7f;
+  });
+}
+
+bool isWellFormed(const HttpRequest &Request) {
+  const std::vector<HttpHeader> &Fields = Request.Headers_.all();
+  return isToken(Request.Method_) && isTarget(Request.Target_) &&
+         std::all_of(Fields.begin(), Fields.end(), [](const HttpHeader &Field) {
+           return isToken(Field.Name_) && isFieldValue(Field.Value_);
+         });
+}
+
+http::request<http::string_body> buildMessage(const NetAddress &Address, HttpRequest Request,
+                                              bool KeepHost) {
   http::request<http::string_body> Message;
   Message.version(11);
   Message.method_string(Request.Method_);
@@ -63,10 +97,27 @@
   if (!KeepHost || Message.count(http::field::host) == 0)
     Message.set(http::field::host, Address.str());
   Message.body() = std::move(Request.Body_);
+  // The framing follows from the body, also where prepare_payload sets none.
+  Message.erase(http::field::content_length);
+  Message.erase(http::field::transfer_encoding);
   Message.prepare_payload();
   return Message;
 }
 
+/// Nothing if the request can't be expressed in HTTP/1.1.
+std::optional<http::request<http::string_body>> toBeast(const NetAddress &Address,
+                                                        HttpRequest Request, bool KeepHost) {
+  if (!isWellFormed(Request))
+    return std::nullopt;
+  try {
+    return buildMessage(Address, std::move(Request), KeepHost);
+  } catch (const std::logic_error &) {
+    // The library checks further rules, such as the length of fields and the methods that have a
+    // body, and states violations only by std::invalid_argument and std::length_error.
+    return std::nullopt;
+  }
+}
+
 HttpResponse copyHead(const http::response<http::string_body> &Message) {
   HttpResponse Response;
   Response.Status_ = Message.result_int();
@@ -151,6 +202,7 @@
   boost::asio::steady_timer Timer_;
   std::optional<http::response_parser<http::string_body>> Parser_;
   std::error_code TimerReason_;
+  bool Sendable_ = true;
   bool BytesHandedOver_ = false;
   bool Reused_ = false;
   bool Finished_ = false;
@@ -166,7 +218,10 @@
   Pending->Id_ = NextId_;
   NextId_ = NextId_.next();
   Pending->Address_ = Address;
-  Pending->Message_ = toBeast(Address, std::move(Request), Options.KeepHost_);
+  if (auto Message = toBeast(Address, std::move(Request), Options.KeepHost_))
+    Pending->Message_ = std::move(*Message);
+  else
+    Pending->Sendable_ = false;
   Pending->Options_ = std::move(Options);
   Pending->Done_ = std::move(Done);
   PendingRequests_.emplace(Pending->Id_, Pending);
@@ -178,6 +233,8 @@
 void HttpClient::Impl::start(const PendingRequestPtr &Pending) {
   if (Pending->Finished_)
     return;
+  if (!Pending->Sendable_)
+    return finish(Pending, ErrorCode::RequestNotSendable);
   if (Pending->Options_.Use_ == ConnectionUse::Pooled)
     Pending->Connection_ = takeIdle(Pending->Address_);
   if (!Pending->Connection_)
--- a/Source/Net/HttpSender.h
+++ b/Source/Net/HttpSender.h
@@ -58,7 +58,7 @@
 
 struct HttpResult {
   /// If there is no error, Response_ is complete. Errors: ConnectFailed, ConnectionClosed,
-  /// ResponseTimeout, MalformedResponse, ResponseTooLarge or Cancelled.
+  /// ResponseTimeout, MalformedResponse, ResponseTooLarge, RequestNotSendable or Cancelled.
   std::error_code Error_;
   HttpResponse Response_;
   /// Whether any byte of the request was handed to a connection, and so may have reached the
@@ -78,7 +78,8 @@
 public:
   virtual ~HttpSender() = default;
 
-  /// Sends Request. Done is called once, from the event loop and never from within send.
+  /// Sends Request. Done is called once, from the event loop and never from within send. A request
+  /// that HTTP/1.1 can't express, such as TRACE with a body, ends with RequestNotSendable.
   virtual HttpCallId send(const NetAddress &Address, HttpRequest Request, HttpSendOptions Options,
                           HttpCallback Done) = 0;
   /// Cancels a request; its Done gets Cancelled. Does nothing if the id is unknown.
--- a/Source/Net/HttpServer.cpp
+++ b/Source/Net/HttpServer.cpp
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <array>
 #include <deque>
+#include <exception>
 #include <optional>
 #include <unordered_set>
 #include <utility>
@@ -49,6 +50,11 @@
   return Text;
 }
 
+std::string errorBody(ErrorCode Reason) {
+  return fmt::format("{{\"error\":{},\"message\":\"{}\"}}\n", static_cast<int>(Reason),
+                     errorInfo(Reason).Text_);
+}
+
 /// Whether the end of the request's body can't be determined. The parser would take a body in an
 /// unknown transfer coding for the next request.
 bool hasUnknownFraming(const http::request_header<> &Header) {
@@ -296,8 +302,7 @@
     ++Shared_->Stats_.Malformed_;
     Shared_->Log_.log(LogEvent::CallerMalformed,
                       {{"status", Status}, {"error", static_cast<int>(Reason)}});
-    const std::string Body = fmt::format("{{\"error\":{},\"message\":\"{}\"}}\n",
-                                         static_cast<int>(Reason), errorInfo(Reason).Text_);
+    const std::string Body = errorBody(Reason);
     HttpResponse Head;
     Head.Status_ = Status;
     Head.Headers_.add("Content-Type", "application/json");
@@ -449,13 +454,16 @@
     Connection_->endResponse();
   }
   void startChunked(HttpResponse Head) override {
-    if (isOpen())
-      Connection_->queueText(
-          formatHead(Head, Connection_->decideKeepAlive(), "Transfer-Encoding: chunked\r\n"));
+    if (!isOpen())
+      return;
+    Begun_ = true;
+    Connection_->queueText(
+        formatHead(Head, Connection_->decideKeepAlive(), "Transfer-Encoding: chunked\r\n"));
   }
   void startUntilClose(HttpResponse Head) override {
     if (!isOpen())
       return;
+    Begun_ = true;
     EndsWithConnection_ = true;
     Connection_->forceClose();
     Connection_->queueText(formatHead(Head, Connection_->decideKeepAlive(), {}));
@@ -482,6 +490,16 @@
     Ended_ = true;
     closeIncomplete();
   }
+  /// Ends the response after an exception of the handler. The request may have run.
+  void fail() {
+    if (Begun_)
+      return abort();
+    HttpResponse Response;
+    Response.Status_ = 500;
+    Response.Headers_.add("Content-Type", "application/json");
+    Response.Body_ = errorBody(ErrorCode::HandlerFailed);
+    send(std::move(Response));
+  }
   bool isOpen() const override { return !Ended_ && Connection_->isAnswering(ExchangeNumber_); }
   std::size_t queuedBytes() const override { return Connection_->queuedBytes(); }
   void onClosed(std::function<void()> Handler) override {
@@ -500,6 +518,8 @@
   std::shared_ptr<ServerConnection> Connection_;
   std::uint64_t ExchangeNumber_;
   bool Ended_ = false;
+  /// The head of a response without Content-Length was sent.
+  bool Begun_ = false;
   /// The response has no length.
   bool EndsWithConnection_ = false;
 };
@@ -511,8 +531,14 @@
   ++Shared_->Stats_.InFlight_;
   if (Buffer_.size() == 0)
     watchForCallerClose();
-  Shared_->Handler_.handle(std::move(Request), std::make_shared<ConnectionResponder>(
-                                                   shared_from_this(), ExchangeNumber_));
+  const auto Responder = std::make_shared<ConnectionResponder>(shared_from_this(), ExchangeNumber_);
+  // An exception would end the process, and with it the requests of all other callers.
+  try {
+    Shared_->Handler_.handle(std::move(Request), Responder);
+  } catch (const std::exception &Failure) {
+    Shared_->Log_.log(LogEvent::HandlerFailed, {{"what", std::string(Failure.what())}});
+    Responder->fail();
+  }
 }
 
 } // namespace
--- a/Source/Net/HttpServer.h
+++ b/Source/Net/HttpServer.h
@@ -50,7 +50,8 @@
 class HttpHandler {
 public:
   virtual ~HttpHandler() = default;
-  /// Called on the event loop for each complete request. Must not block.
+  /// Called on the event loop for each complete request. Must not block. If it throws, the request
+  /// is answered with 500, or its response is cut if that has begun.
   virtual void handle(HttpRequest Request, HttpResponderPtr Responder) = 0;
 };
 
