A silent engine counts as lost for the placement only once that is confirmed

Cause: the owner of a placement planned without an engine from the first probe that stayed unanswered for 50 ms.

Change: LossConfirmation decides which engines the owner plans without: those whose entry is gone or leaving, that refused both connections of a probe, or that stayed silent for 350 ms after the probe (400 ms in all) without a sign of life, while this process received something from others. Until then the engine keeps its layers in the plan and gets no order. The owner probes doubtful engines every 100 ms. Requests avoid silent engines at once, as before.

--- a/Source/Core/Layers/PlacementController.cpp
+++ b/Source/Core/Layers/PlacementController.cpp
@@ -29,6 +29,9 @@
 void PlacementController::setOwner(std::optional<FencingNumber> Fence) {
   if (Fence && !Fence_)
     Pending_.clear();
+  // The next owner, which may be this process again, observes the engines anew.
+  if (!Fence || !Fence_)
+    Losses_.clear();
   Fence_ = Fence;
 }
 
@@ -58,8 +61,7 @@
 }
 
 bool PlacementController::isUsable(const EndpointRecord &Record, TimePoint Now) const {
-  if (Record.Listing_.State_ != EndpointState::Live || Record.silent(Now) ||
-      Record.addressInDoubt())
+  if (Record.Listing_.State_ != EndpointState::Live || Record.gone(Now) || Record.addressInDoubt())
     return false;
   // While it carries out an order, an engine refuses requests that it can't run at the time.
   const bool Ordered = Pending_.contains(Record.Listing_.Id_) || Record.Report_.Busy_;
@@ -98,8 +100,8 @@
   std::map<DataCenterId, std::size_t> Demand;
   for (const auto &[Id, Record] : Roster.all()) {
     const EngineKind *Kind = Model.kind(Record.Listing_.Kind_);
-    if (Record.Listing_.Service_ != Service || !isUsable(Record, Now) || !Kind ||
-        Kind->MemoryMb_ < Model.LayerMb_)
+    if (Record.Listing_.Service_ != Service || Record.silent(Now) || !isUsable(Record, Now) ||
+        !Kind || Kind->MemoryMb_ < Model.LayerMb_)
       continue;
     const LayerRange Layers = Record.layersOf(Model);
     const bool Loading = Pending_.contains(Id) || (Record.reported() && Record.Report_.Busy_);
@@ -120,15 +122,22 @@
     return !Record || isSettled(Entry.second, *Record, Now);
   });
 
+  LossConfirmation &Losses = Losses_[Service];
+  Losses.update(Service, Scope.DataCenter_, Roster, Now);
+
   std::vector<PlannedEngine> Engines;
   std::size_t Loading = 0;
   for (const auto &[Id, Record] : Roster.all()) {
     if (Record.Listing_.Service_ != Service || Record.Listing_.DataCenter_ != Scope.DataCenter_ ||
         !isUsable(Record, Now))
       continue;
+    const EngineStanding Standing = Losses.standing(Record, Now);
+    if (Standing == EngineStanding::Lost)
+      continue;
     PlannedEngine Engine = plannedEngine(Model, Record);
     if (!Engine.Kind_)
       continue;
+    Engine.Movable_ = Engine.Movable_ && Standing == EngineStanding::Present;
     Loading += Pending_.contains(Id) || (Record.reported() && Record.Report_.Busy_) ? 1 : 0;
     Engines.push_back(std::move(Engine));
   }
@@ -152,6 +161,19 @@
   return Orders;
 }
 
+std::vector<EndpointId> PlacementController::doubtfulEngines() const {
+  std::vector<EndpointId> Doubtful;
+  for (const auto &[Service, Losses] : Losses_)
+    Doubtful.insert(Doubtful.end(), Losses.doubtfulEngines().begin(),
+                    Losses.doubtfulEngines().end());
+  return Doubtful;
+}
+
+const LossConfirmation *PlacementController::losses(const ServiceId &Service) const {
+  const auto Found = Losses_.find(Service);
+  return Found == Losses_.end() ? nullptr : &Found->second;
+}
+
 void PlacementController::onOrderEnded(const PlacementOrder &Order, OrderOutcome Outcome,
                                        TimePoint Now) {
   const auto Found = Pending_.find(Order.Engine_);
--- a/Source/Core/Layers/PlacementController.h
+++ b/Source/Core/Layers/PlacementController.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Layers/LayerPlanner.h"
+#include "Core/Layers/LossConfirmation.h"
 #include "Core/Serving/EndpointRoster.h"
 
 #include <cstdint>
@@ -61,14 +62,18 @@
 ///
 /// Engines may be replaced one after the other. An engine that takes over layers first finishes its
 /// streams, which takes seconds. That costs nothing while other data centres have capacity for the
-/// requests; otherwise the streams are cut off. Not thread-safe.
+/// requests; otherwise the streams are cut off.
+///
+/// An engine that is only doubtful (see LossConfirmation) keeps its layers in the plan and gets no
+/// order. Not thread-safe.
 class PlacementController {
 public:
   /// Starts the ownership with a fencing number, or ends it.
   void setOwner(std::optional<FencingNumber> Fence);
   std::optional<FencingNumber> fence() const { return Fence_; }
 
-  /// Returns the orders to send now. Call it at least once a second, and whenever engines changed.
+  /// Returns the orders to send now. Call it at least once a second, whenever engines changed, and
+  /// several times a second while there are doubtful engines.
   std::vector<PlacementOrder> tick(const LayeredModel &Model, const ServiceId &Service,
                                    const PlacementScope &Scope, const EndpointRoster &Roster,
                                    TimePoint Now);
@@ -78,6 +83,10 @@
 
   /// Whether an order is pending, so that engines should be polled often.
   bool hasPendingOrders() const { return !Pending_.empty(); }
+  /// Silent engines that do not count as lost yet; they should be probed. Empty without ownership.
+  std::vector<EndpointId> doubtfulEngines() const;
+  /// The observation of a service's engines by this owner; null without ownership or before a tick.
+  const LossConfirmation *losses(const ServiceId &Service) const;
 
 private:
   struct Pending {
@@ -90,7 +99,7 @@
     OrderOutcome Outcome_ = OrderOutcome::Unknown;
   };
 
-  /// Whether the planner may assign layers to an engine.
+  /// Whether an engine that answers may be assigned layers.
   bool isUsable(const EndpointRecord &Record, TimePoint Now) const;
   /// The number of engines of the data centre that may load at the same time without filling a gap;
   /// see loadsAtOnce.
@@ -106,6 +115,8 @@
 
   std::optional<FencingNumber> Fence_;
   std::map<EndpointId, Pending> Pending_;
+  /// Of the services that this owner places; empty without ownership.
+  std::map<ServiceId, LossConfirmation> Losses_;
   std::size_t EnginesSeen_ = 0;
   TimePoint EnginesChangedAt_{};
 };
--- a/Source/Core/Serving/EndpointRoster.cpp
+++ b/Source/Core/Serving/EndpointRoster.cpp
@@ -96,6 +96,7 @@
     Record.Memory_ = {};
   }
   if (Restarted || Moved) {
+    Record.ConnectionRefusedAt_ = {};
     Record.AddressTakenUntil_ = {};
     Record.AddressTakenBackoff_ = {};
   }
@@ -167,9 +168,15 @@
   Record.SilentUntil_ = std::max(Record.SilentUntil_, Until);
 }
 
+void EndpointRoster::noteConnectionRefused(const EndpointId &Id, TimePoint Now) {
+  if (const auto It = Records_.find(Id); It != Records_.end())
+    It->second.ConnectionRefusedAt_ = Now;
+}
+
 void EndpointRoster::markHeard(const EndpointId &Id, TimePoint Now) {
   if (const auto It = Records_.find(Id); It != Records_.end()) {
     It->second.SilentUntil_ = {};
+    It->second.ConnectionRefusedAt_ = {};
     It->second.AddressTakenUntil_ = {};
     It->second.AddressTakenBackoff_ = {};
   }
--- a/Source/Core/Serving/EndpointRoster.h
+++ b/Source/Core/Serving/EndpointRoster.h
@@ -52,6 +52,9 @@
   TimePoint SilentUntil_{};
   /// When it first failed to answer; later failures in the same silence don't change it.
   TimePoint SilentSince_{};
+  /// When it last refused a connection of this process, so that no process listens at its address;
+  /// the epoch if it never did, or answered since.
+  TimePoint ConnectionRefusedAt_{};
   /// Time of the first refusal that no report has explained yet; the epoch if there is none.
   TimePoint RefusedAt_{};
   /// The endpoint refused requests for which it has memory; it gets no new work until then.
@@ -89,6 +92,11 @@
   bool gone(TimePoint Now) const { return MissingUntil_ && Now >= *MissingUntil_; }
   /// Whether the endpoint recently failed to answer this process.
   bool silent(TimePoint Now) const { return Now < SilentUntil_; }
+  /// Whether the silent endpoint refused connections in this silence. A network fault makes an
+  /// endpoint silent, but does not refuse connections in its place.
+  bool refusesConnections() const {
+    return ConnectionRefusedAt_ != TimePoint{} && ConnectionRefusedAt_ >= SilentSince_;
+  }
   /// Whether the endpoint has probably ended or is cut off: it has not answered for a while, and no
   /// other process has received a report from it either. A late answer alone makes an endpoint
   /// silent, not lost.
@@ -138,6 +146,8 @@
   /// that other processes pass on don't end that, since the endpoint may be cut off from this
   /// process alone.
   void markSilent(const EndpointId &Id, TimePoint Now, TimePoint Until);
+  /// The endpoint refused a connection of this process. Call it before markSilent.
+  void noteConnectionRefused(const EndpointId &Id, TimePoint Now);
   /// The endpoint answered this process.
   void markHeard(const EndpointId &Id, TimePoint Now);
   /// An event of a stream that uses the endpoint showed that it works.
--- a/Source/Gateway/EngineProber.cpp
+++ b/Source/Gateway/EngineProber.cpp
@@ -71,6 +71,12 @@
     probe(Engine, [](bool) {});
 }
 
+void EngineProber::probeAgain(const EndpointId &Engine) {
+  const EndpointRecord *Record = Roster_.find(Engine);
+  if (Record && !Record->addressTaken(Time_.now()))
+    probe(Engine, [](bool) {});
+}
+
 void EngineProber::probe(const EndpointId &Engine, std::function<void(bool)> OnResult) {
   ProbePtr &Pending = Probes_[Engine];
   if (Pending) {
@@ -132,6 +138,8 @@
     return;
   if (applyReport(Engine, SentTo, Outcome))
     return finish(Engine, true);
+  if (Outcome.Refused_ && ++Pending->Refused_ >= RequestsPerProbe)
+    Roster_.noteConnectionRefused(Engine, Time_.now());
   if (++Pending->Failed_ >= RequestsPerProbe)
     return finish(Engine, false);
   if (Pending->Calls_.size() < RequestsPerProbe)
--- a/Source/Gateway/EngineProber.h
+++ b/Source/Gateway/EngineProber.h
@@ -32,6 +32,9 @@
     Roster_.noteActivity(Engine, Time_.now());
   }
   void suspect(const EndpointId &Engine) override;
+  /// Probes an engine over new connections even if it is silent; does nothing while a probe of it
+  /// is under way.
+  void probeAgain(const EndpointId &Engine);
   /// Adds a handler that is called whenever an engine is found silent.
   void onSilent(std::function<void(const EndpointId &)> Handler) {
     SilentHandlers_.push_back(std::move(Handler));
@@ -50,6 +53,7 @@
     Timer Timer_;
     TimePoint Deadline_{};
     std::uint32_t Failed_ = 0;
+    std::uint32_t Refused_ = 0;
     bool Extended_ = false;
   };
   using ProbePtr = std::shared_ptr<Probe>;
--- a/Source/Gateway/PlacementCoordinator.cpp
+++ b/Source/Gateway/PlacementCoordinator.cpp
@@ -19,6 +19,8 @@
 /// and gateways that choose by an older report fill it together.
 constexpr Duration PollInterval = milliseconds(200);
 constexpr Duration IdlePollInterval = milliseconds(600);
+/// Time between two probes of an engine that is silent but not lost yet; a probe takes up to 50 ms.
+constexpr Duration DoubtInterval = milliseconds(100);
 /// An engine with more of its memory in use than this share is busy.
 constexpr double BusyMemoryShare = 0.3;
 /// Time limits of an order, which an engine answers within a few ms.
@@ -58,7 +60,7 @@
 PlacementCoordinator::PlacementCoordinator(Dependencies Use, DataCenterId Home,
                                            std::size_t DataCenters)
     : Use_(Use), Home_(std::move(Home)), DataCenters_(DataCenters), JoinTimer_(Use.Loop_),
-      PollTimer_(Use.Loop_) {}
+      PollTimer_(Use.Loop_), DoubtTimer_(Use.Loop_) {}
 
 void PlacementCoordinator::start() {
   Use_.StateBroadcast_.onOutranked([this](FencingNumber Higher) {
@@ -142,7 +144,8 @@
   const bool Busy =
       Record.usedTokenLayers(Now) > BusyMemoryShare * Record.Report_.TotalTokenLayers_;
   // Half an interval less, since a poll takes some time.
-  return Busy || Controller_.hasPendingOrders() ||
+  // While an engine is doubtful, the other engines' reports show whether this gateway receives any.
+  return Busy || Controller_.hasPendingOrders() || !Controller_.doubtfulEngines().empty() ||
          Now - Record.ReportedAt_ > IdlePollInterval - PollInterval / 2;
 }
 
@@ -195,6 +198,31 @@
     for (const PlacementOrder &Order :
          Controller_.tick(*Service.Model_, Service.Id_, Scope, Use_.Roster_, Now))
       send(Order);
+    reportDoubts(Service.Id_);
+  }
+  probeDoubtfulEngines();
+}
+
+void PlacementCoordinator::probeDoubtfulEngines() {
+  if (Controller_.doubtfulEngines().empty() || std::exchange(DoubtTimerRuns_, true))
+    return;
+  DoubtTimer_.after(DoubtInterval, [this] {
+    DoubtTimerRuns_ = false;
+    for (const EndpointId &Engine : Controller_.doubtfulEngines())
+      Use_.Prober_.probeAgain(Engine);
+    updatePlacement();
+  });
+}
+
+void PlacementCoordinator::reportDoubts(const ServiceId &Service) {
+  const LossConfirmation *Losses = Controller_.losses(Service);
+  if (!Losses)
+    return;
+  for (const DoubtOutcome &Each : Losses->endedDoubts()) {
+    Use_.Metrics_.count("engine_doubts_total", Each.Lost_ ? "lost" : "answers");
+    Use_.Log_.log(LogEvent::DoubtEnded, {{"engine", Each.Engine_.str()},
+                                         {"outcome", Each.Lost_ ? "lost" : "answers"},
+                                         {"silent_ms", Each.Silent_ / milliseconds(1)}});
   }
 }
 
--- a/Source/Gateway/PlacementCoordinator.h
+++ b/Source/Gateway/PlacementCoordinator.h
@@ -64,6 +64,10 @@
   void poll();
   void onPolled();
   void updatePlacement();
+  /// Probes the engines that are silent but not lost yet, and updates the placement again soon.
+  void probeDoubtfulEngines();
+  /// Logs and counts which silent engines were lost and which answered.
+  void reportDoubts(const ServiceId &Service);
   /// Logs and counts the steps of the recovery from a loss of engines.
   void trackRecovery(const LayeredModel &Model, const ServiceId &Service);
   void send(const PlacementOrder &Order);
@@ -77,6 +81,8 @@
   std::map<ServiceId, RecoveryTracker> Recoveries_;
   Timer JoinTimer_;
   Timer PollTimer_;
+  Timer DoubtTimer_;
+  bool DoubtTimerRuns_ = false;
   FencingNumber Generation_{0};
   /// Fencing number that was refused by an engine or outranked by another owner. This gateway owns
   /// the placement again only in a later generation of the group.
--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -152,6 +152,7 @@
   std::optional<http::response_parser<http::string_body>> Parser_;
   std::error_code TimerReason_;
   bool BytesHandedOver_ = false;
+  bool Refused_ = false;
   bool Reused_ = false;
   bool Finished_ = false;
   bool HeadReceived_ = false;
@@ -214,6 +215,7 @@
       *Target, [Self = shared_from_this(), Pending](boost::system::error_code E) {
         if (Pending->Finished_)
           return;
+        Pending->Refused_ = E == boost::asio::error::connection_refused;
         if (E)
           return Self->finish(Pending, ErrorCode::ConnectFailed);
         boost::system::error_code Ignored;
@@ -358,6 +360,7 @@
   HttpResult Outcome;
   Outcome.Error_ = Failure;
   Outcome.BytesHandedOver_ = Pending->BytesHandedOver_;
+  Outcome.Refused_ = Pending->Refused_;
   Outcome.Reused_ = Pending->Reused_;
   if (!Failure) {
     // Reuse ends this long before the server closes the connection, so that no request is sent
--- a/Source/Net/HttpSender.h
+++ b/Source/Net/HttpSender.h
@@ -64,6 +64,8 @@
   /// Whether any byte of the request was handed to a connection, and so may have reached the
   /// server.
   bool BytesHandedOver_ = false;
+  /// Whether the server's address refused the connection, which only a host does that works.
+  bool Refused_ = false;
   /// Whether the request went over a connection that had been idle in the pool.
   bool Reused_ = false;
   /// Whether the response had no length and was ended by the close of its connection.
--- a/Source/SiteModel/SimulatedSite.cpp
+++ b/Source/SiteModel/SimulatedSite.cpp
@@ -26,6 +26,7 @@
 constexpr Duration ProbeTimeout = milliseconds(50);
 constexpr Duration SilenceDuration = milliseconds(1500);
 constexpr Duration RecheckInterval = milliseconds(500);
+constexpr Duration DoubtInterval = milliseconds(100);
 constexpr Duration DatagramDelay = milliseconds(1);
 
 /// Counts some events and discards all log lines.
@@ -155,20 +156,27 @@
   }
   /// Probes the silent engines again.
   void recheck() {
-    for (const auto &[Id, Record] : Roster_.all()) {
-      if (!Record.silent(Site_.Queue_.now()))
-        continue;
-      if (Site_.Engines_.condition(Id) == EngineCondition::Running)
-        Roster_.markHeard(Id, Site_.Queue_.now());
-      else
-        Roster_.markSilent(Id, Site_.Queue_.now(), Site_.Queue_.now() + SilenceDuration);
-    }
+    for (const auto &[Id, Record] : Roster_.all())
+      if (Record.silent(Site_.Queue_.now()))
+        probeAgain(Id);
+  }
+  void probeAgain(const EndpointId &Engine) {
+    if (Site_.Engines_.condition(Engine) == EngineCondition::Running)
+      return Roster_.markHeard(Engine, Site_.Queue_.now());
+    noteIfStopped(Engine);
+    Roster_.markSilent(Engine, Site_.Queue_.now(), Site_.Queue_.now() + SilenceDuration);
   }
 
 private:
+  /// The address of an engine that has stopped refuses connections.
+  void noteIfStopped(const EndpointId &Engine) {
+    if (Site_.Engines_.condition(Engine) == EngineCondition::Stopped)
+      Roster_.noteConnectionRefused(Engine, Site_.Queue_.now());
+  }
   void markSilent(const EndpointId &Engine) {
     const EndpointRecord *Record = Roster_.find(Engine);
     const bool Known = !Record || Record->silent(Site_.Queue_.now());
+    noteIfStopped(Engine);
     Roster_.markSilent(Engine, Site_.Queue_.now(), Site_.Queue_.now() + SilenceDuration);
     if (!Known)
       Site_.broadcastSilence(Engine);
@@ -333,9 +341,20 @@
     for (const PlacementOrder &Order :
          Each->Placement_.tick(Model_, ServiceId("brief"), Scope, Each->Roster_, Queue_.now()))
       Each->Placement_.onOrderEnded(Order, Engines_.order(Order), Queue_.now());
+    if (Each->Placement_.doubtfulEngines().empty() || std::exchange(DoubtTimerRuns_, true))
+      continue;
+    Queue_.after(DoubtInterval, [this] { probeDoubtfulEngines(); });
   }
 }
 
+void SimulatedSite::probeDoubtfulEngines() {
+  DoubtTimerRuns_ = false;
+  for (const auto &Each : Gateways_)
+    for (const EndpointId &Engine : Each->Placement_.doubtfulEngines())
+      Each->Health_.probeAgain(Engine);
+  updatePlacement();
+}
+
 void SimulatedSite::broadcastSilence(const EndpointId &Engine) {
   for (const auto &Each : Gateways_) {
     Each->Health_.suspect(Engine);
--- a/Source/SiteModel/SimulatedSite.h
+++ b/Source/SiteModel/SimulatedSite.h
@@ -127,6 +127,8 @@
   /// Sends the reports of all engines to all gateways.
   void updateRosters();
   void updatePlacement();
+  /// Owners probe the engines that are silent but not lost yet, as PlacementCoordinator does.
+  void probeDoubtfulEngines();
   /// Tells all gateways that one of them found an engine silent.
   void broadcastSilence(const EndpointId &Engine);
   /// Sends a gateway's new observations about parts of prompts to the owners of all data centres.
@@ -150,6 +152,7 @@
   std::uint64_t NextId_ = 1;
   LogCounts Counts_;
   std::uint64_t SlowStarts_ = 0;
+  bool DoubtTimerRuns_ = false;
   double DatagramLoss_ = 0;
   std::mt19937 LossRandom_;
 };
