The owner of a placement gives no orders while a third of its engines fell silent at once

Cause: when the owner's own link or network is at fault, it hears some engines and not others, so each silence looks confirmed.

Change: if more than a third of the engines that the list shows as live, and at least four, fall silent within 1 s without refusing connections, planning is suspended until at most a third of them are silent, for 2 s at most. After an early end the others get 350 ms more to answer. Leaving and unlisted engines do not count.

A real loss of two fifths of the engines is repaired 2 to 2.5 s after it, within 0.5 s after the list drops them, and within 0.3 s if they refuse connections.

--- a/Source/Core/Layers/PlacementController.cpp
+++ b/Source/Core/Layers/PlacementController.cpp
@@ -124,6 +124,8 @@
 
   LossConfirmation &Losses = Losses_[Service];
   Losses.update(Service, Scope.DataCenter_, Roster, Now);
+  if (Losses.suspended())
+    return Orders;
 
   std::vector<PlannedEngine> Engines;
   std::size_t Loading = 0;
--- a/Source/Gateway/PlacementCoordinator.cpp
+++ b/Source/Gateway/PlacementCoordinator.cpp
@@ -198,7 +198,7 @@
     for (const PlacementOrder &Order :
          Controller_.tick(*Service.Model_, Service.Id_, Scope, Use_.Roster_, Now))
       send(Order);
-    reportDoubts(Service.Id_);
+    reportLosses(Service.Id_);
   }
   probeDoubtfulEngines();
 }
@@ -214,10 +214,22 @@
   });
 }
 
-void PlacementCoordinator::reportDoubts(const ServiceId &Service) {
+void PlacementCoordinator::reportLosses(const ServiceId &Service) {
   const LossConfirmation *Losses = Controller_.losses(Service);
   if (!Losses)
     return;
+  if (const auto &Change = Losses->planningChange()) {
+    if (Change->Suspended_)
+      Use_.Metrics_.count("planning_suspensions_total", Home_.str());
+    else
+      Use_.Metrics_.observe("planning_suspended_seconds", Home_.str(), Change->Lasted_);
+    Use_.Log_.log(Change->Suspended_ ? LogEvent::PlanningSuspended : LogEvent::PlanningResumed,
+                  {{"data_center", Home_.str()},
+                   {"service", Service.str()},
+                   {"silent", Change->Silent_},
+                   {"engines", Change->Engines_},
+                   {"lasted_ms", Change->Lasted_ / milliseconds(1)}});
+  }
   for (const DoubtOutcome &Each : Losses->endedDoubts()) {
     Use_.Metrics_.count("engine_doubts_total", Each.Lost_ ? "lost" : "answers");
     Use_.Log_.log(LogEvent::DoubtEnded, {{"engine", Each.Engine_.str()},
--- a/Source/Gateway/PlacementCoordinator.h
+++ b/Source/Gateway/PlacementCoordinator.h
@@ -66,8 +66,9 @@
   void updatePlacement();
   /// Probes the engines that are silent but not lost yet, and updates the placement again soon.
   void probeDoubtfulEngines();
-  /// Logs and counts which silent engines were lost and which answered.
-  void reportDoubts(const ServiceId &Service);
+  /// Logs and counts which silent engines were lost and which answered, and when planning is
+  /// suspended.
+  void reportLosses(const ServiceId &Service);
   /// Logs and counts the steps of the recovery from a loss of engines.
   void trackRecovery(const LayeredModel &Model, const ServiceId &Service);
   void send(const PlacementOrder &Order);
--- a/Tests/Core/Layers/LossConfirmationTest.cpp
+++ b/Tests/Core/Layers/LossConfirmationTest.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
 #include <optional>
 
 using namespace rattancart;
@@ -224,8 +225,8 @@
 /// A time in which the owner receives nothing from a part of its data centre's engines.
 struct MuffledCase {
   const char *Name_;
-  /// All engines, or three of them.
-  bool All_;
+  /// The part of the engines; 0 for three of them.
+  double Share_;
   Duration Time_;
   bool Busy_;
 };
@@ -233,12 +234,21 @@
 std::ostream &operator<<(std::ostream &Out, const MuffledCase &Case) { return Out << Case.Name_; }
 
 const MuffledCase MuffledCases[] = {
-    {"all engines for 1 s, all of them busy", true, 1s, true},
-    {"all engines for 1 s, few of them busy", true, 1s, false},
-    {"all engines for 1.8 s, all of them busy", true, 1800ms, true},
-    {"three engines for 300 ms", false, 300ms, true},
+    {"all engines for 1 s, all of them busy", 1, 1s, true},
+    {"all engines for 1 s, few of them busy", 1, 1s, false},
+    {"all engines for 1.8 s, all of them busy", 1, 1800ms, true},
+    {"three engines for 300 ms", 0, 300ms, true},
+    {"half of the engines for 1 s, all of them busy", 0.5, 1s, true},
+    {"half of the engines for 1 s, few of them busy", 0.5, 1s, false},
+    {"two fifths of the engines for 1.8 s", 0.4, 1800ms, true},
 };
 
+std::size_t mutedEngines(const LossSimulation &Simulation, double Share) {
+  return Share > 0 ? static_cast<std::size_t>(
+                         std::ceil(Share * static_cast<double>(Simulation.engineCount(0))))
+                   : 3;
+}
+
 } // namespace
 
 // Guards against an owner that lays its data centre anew because it heard nothing for a moment, or
@@ -249,7 +259,7 @@
     Simulation.setBusy(Case.Busy_);
     Simulation.run(1s + Offset);
     const TimePoint Since = Simulation.now();
-    Simulation.muffle(0, Case.All_ ? Simulation.engineCount(0) : 3, Case.Time_);
+    Simulation.muffle(0, mutedEngines(Simulation, Case.Share_), Case.Time_);
     Simulation.run(5s);
     BOOST_TEST_CONTEXT("offset " << Offset / 1ms)
     BOOST_TEST(Simulation.ordersSince(Since) == 0U);
@@ -288,6 +298,12 @@
   return Time;
 }
 
+/// Whether one of the engines is among Count engines from First on.
+bool contains(const std::vector<std::size_t> &Engines, std::size_t First, std::size_t Count) {
+  return std::any_of(Engines.begin(), Engines.end(),
+                     [&](std::size_t Each) { return Each >= First && Each < First + Count; });
+}
+
 const std::uint32_t LostLayers[] = {0, 20, 40, 60, 79};
 
 } // namespace
@@ -309,3 +325,116 @@
   BOOST_TEST((Replaced > Silent));
   BOOST_TEST((Replaced - AtOnce <= 350ms + 500ms));
 }
+
+// Guards against an owner that, while it replaces lost engines, orders others that do not answer.
+BOOST_DATA_TEST_CASE(DoubtfulEnginesGetNoOrder, allDeployments(), Site) {
+  std::size_t Orders = 0;
+  for (std::size_t First = 0; First < 20; ++First) {
+    LossSimulation Simulation({Site});
+    Simulation.setBusy(true);
+    Simulation.run(1s);
+    const std::vector<std::size_t> Lost = holders(Simulation, 40);
+    if (contains(Lost, First, 3))
+      continue;
+    Simulation.muffle(0, 3, 500ms, First);
+    Simulation.run(350ms);
+    const TimePoint Since = Simulation.now();
+    for (const std::size_t Each : Lost)
+      Simulation.end(0, Each, /*Refuses=*/true);
+    Simulation.run(1s);
+    Orders += Simulation.ordersSince(Since);
+    for (const LossSimulation::GivenOrder &Each : Simulation.orders())
+      BOOST_TEST(!Each.ToSilentEngine_);
+  }
+  BOOST_TEST(Orders > 0U);
+}
+
+// Guards against engines that count as lost at the moment at which most of the others answer again,
+// although they are probed a little later.
+BOOST_AUTO_TEST_CASE(EnginesThatAnswerAfterTheOthersAreNotLost) {
+  for (const Duration Later : {100ms, 200ms, 300ms}) {
+    LossSimulation Simulation({contendedDeployments().front()});
+    Simulation.setBusy(true);
+    Simulation.run(1s);
+    const TimePoint Since = Simulation.now();
+    const std::size_t Engines = Simulation.engineCount(0);
+    Simulation.muffle(0, Engines / 2, 1s);
+    Simulation.muffle(0, Engines / 4, 1s + Later);
+    Simulation.run(5s);
+    BOOST_TEST(Simulation.ordersSince(Since) == 0U);
+  }
+}
+
+namespace {
+
+/// Engines of which more than a third are lost at once.
+struct LargeLossCase {
+  const char *Name_;
+  bool Refuse_;
+  /// When the list no longer shows the lost engines.
+  std::optional<Duration> UnlistAfter_;
+  /// When the first order may be given, and when it must have been.
+  Duration NotBefore_;
+  Duration Within_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const LargeLossCase &Case) { return Out << Case.Name_; }
+
+// The owner polls within 200 ms and notices the silence 150 ms later.
+const LargeLossCase LargeLossCases[] = {
+    {"silent", false, std::nullopt, 2s, 2500ms},
+    {"silent, and gone from the list after 1 s", false, 1s, 1s, 1500ms},
+    {"connections refused", true, std::nullopt, 0ms, 300ms},
+};
+
+} // namespace
+
+// Guards against a cut-off owner that gives orders, and against a real loss of many engines that is
+// waited out for longer than 2 s.
+BOOST_DATA_TEST_CASE(TheLossOfManyEnginesIsRepairedAfterTwoSeconds,
+                     allDeployments() * LargeLossCases, Site, Case) {
+  LossSimulation Simulation({Site});
+  Simulation.setBusy(true);
+  Simulation.run(1s);
+  const TimePoint Since = Simulation.now();
+  // The engines that hold a layer, and the slowest ones, which have the least memory.
+  std::vector<std::size_t> Lost = holders(Simulation, 40);
+  for (std::size_t Each = Simulation.engineCount(0); Lost.size() < mutedEngines(Simulation, 0.4);)
+    if (std::find(Lost.begin(), Lost.end(), --Each) == Lost.end())
+      Lost.push_back(Each);
+  for (const std::size_t Each : Lost)
+    Simulation.end(0, Each, Case.Refuse_);
+  if (Case.UnlistAfter_) {
+    Simulation.run(*Case.UnlistAfter_);
+    for (const std::size_t Each : Lost)
+      Simulation.unlist(0, Each);
+  }
+  Simulation.run(4s);
+  BOOST_REQUIRE(Simulation.ordersSince(Since) > 0U);
+  const auto First =
+      std::find_if(Simulation.orders().begin(), Simulation.orders().end(),
+                   [&](const LossSimulation::GivenOrder &Each) { return Each.At_ >= Since; });
+  BOOST_TEST((First->At_ - Since >= Case.NotBefore_));
+  BOOST_TEST((First->At_ - Since <= Case.Within_));
+}
+
+// Guards against a whole data centre that is laid anew after the joint loss of a few engines while
+// others leave as planned: leaving engines neither suspend planning nor cause further orders.
+BOOST_DATA_TEST_CASE(ThreeLostAndNineLeavingEnginesCauseFewOrders, contendedDeployments(), Site) {
+  for (std::size_t First = 0; First + 12 <= 24; First += 3) {
+    LossSimulation Simulation({Site});
+    Simulation.setBusy(true);
+    Simulation.run(1s);
+    const TimePoint Since = Simulation.now();
+    for (std::size_t Each = First; Each < First + 3; ++Each)
+      Simulation.end(0, Each, /*Refuses=*/false);
+    Simulation.run(600ms);
+    for (std::size_t Each = First + 3; Each < First + 12; ++Each)
+      Simulation.leave(0, Each);
+    Simulation.run(5s);
+    BOOST_TEST_MESSAGE(Site.Name_ << ", first engine " << First << ": "
+                                  << Simulation.ordersSince(Since) << " orders");
+    BOOST_TEST(Simulation.ordersSince(Since) <= 2 * 3U);
+    BOOST_TEST(Simulation.tokens(0) > 0);
+  }
+}
--- a/Tests/Core/Layers/LossSimulation.h
+++ b/Tests/Core/Layers/LossSimulation.h
@@ -22,6 +22,8 @@
     TimePoint At_;
     std::size_t DataCenter_ = 0;
     PlacementOrder Order_;
+    /// Whether the owner knew the engine as silent.
+    bool ToSilentEngine_ = false;
   };
 
   /// States of engines of other data centres arrive with an interval of RemoteInterval.
@@ -67,15 +69,19 @@
     Lost.Runs_ = false;
     Lost.Refuses_ = Refuses;
   }
+  /// The entry of an engine that has ended expires.
+  void unlist(std::size_t Index, std::size_t EngineIndex) {
+    DataCenters_[Index]->Engines_[EngineIndex].Listed_ = false;
+  }
   /// An engine of the data centre is listed as leaving, and accepts no orders.
   void leave(std::size_t Index, std::size_t EngineIndex) {
     Engine &Leaving = DataCenters_[Index]->Engines_[EngineIndex];
     Leaving.Runs_ = false;
     Leaving.Leaves_ = true;
   }
-  /// The owner of the data centre receives nothing from the first Count engines for a time.
-  void muffle(std::size_t Index, std::size_t Count, Duration Time) {
-    for (std::size_t Each = 0; Each < Count; ++Each)
+  /// The owner of the data centre receives nothing from Count of its engines for a time.
+  void muffle(std::size_t Index, std::size_t Count, Duration Time, std::size_t First = 0) {
+    for (std::size_t Each = First; Each < First + Count; ++Each)
       DataCenters_[Index]->Engines_[Each].MuffledUntil_ = Queue_.now() + Time;
   }
   /// Another process takes over the placement; it knows what the previous owner knew.
@@ -158,7 +164,8 @@
                                  DataCenters_.begin());
     for (const PlacementOrder &Order : At.Owner_.tick(
              Model_, Service_, {At.Id_, DataCenters_.size(), 2}, At.Roster_, Queue_.now())) {
-      Orders_.push_back({Queue_.now(), Index, Order});
+      Orders_.push_back(
+          {Queue_.now(), Index, Order, At.Roster_.find(Order.Engine_)->silent(Queue_.now())});
       At.Owner_.onOrderEnded(Order, take(At, Order), Queue_.now());
     }
   }
@@ -234,7 +241,8 @@
         continue;
       }
       const auto Round = static_cast<std::size_t>(Now.time_since_epoch() / TickInterval) + Index;
-      if (!Each.PolledAt_ && IsDue(TickInterval) && Round % PolledRounds_ == 0)
+      if (!Each.PolledAt_ && IsDue(TickInterval) &&
+          Round % (Doubtful.empty() ? PolledRounds_ : 1) == 0)
         Each.PolledAt_ = Now;
       if (!Each.PolledAt_)
         continue;
