--- a/Source/Gateway/EngineProber.cpp
+++ b/Source/Gateway/EngineProber.cpp
@@ -79,6 +79,12 @@
     probe(Engine, [](bool) {});
 }
 
+void EngineProber::probeAgain(const EndpointId &Engine) {
+  const EndpointRecord *Record = Use_.Roster_.find(Engine);
+  if (Record && !Record->addressTaken(Use_.Time_.now()))
+    probe(Engine, [](bool) {});
+}
+
 void EngineProber::probe(const EndpointId &Engine, std::function<void(bool)> OnResult) {
   ProbePtr &Pending = Probes_[Engine];
   if (Pending) {
@@ -158,6 +164,9 @@
   if (Verdict_.enabled() && endedWithoutEngine(Outcome))
     return;
   Pending->Refused_ |= Outcome.Refused_;
+  if (Outcome.Error_ == ErrorCode::ConnectFailed && Outcome.Refused_ &&
+      ++Pending->RefusedConnects_ >= RequestsPerProbe)
+    Use_.Roster_.noteConnectionRefused(Engine, Use_.Time_.now());
   if (++Pending->Failed_ >= RequestsPerProbe)
     return finishSilent(Engine);
   if (Pending->Calls_.size() < RequestsPerProbe)
--- a/Source/Gateway/EngineProber.h
+++ b/Source/Gateway/EngineProber.h
@@ -49,6 +49,9 @@
   /// Something arrived from the network that no endpoint sent.
   void noteOtherReception() { Verdict_.onOtherReceived(Use_.Time_.now()); }
   void suspect(const EndpointId &Engine) override;
+  /// Probes an engine over new connections even if it is silent; does nothing while a probe of it
+  /// is under way.
+  void probeAgain(const EndpointId &Engine);
   /// Another gateway reported an engine. Returns whether the owner passes the report on.
   bool onReported(const SilenceReport &Report);
   /// Whether this gateway ignores that the owner finds the engine silent.
@@ -74,6 +77,8 @@
     Timer Timer_;
     std::uint32_t Failed_ = 0;
     bool Refused_ = false;
+    /// Connections that the engine's host refused.
+    std::uint32_t RefusedConnects_ = 0;
     bool Extended_ = false;
   };
   using ProbePtr = std::shared_ptr<Probe>;
--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -204,8 +204,8 @@
   std::error_code TimerReason_;
   bool Sendable_ = true;
   bool BytesHandedOver_ = false;
-  bool Reused_ = false;
   bool Refused_ = false;
+  bool Reused_ = false;
   bool Finished_ = false;
   bool HeadReceived_ = false;
   bool Skipping_ = false;
