An engine's 429, 408 or 421 without the statement "not run" becomes 502

Callers saw: a booking ran, its engine answered 429 without X-Not-Executed, and the gateway passed the 429 on. Callers take it to mean that nothing ran and book again. The same with 408.

Cause: CallExchange::onDone passed each complete, stamped answer with a status below 500 on; the check in giveUp, which knew 503 and 429 only, was reached by 503 alone. StreamExchange::giveUp had a copy of that check, without 408 and 421.

Change: mayPassOn (Gateway/EndpointProtocol.h) decides whether a response may be passed on: not with the statement, and not with a status that callers read as the statement. Calls and streams use it. A request that may run again goes to another engine, as after a 500; otherwise the caller gets 502.

Evidence: AFailedAnswerSaysMoreThanItsEngineStated (15 statuses, with and without the statement, stamped or not, cut or whole, four kinds of requests) failed in 5 rows without 421: 408 and 429 for bookings and lookups, 408 for streams that may run once.

Conclusion: the rule is in one place and lists the statuses that promise something, so each path that passes an answer on keeps it.

--- a/Source/Gateway/CallExchange.cpp
+++ b/Source/Gateway/CallExchange.cpp
@@ -112,8 +112,9 @@
 }
 
 bool CallExchange::isComplete(const CallAttempt &Item, const HttpResult &Result) const {
-  return !Result.Error_ && Item.Attempt_->HeadSeen_ && Item.Attempt_->Info_.Signed_ &&
-         !Item.Attempt_->Info_.Encoded_;
+  const Attempt &Sent = *Item.Attempt_;
+  return !Result.Error_ && Sent.HeadSeen_ && Sent.Info_.Signed_ && !Sent.Info_.Encoded_ &&
+         mayPassOn(Sent.Head_.Status_, Sent.Info_);
 }
 
 void CallExchange::onDone(const CallAttemptPtr &Item, const HttpResult &Result) {
@@ -122,8 +123,7 @@
   if (ended())
     return;
   const std::uint32_t Status = Item->Attempt_->Head_.Status_;
-  if (isComplete(*Item, Result) && Status >= 200 && Status < 500 &&
-      !Item->Attempt_->Info_.NotRun_) {
+  if (isComplete(*Item, Result) && Status >= 200 && Status < 500) {
     noteAnswered(Item->Attempt_->Endpoint_, Item->Attempt_->SentAt_);
     return sendResponse(*Item);
   }
@@ -166,12 +166,9 @@
 }
 
 void CallExchange::giveUp() {
-  // Callers take 503 and 429 to mean that the request did not run. An endpoint's 503 or 429 that
-  // does not say so is therefore not passed on.
-  if (Failure_ && Failure_->Attempt_->Head_.Status_ != 503 &&
-      Failure_->Attempt_->Head_.Status_ != 429)
+  if (Failure_)
     return sendResponse(*Failure_);
-  if (OutcomeUnknown_ || Failure_)
+  if (OutcomeUnknown_)
     return refuse(502, ErrorCode::OutcomeUnknown, std::nullopt);
   if (LimitReached_)
     return refuse(503, ErrorCode::EndpointsLimited,
--- a/Source/Gateway/CallExchange.h
+++ b/Source/Gateway/CallExchange.h
@@ -43,6 +43,7 @@
   bool sendNext();
   void onDone(const CallAttemptPtr &Item, const HttpResult &Result);
   void onFailure(const CallAttemptPtr &Item, const HttpResult &Result);
+  /// Whether the attempt ended with a complete response that may be passed on.
   bool isComplete(const CallAttempt &Item, const HttpResult &Result) const;
   bool isRetryable() const { return Routed_.Route_->Kind_ == RequestKind::Idempotent; }
   void sendResponse(const CallAttempt &Item);
@@ -57,7 +58,7 @@
   std::uint32_t PossibleRuns_ = 0;
   /// A complete error response of an endpoint, passed on if no other endpoint succeeds.
   CallAttemptPtr Failure_;
-  /// A send may have run, and its response was lost.
+  /// A send may have run, and its response was lost or must not reach the caller.
   bool OutcomeUnknown_ = false;
 };
 
--- a/Source/Gateway/EndpointProtocol.h
+++ b/Source/Gateway/EndpointProtocol.h
@@ -74,6 +74,18 @@
   std::optional<NetAddress> FaultyEngine_;
 };
 
+/// Whether callers take the status to mean that the request did not run and never will.
+constexpr bool meansNotRun(std::uint32_t Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
+/// Whether an endpoint's response may be passed on to the caller, as far as its head tells; its
+/// body must be complete as well. The gateway itself answers for an endpoint that states that it
+/// did not run the request. Without that statement, no status may tell the caller so.
+constexpr bool mayPassOn(std::uint32_t Status, const ResponseInfo &Info) {
+  return !Info.NotRun_ && !meansNotRun(Status);
+}
+
 /// Encodes and decodes the HTTP messages that the gateway exchanges with callers and endpoints:
 /// requests, responses, engine reports and placement orders. Thread-safe.
 class EndpointProtocol {
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -512,11 +512,9 @@
     Routed_.Responder_->abort();
     return finish("cut");
   }
-  // An engine's complete error response is passed on, unless its status is one that callers take to
-  // mean that the request did not run.
   if (MayHaveRun_ && FailureComplete_ && Attempt_ && Attempt_->HeadSeen_ &&
-      Attempt_->Info_.Signed_ && !Attempt_->Info_.NotRun_ && Attempt_->Head_.Status_ >= 400 &&
-      Attempt_->Head_.Status_ != 503 && Attempt_->Head_.Status_ != 429) {
+      Attempt_->Info_.Signed_ && Attempt_->Head_.Status_ >= 400 &&
+      mayPassOn(Attempt_->Head_.Status_, Attempt_->Info_)) {
     HttpResponse Answer = Context_.Protocol_.responseForCaller(Attempt_->Head_);
     Answer.Body_ = std::move(FailureBody_);
     Routed_.Responder_->send(std::move(Answer));
--- a/Tests/Gateway/ScriptedRequest.h
+++ b/Tests/Gateway/ScriptedRequest.h
@@ -48,8 +48,13 @@
       Head.Headers_.add("not-run", "1");
     if (!Fault.empty())
       Head.Headers_.add("fault", Fault);
+    head(Number, Head);
+  }
+  /// Ends the call if the head is not accepted, as HttpClient does.
+  void head(std::size_t Number, const HttpResponse &Head) {
     BOOST_REQUIRE(isLive(Number));
-    Calls_[Number].Sink_->onHead(Head);
+    if (Calls_[Number].Sink_->onHead(Head) == HeadDecision::Abort && isLive(Number))
+      end(Number, ErrorCode::MalformedResponse);
   }
   /// An answer to another request arrives where the answer to this one is due. Returns whether it
   /// is skipped.
@@ -206,7 +211,8 @@
 
   /// With Classes, another streaming route of the service has another priority.
   explicit OneRequest(std::optional<std::uint64_t> LastEvent = {},
-                      RequestKind Kind = RequestKind::Stream, bool Classes = false) {
+                      RequestKind Kind = RequestKind::Stream, bool Classes = false,
+                      bool Resumable = true) {
     Retries_.setProcesses(1);
     ServingConfig Config;
     Config.Revision_ = ConfigRevision(1);
@@ -220,7 +226,7 @@
     Route.MaxAttempts_ = 2;
     Route.Public_ = true;
     Route.Objective_ = 1s;
-    Route.Resumable_ = true;
+    Route.Resumable_ = Resumable;
     Config.Routes_.push_back(Route);
     if (Classes) {
       Route.Id_ = RouteId("note");
@@ -276,6 +282,14 @@
         return Handler_.onEngineSilent(Id);
       }
   }
+  /// Lets a request whose attempts have all ended run until it ends; further engines refuse it.
+  void runToEnd() {
+    for (int Round = 0; Round < 200; ++Round) {
+      Engines_.refuseAll();
+      Time_.advance(25ms);
+      Handler_.tick();
+    }
+  }
   double reserved() const {
     double Tokens = 0;
     for (const EndpointId &Id : Ids_)
