A stream with Content-Encoding is not passed on

Callers saw: complete streams with status 200, the engine's stamp and Content-Encoding: gzip, whose body is not the engine's.

Cause: StreamExchange never looked at ResponseInfo::Encoded_; CallExchange did, in a check of its own.

A stream is judged at its head, before any byte goes to the caller, also for an attempt that is kept and for an engine that goes on with a stream. A successful head that fails the rule ends the attempt at once: its caller would get nothing until the foreign stream's end. What follows is that of any failed answer: another engine if the request may run again, otherwise 502.

Conclusion: the encoding is known from the head, so deciding there leaves no path on which a foreign byte is passed on first.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -36,7 +36,7 @@
     InfoHandler_();
   if (HeadHandler_)
     HeadHandler_();
-  return Live_ ? HeadDecision::Accept : HeadDecision::Abort;
+  return Live_ && !Rejected_ ? HeadDecision::Accept : HeadDecision::Abort;
 }
 
 bool Attempt::onBody(std::string_view Data) { return !Live_ || BodyHandler_(Data); }
@@ -124,7 +124,7 @@
         if (Result.Error_ == ErrorCode::RequestNotSendable && Self->Sends_ == 1)
           return Self->refuse(400, ErrorCode::RequestNotSendable, std::nullopt);
         Sent->Live_ = false;
-        if (!Sent->MalformedBody_)
+        if (!Sent->Rejected_)
           return Done(Sent, Result);
         HttpResult Rejected = Result;
         Rejected.Error_ = ErrorCode::MalformedResponse;
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -46,8 +46,9 @@
   HttpResponse Head_;
   ResponseInfo Info_;
   bool HeadSeen_ = false;
-  /// Set by the body handler if the body is not what the head announces.
-  bool MalformedBody_ = false;
+  /// Set by the head handler if nothing of the response may be passed on, and by the body handler
+  /// if the body is not what the head announces. The attempt then ends with MalformedResponse.
+  bool Rejected_ = false;
   /// Another endpoint, which has the address now, refused the request.
   bool AddressTaken_ = false;
   /// False once the attempt has ended or the exchange has cancelled it.
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -99,7 +99,7 @@
       send(*First, std::move(Options), Sends_ == 0 ? ConnectionUse::Pooled : ConnectionUse::Fresh,
            ConnectTimeout,
            [this](const AttemptPtr &Sent, const HttpResult &Result) { onDone(Sent, Result); });
-  Attempt_->HeadHandler_ = [this] { onHead(); };
+  Attempt_->HeadHandler_ = [this, From = Attempt_.get()] { onHead(*From); };
   Attempt_->BodyHandler_ = [this, From = Attempt_.get()](std::string_view Data) {
     return onBody(*From, Data);
   };
@@ -165,10 +165,18 @@
                      : randomDuration(MinPathRetryAfter, MaxPathRetryAfter));
 }
 
-void StreamExchange::onHead() { Monitor_.recordHead(Context_.Time_.now()); }
+void StreamExchange::onHead(Attempt &From) {
+  // Waiting for the end of such a stream would leave its caller without events for as long.
+  if (From.Head_.Status_ == 200 && !mayPassOn(From.Head_.Status_, From.Info_)) {
+    From.Rejected_ = true;
+    return;
+  }
+  Monitor_.recordHead(Context_.Time_.now());
+}
 
 bool StreamExchange::carriesEvents(const Attempt &Sent) {
-  return Sent.Head_.Status_ == 200 && Sent.Info_.EventStream_;
+  return Sent.Head_.Status_ == 200 && Sent.Info_.EventStream_ &&
+         mayPassOn(Sent.Head_.Status_, Sent.Info_);
 }
 
 bool StreamExchange::onBody(const Attempt &From, std::string_view Data) {
@@ -192,7 +200,7 @@
   Kept_->Events_.feed(Data);
   while (const auto Event = Kept_->Events_.next()) {
     if (Event->Malformed_) {
-      Kept_->Attempt_->MalformedBody_ = true;
+      Kept_->Attempt_->Rejected_ = true;
       return false;
     }
     // A stalled engine may send bytes, or comments, without making progress.
@@ -211,7 +219,7 @@
 bool StreamExchange::forwardEvents() {
   while (const auto Event = Events_.next()) {
     if (Event->Malformed_) {
-      Attempt_->MalformedBody_ = true;
+      Attempt_->Rejected_ = true;
       return false;
     }
     const bool Numbered = forwardEvent(*Event);
--- a/Source/Gateway/StreamExchange.h
+++ b/Source/Gateway/StreamExchange.h
@@ -42,7 +42,8 @@
   /// over; false if it may not wait there.
   bool waitForTurn();
   void refuseWithoutPath();
-  void onHead();
+  /// Ends an attempt at once whose successful response must not be passed on.
+  void onHead(Attempt &From);
   /// Whether the response of the attempt, whose head has arrived, is a stream of events that may be
   /// passed on. The text of an error must not reach the caller as part of the stream.
   static bool carriesEvents(const Attempt &Sent);
--- a/Source/SiteModel/SimulatedEngines.cpp
+++ b/Source/SiteModel/SimulatedEngines.cpp
@@ -82,6 +82,7 @@
   Answer.Misdirected_ = Head.Status_ == 421;
   Answer.NotRun_ = Head.Headers_.has("not-run");
   Answer.Signed_ = !Head.Headers_.has("unsigned");
+  Answer.Encoded_ = Head.Headers_.has("encoded");
   Answer.EventStream_ = !Head.Headers_.has("other-media-type");
   if (Head.Headers_.has("fault"))
     Answer.FaultyEngine_ = NetAddress(std::string(Head.Headers_.get("fault")));
