A stream without a stamp is not passed on

Callers saw: a stream without X-Response-Stamp that ended as a complete success after another engine was asked to go on.

Cause: StreamExchange looked at the stamp only when an attempt ended. By then the events had been passed on, and the empty, stamped answer of the next engine completed the response that the first engine's head had begun.

Change: mayPassOn covers the stamp as well, so that streams are judged at their head, and the checks of Signed_ in CallExchange and StreamExchange are gone.

Evidence: with "unsigned", 9 cases of ForeignBodyTest failed before (4 of them rows of AForeignBodyReachesTheCaller).

Conclusion: no event without a stamp reaches a caller, so there is nothing that another engine could complete.

--- a/Source/Gateway/CallExchange.cpp
+++ b/Source/Gateway/CallExchange.cpp
@@ -113,8 +113,7 @@
 
 bool CallExchange::isComplete(const CallAttempt &Item, const HttpResult &Result) const {
   const Attempt &Sent = *Item.Attempt_;
-  return !Result.Error_ && Sent.HeadSeen_ && Sent.Info_.Signed_ &&
-         mayPassOn(Sent.Head_.Status_, Sent.Info_);
+  return !Result.Error_ && Sent.HeadSeen_ && mayPassOn(Sent.Head_.Status_, Sent.Info_);
 }
 
 void CallExchange::onDone(const CallAttemptPtr &Item, const HttpResult &Result) {
--- a/Source/Gateway/EndpointProtocol.h
+++ b/Source/Gateway/EndpointProtocol.h
@@ -81,10 +81,10 @@
 
 /// Whether an endpoint's response may be passed on to the caller, as far as its head tells; its
 /// body must be complete as well. The gateway itself answers for an endpoint that states that it
-/// did not run the request. Without that statement, no status may tell the caller so. An encoded
-/// body is not the endpoint's.
+/// did not run the request. Without that statement, no status may tell the caller so. A response
+/// without the endpoint's signature, or with an encoded body, is not the endpoint's.
 constexpr bool mayPassOn(std::uint32_t Status, const ResponseInfo &Info) {
-  return !Info.NotRun_ && !meansNotRun(Status) && !Info.Encoded_;
+  return !Info.NotRun_ && !meansNotRun(Status) && Info.Signed_ && !Info.Encoded_;
 }
 
 /// Encodes and decodes the HTTP messages that the gateway exchanges with callers and endpoints:
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -298,8 +298,8 @@
 
 bool StreamExchange::isComplete(const Attempt &Sent, const EventSplitter &Events,
                                 const HttpResult &Result) const {
-  return !Result.Error_ && Sent.HeadSeen_ && carriesEvents(Sent) && Sent.Info_.Signed_ &&
-         Events.pendingBytes() == 0 && (Started_ || Routed_.Caller_.LastEvent_);
+  return !Result.Error_ && Sent.HeadSeen_ && carriesEvents(Sent) && Events.pendingBytes() == 0 &&
+         (Started_ || Routed_.Caller_.LastEvent_);
 }
 
 void StreamExchange::complete() {
@@ -521,8 +521,7 @@
     return finish("cut");
   }
   if (MayHaveRun_ && FailureComplete_ && Attempt_ && Attempt_->HeadSeen_ &&
-      Attempt_->Info_.Signed_ && Attempt_->Head_.Status_ >= 400 &&
-      mayPassOn(Attempt_->Head_.Status_, Attempt_->Info_)) {
+      Attempt_->Head_.Status_ >= 400 && mayPassOn(Attempt_->Head_.Status_, Attempt_->Info_)) {
     HttpResponse Answer = Context_.Protocol_.responseForCaller(Attempt_->Head_);
     Answer.Body_ = std::move(FailureBody_);
     Routed_.Responder_->send(std::move(Answer));
--- a/Tests/Gateway/ForeignBodyTest.cpp
+++ b/Tests/Gateway/ForeignBodyTest.cpp
@@ -29,7 +29,7 @@
 };
 
 /// Header fields of answers whose body is not the engine's.
-const std::string ForeignFields[] = {"encoded"};
+const std::string ForeignFields[] = {"encoded", "unsigned"};
 
 HttpResponse foreignHead(const std::string &Field, std::uint32_t Status = 200) {
   HttpResponse Head;
