--- a/Source/SiteModel/SimulatedEngines.cpp
+++ b/Source/SiteModel/SimulatedEngines.cpp
@@ -80,8 +80,9 @@
   ResponseInfo Answer;
   Answer.Id_ = RequestId(std::string(Head.Headers_.get("id")));
   Answer.Misdirected_ = Head.Status_ == 421;
-  Answer.NotRun_ = Head.Headers_.has("not-run") || Answer.Misdirected_;
-  Answer.Signed_ = !Answer.NotRun_;
+  Answer.NotRun_ = Head.Headers_.has("not-run");
+  Answer.Signed_ = !Head.Headers_.has("unsigned");
+  Answer.Encoded_ = Head.Headers_.has("encoded");
   Answer.EventStream_ = !Head.Headers_.has("other-media-type");
   if (Head.Headers_.has("fault"))
     Answer.FaultyEngine_ = NetAddress(std::string(Head.Headers_.get("fault")));
