A 421 states that the endpoint did not run the request, with or without the header

Without this, a booking that reached an endpoint's former address was answered 502 instead of going to another one.

--- a/Source/SiteModel/SimulatedEngines.cpp
+++ b/Source/SiteModel/SimulatedEngines.cpp
@@ -80,7 +80,7 @@
   ResponseInfo Answer;
   Answer.Id_ = RequestId(std::string(Head.Headers_.get("id")));
   Answer.Misdirected_ = Head.Status_ == 421;
-  Answer.NotRun_ = Head.Headers_.has("not-run");
+  Answer.NotRun_ = Head.Headers_.has("not-run") || Answer.Misdirected_;
   Answer.Signed_ = !Head.Headers_.has("unsigned");
   Answer.Encoded_ = Head.Headers_.has("encoded");
   Answer.EventStream_ = !Head.Headers_.has("other-media-type");
--- a/Tests/Gateway/StrictAnswersTest.cpp
+++ b/Tests/Gateway/StrictAnswersTest.cpp
@@ -33,6 +33,9 @@
 const std::uint32_t FailureStatuses[] = {408, 421, 429, 503, 400, 401, 403, 404,
                                          409, 413, 422, 500, 501, 502, 504};
 
+/// By it an endpoint states that it is not the expected one and did not run the request.
+constexpr std::uint32_t MisdirectedStatus = 421;
+
 bool saysNotRun(std::uint32_t Status) {
   return Status == 408 || Status == 421 || Status == 429 || Status == 503;
 }
@@ -75,17 +78,17 @@
                          data::make({false, true}) * data::make({false, true}) *
                          data::make({false, true}),
                      Kind, Status, NotRun, Stamped, Whole) {
-  const AnswerShape Shape{NotRun, Stamped, Whole};
   OneRequest Each({}, Kind.Kind_, /*Classes=*/false, Kind.Resumable_);
-  answer(Each, Status, Shape, "failure");
+  answer(Each, Status, {NotRun, Stamped, Whole}, "failure");
+  const AnswerShape Shape{NotRun || Status == MisdirectedStatus, Stamped, Whole};
   const bool Answered =
-      !Kind.isStream() && Stamped && Whole && !NotRun && Status < 500 && !saysNotRun(Status);
-  const bool SentAgain = NotRun || (Kind.isRetryable() && !Answered);
+      !Kind.isStream() && Stamped && Whole && !Shape.NotRun_ && Status < 500 && !saysNotRun(Status);
+  const bool SentAgain = Shape.NotRun_ || (Kind.isRetryable() && !Answered);
   BOOST_TEST((Each.Engines_.sends() > 1U) == SentAgain);
   Each.runToEnd();
   const bool PassedOn = isPassedOn(Kind, Status, Shape);
   BOOST_TEST(Each.Caller_->Complete_);
-  BOOST_TEST(Each.Caller_->Status_ == (PassedOn ? Status : NotRun ? 503U : 502U));
+  BOOST_TEST(Each.Caller_->Status_ == (PassedOn ? Status : Shape.NotRun_ ? 503U : 502U));
   BOOST_TEST((Each.Caller_->Text_ == "failure") == PassedOn);
   BOOST_TEST(Each.Handler_.inFlight() == 0U);
   BOOST_TEST(Each.reserved() == 0);
--- a/Tests/platform/PlatformProtocolTest.cpp
+++ b/Tests/platform/PlatformProtocolTest.cpp
@@ -52,7 +52,7 @@
     {"success", 200, "X-Response-Stamp", false},
     {"shed", 503, "X-Not-Executed", true},
     {"another endpoint", 421, "X-Not-Executed", true},
-    {"421 without a statement", 421, "X-Instance-Id", false},
+    {"another endpoint, without the header", 421, "X-Instance-Id", true},
     {"408 without a statement", 408, "X-Response-Stamp", false},
     {"429 without a statement", 429, "X-Response-Stamp", false},
     {"503 without a statement", 503, "X-Response-Stamp", false},
