A part of a failure's body is not passed on as a whole one

Callers saw: an engine's 500 with a part of its body, whose Content-Length was that of the part, so that it looked complete.

Cause: StreamExchange keeps an attempt under way while it tries another path. When that path failed with a complete answer, FailureComplete_ was set for it, then the kept attempt came back with its own head and FailureBody_. giveUp then took the flag of the one for the body of the other.

Change: the flag is cleared when the kept attempt, which has not ended, comes back.

Evidence: APartOfAFailureLooksWhole failed before: 500 with "fail" of "failure".

Conclusion: head, body and flag that giveUp uses now belong to one attempt.

--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -642,6 +642,7 @@
   Events_ = std::move(Kept_->Events_);
   BytesSinceEvent_ = Kept_->BytesSinceEvent_;
   FailureBody_ = std::move(Kept_->FailureBody_);
+  FailureComplete_ = false;
   Kept_.reset();
   logKept();
 }
--- a/Source/Gateway/StreamExchange.h
+++ b/Source/Gateway/StreamExchange.h
@@ -147,7 +147,7 @@
   /// Resumes although all engines of the path answered.
   std::uint32_t UnexplainedResumes_ = 0;
   std::string FailureBody_;
-  /// The last attempt ended with a complete response.
+  /// Attempt_ ended with a complete response, so that FailureBody_ is whole.
   bool FailureComplete_ = false;
   /// The last resend failed because the retry budget was spent, not for lack of a path.
   bool BudgetSpent_ = false;
--- a/Tests/Gateway/StrictAnswersTest.cpp
+++ b/Tests/Gateway/StrictAnswersTest.cpp
@@ -108,3 +108,22 @@
   BOOST_TEST(Each.Caller_->Text_ == events(1, 2));
   BOOST_TEST(Each.Caller_->Complete_);
 }
+
+/// Guards against the beginning of a failure's body that is sent with the length of a whole one:
+/// the attempt that it belongs to was kept and has not ended, while that on another path has.
+BOOST_AUTO_TEST_CASE(APartOfAFailureLooksWhole) {
+  OneRequest Each;
+  Each.alarm();
+  BOOST_REQUIRE(Each.Engines_.sends() == 2U);
+  Each.Engines_.head(0, 500);
+  Each.Engines_.body(0, "fail");
+  Each.Engines_.head(1, 500);
+  Each.Engines_.body(1, "failure");
+  Each.Engines_.end(1);
+  BOOST_REQUIRE(Each.Engines_.isLive(0));
+  OneRequest::quarantine(Each.Quarantine_);
+  Each.Handler_.tick();
+  BOOST_TEST(Each.Caller_->Complete_);
+  BOOST_TEST(Each.Caller_->Status_ == 502U);
+  BOOST_TEST(Each.Caller_->Text_ == "");
+}
