A response that states an absurd length doesn't end the process

Cause: the HTTP library reserves memory for the stated length before the body arrives. Responses that are passed on as they arrive have no body limit there, so the reservation throws std::bad_alloc on the event loop.

Change: HttpClient reads bodies with a reader that reserves nothing. The limits of what a response may have are as before.

The server's side has a body limit that the library checks before it reserves.

Conclusion: memory follows what arrives, so no stated length can exhaust it.

--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -33,6 +33,21 @@
 /// Maximum total size of the bodies of the skipped responses, in bytes.
 constexpr std::size_t MaxSkippedBytes = 4 * 1024 * 1024;
 
+/// Reads a body into a string that grows as bytes arrive. The library's own reader reserves memory
+/// for the length that the head states, which a faulty server can set to more than there is.
+class UnreservedReader : public http::string_body::reader {
+public:
+  using http::string_body::reader::reader;
+  void init(const boost::optional<std::uint64_t> & /*Length*/, boost::system::error_code &E) {
+    E = {};
+  }
+};
+struct UnreservedBody {
+  using value_type = std::string;
+  using reader = UnreservedReader;
+};
+using ResponseMessage = http::response<UnreservedBody>;
+
 /// A connection and the bytes read ahead on it.
 struct ClientConnection {
   explicit ClientConnection(boost::asio::io_context &Loop)
@@ -118,7 +133,7 @@
   }
 }
 
-HttpResponse copyHead(const http::response<http::string_body> &Message) {
+HttpResponse copyHead(const ResponseMessage &Message) {
   HttpResponse Response;
   Response.Status_ = Message.result_int();
   for (const auto &Field : Message)
@@ -126,15 +141,14 @@
   return Response;
 }
 
-HttpResponse fromBeast(http::response<http::string_body> Message) {
+HttpResponse fromBeast(ResponseMessage Message) {
   HttpResponse Response = copyHead(Message);
   Response.Body_ = std::move(Message.body());
   return Response;
 }
 
 /// How long the server keeps an idle connection open, if "Keep-Alive: timeout=N" says so.
-std::optional<std::chrono::seconds>
-peerIdleTimeout(const http::response<http::string_body> &Message) {
+std::optional<std::chrono::seconds> peerIdleTimeout(const ResponseMessage &Message) {
   const std::string_view Text(Message[http::field::keep_alive].data(),
                               Message[http::field::keep_alive].size());
   static constexpr std::string_view Name = "timeout=";
@@ -200,7 +214,7 @@
   HttpCallback Done_;
   ClientConnectionPtr Connection_;
   boost::asio::steady_timer Timer_;
-  std::optional<http::response_parser<http::string_body>> Parser_;
+  std::optional<http::response_parser<UnreservedBody>> Parser_;
   std::error_code TimerReason_;
   bool Sendable_ = true;
   bool BytesHandedOver_ = false;
