--- a/Tests/Core/Serving/ConfigCheckTest.cpp
+++ b/Tests/Core/Serving/ConfigCheckTest.cpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <limits>
 #include <random>
+#include <set>
 #include <sstream>
 
 using namespace rattancart;
