Data centres that lack layers reassign them one after the other

Cause: each owner assigned all layers of its data centre from scratch, or interrupted streams for a gap, as soon as it saw the gap.

Change: ReassignmentTurn tells from the engine states which other data centres lack layers and whether they load some; mayAssignFromScratch decides. An order that assigns from scratch, or interrupts streams, waits while another data centre that lacks layers loads some, and for earlier names that may begin; for 2 s at most, and 0.5 s more for each that begins then. An owner that doubts an engine or lacks a layer asks for the states of others every 200 ms.

Ruled out: deciding at once by name alone. States arrive up to 0.4 s after a loss, and in the simulation two of three data centres then began 200 to 300 ms apart. So those that are not first by name wait 500 ms, of which the doubt takes 350 ms, and begin at least 0.5 s apart after 2 s.

--- a/Source/Core/Layers/LayerPlanner.cpp
+++ b/Source/Core/Layers/LayerPlanner.cpp
@@ -221,7 +221,7 @@
     Used[Best] = true;
     Next = BestWindow.End_;
     if (BestWindow != Engines[Best].Layers_)
-      Plan.push_back({Engines[Best].Id_, BestWindow, true});
+      Plan.push_back({Engines[Best].Id_, BestWindow, true, true});
   }
   return Plan;
 }
--- a/Source/Core/Layers/LayerPlanner.h
+++ b/Source/Core/Layers/LayerPlanner.h
@@ -25,6 +25,8 @@
   LayerRange Layers_;
   /// Whether the placement covers layers that no engine of the data centre holds.
   bool FillsGap_ = false;
+  /// Whether the plan assigns all layers from scratch, since the gaps can't be closed one by one.
+  bool FromScratch_ = false;
 };
 
 /// The number of tokens that each stage of a data centre should have memory for, beside its layers.
--- a/Source/Core/Layers/LossConfirmation.cpp
+++ b/Source/Core/Layers/LossConfirmation.cpp
@@ -137,7 +137,7 @@
 }
 
 EngineStanding LossConfirmation::standing(const EndpointRecord &Record, TimePoint Now) const {
-  if (Record.Listing_.State_ != EndpointState::Live || Record.gone(Now) || Record.addressInDoubt())
+  if (Record.Listing_.State_ != EndpointState::Live || Record.gone(Now))
     return EngineStanding::Lost;
   if (!Record.silent(Now))
     return EngineStanding::Present;
--- a/Source/Core/Layers/PlacementController.cpp
+++ b/Source/Core/Layers/PlacementController.cpp
@@ -24,14 +24,31 @@
 /// alone has no memory for the requests of another in addition to its own.
 constexpr std::size_t MinOtherDataCenters = 2;
 
+/// The layers that some engine of a data centre holds.
+class HeldLayers {
+public:
+  explicit HeldLayers(std::uint32_t Layers) : Held_(Layers, false) {}
+  /// Precondition: the model has these layers.
+  void add(LayerRange Layers) {
+    for (std::uint32_t Layer = Layers.Begin_; Layer < Layers.End_; ++Layer)
+      Held_[Layer] = true;
+  }
+  bool all() const { return std::find(Held_.begin(), Held_.end(), false) == Held_.end(); }
+
+private:
+  std::vector<bool> Held_;
+};
+
 } // namespace
 
 void PlacementController::setOwner(std::optional<FencingNumber> Fence) {
   if (Fence && !Fence_)
     Pending_.clear();
   // The next owner, which may be this process again, observes the engines anew.
-  if (!Fence || !Fence_)
+  if (!Fence || !Fence_) {
     Losses_.clear();
+    Turns_.clear();
+  }
   Fence_ = Fence;
 }
 
@@ -124,11 +141,11 @@
 
   LossConfirmation &Losses = Losses_[Service];
   Losses.update(Service, Scope.DataCenter_, Roster, Now);
-  if (Losses.suspended())
-    return Orders;
 
   std::vector<PlannedEngine> Engines;
   std::size_t Loading = 0;
+  HeldLayers Held(Model.Layers_);
+  HeldLayers Answering(Model.Layers_);
   for (const auto &[Id, Record] : Roster.all()) {
     if (Record.Listing_.Service_ != Service || Record.Listing_.DataCenter_ != Scope.DataCenter_ ||
         !isUsable(Record, Now))
@@ -140,29 +157,54 @@
     if (!Engine.Kind_)
       continue;
     Engine.Movable_ = Engine.Movable_ && Standing == EngineStanding::Present;
+    Held.add(Record.layersOf(Model));
+    if (Standing == EngineStanding::Present)
+      Answering.add(Record.layersOf(Model));
     Loading += Pending_.contains(Id) || (Record.reported() && Record.Report_.Busy_) ? 1 : 0;
     Engines.push_back(std::move(Engine));
   }
 
-  if (waitsForMoreEngines(Engines, Now))
+  ReassignmentTurn &Turn = Turns_[Service];
+  Turn.update(Model, Service, Scope.DataCenter_, {!Held.all(), !Answering.all()}, Roster, Now);
+  if (Losses.suspended() || waitsForMoreEngines(Engines, Now))
     return Orders;
+  // Without any layers, there is nothing to interrupt.
+  const bool HasTurn = Turn.mayAssignFromScratch() ||
+                       std::all_of(Engines.begin(), Engines.end(), [](const PlannedEngine &Each) {
+                         return Each.Layers_.Begin_ >= Each.Layers_.End_;
+                       });
+  bool Waits = false;
   // Orders that fill no gap wait while many loads run, since each further load slows all of them.
   const std::size_t CopiesAtOnce = copiesAtOnce(Model, Service, Scope, Roster, Now);
   for (const LayerPlacement &Placement : planLayers(Model, Engines)) {
     if (!Placement.FillsGap_ && Loading >= CopiesAtOnce)
       continue;
     const EndpointRecord *Record = Roster.find(Placement.Engine_);
+    const bool Cuts = Placement.FillsGap_ && Scope.OthersWithWholeModel_ < MinOtherDataCenters;
+    if (waitsForTurn(Placement, Record->layersOf(Model), Cuts, HasTurn)) {
+      Waits = true;
+      continue;
+    }
     ++Loading;
     Pending_[Placement.Engine_] = {
         Placement.Layers_,    Record->Listing_.Run_, Record->Report_.Orders_, TimePoint{}, Now,
         OrderOutcome::Unknown};
     Orders.push_back({Placement.Engine_, Record->Listing_.Address_, Placement.Layers_, *Fence_,
-                      Record->Report_.Orders_, Placement.FillsGap_,
-                      Placement.FillsGap_ && Scope.OthersWithWholeModel_ < MinOtherDataCenters});
+                      Record->Report_.Orders_, Placement.FillsGap_, Placement.FromScratch_, Cuts});
   }
+  Turn.noteWaiting(Waits, Now);
   return Orders;
 }
 
+bool PlacementController::waitsForTurn(const LayerPlacement &Placement, LayerRange Held, bool Cuts,
+                                       bool Turn) {
+  if (Turn)
+    return false;
+  const bool GivesUpLayers = Held.Begin_ < Held.End_ && (Placement.Layers_.Begin_ > Held.Begin_ ||
+                                                         Placement.Layers_.End_ < Held.End_);
+  return Placement.FromScratch_ || (Cuts && GivesUpLayers);
+}
+
 std::vector<EndpointId> PlacementController::doubtfulEngines() const {
   std::vector<EndpointId> Doubtful;
   for (const auto &[Service, Losses] : Losses_)
@@ -176,6 +218,17 @@
   return Found == Losses_.end() ? nullptr : &Found->second;
 }
 
+const ReassignmentTurn *PlacementController::turn(const ServiceId &Service) const {
+  const auto Found = Turns_.find(Service);
+  return Found == Turns_.end() ? nullptr : &Found->second;
+}
+
+bool PlacementController::needsOtherStates() const {
+  return !doubtfulEngines().empty() ||
+         std::any_of(Turns_.begin(), Turns_.end(),
+                     [](const auto &Entry) { return Entry.second.lacksLayers(); });
+}
+
 void PlacementController::onOrderEnded(const PlacementOrder &Order, OrderOutcome Outcome,
                                        TimePoint Now) {
   const auto Found = Pending_.find(Order.Engine_);
--- a/Source/Core/Layers/PlacementController.h
+++ b/Source/Core/Layers/PlacementController.h
@@ -2,6 +2,7 @@
 
 #include "Core/Layers/LayerPlanner.h"
 #include "Core/Layers/LossConfirmation.h"
+#include "Core/Layers/ReassignmentTurn.h"
 #include "Core/Serving/EndpointRoster.h"
 
 #include <cstdint>
@@ -22,6 +23,8 @@
   std::uint64_t ExpectedOrders_ = 0;
   /// Whether the order covers layers that no engine of the data centre holds.
   bool FillsGap_ = false;
+  /// Whether it is one of the orders that assign all layers of the data centre from scratch.
+  bool FromScratch_ = false;
   /// Whether streams that use the layers to be given up are cut off instead of finishing first.
   /// They continue on other engines after a pause.
   bool CutsStreams_ = false;
@@ -65,7 +68,8 @@
 /// requests; otherwise the streams are cut off.
 ///
 /// An engine that is only doubtful (see LossConfirmation) keeps its layers in the plan and gets no
-/// order. Not thread-safe.
+/// order. Orders that assign all layers from scratch, or that interrupt streams, wait for other
+/// data centres that do the same; see ReassignmentTurn. Not thread-safe.
 class PlacementController {
 public:
   /// Starts the ownership with a fencing number, or ends it.
@@ -87,6 +91,11 @@
   std::vector<EndpointId> doubtfulEngines() const;
   /// The observation of a service's engines by this owner; null without ownership or before a tick.
   const LossConfirmation *losses(const ServiceId &Service) const;
+  /// The same for the turn of the data centre to reassign its layers.
+  const ReassignmentTurn *turn(const ServiceId &Service) const;
+  /// Whether the states of other data centres should be up to date, since layers may have to be
+  /// reassigned.
+  bool needsOtherStates() const;
 
 private:
   struct Pending {
@@ -109,6 +118,8 @@
   /// Whether planning should wait, since the engines have just started together and more of them
   /// may be about to appear.
   bool waitsForMoreEngines(const std::vector<PlannedEngine> &Engines, TimePoint Now);
+  /// Whether an order has to wait for the data centre's turn. Turn tells whether it has it.
+  static bool waitsForTurn(const LayerPlacement &Placement, LayerRange Held, bool Cuts, bool Turn);
   /// Whether a pending order no longer blocks its engine.
   bool isSettled(const Pending &Order, const EndpointRecord &Record, TimePoint Now) const;
   PlannedEngine plannedEngine(const LayeredModel &Model, const EndpointRecord &Record) const;
@@ -117,6 +128,7 @@
   std::map<EndpointId, Pending> Pending_;
   /// Of the services that this owner places; empty without ownership.
   std::map<ServiceId, LossConfirmation> Losses_;
+  std::map<ServiceId, ReassignmentTurn> Turns_;
   std::size_t EnginesSeen_ = 0;
   TimePoint EnginesChangedAt_{};
 };
--- a/Source/Gateway/PlacementCoordinator.cpp
+++ b/Source/Gateway/PlacementCoordinator.cpp
@@ -199,10 +199,27 @@
          Controller_.tick(*Service.Model_, Service.Id_, Scope, Use_.Roster_, Now))
       send(Order);
     reportLosses(Service.Id_);
+    reportTurn(Service.Id_);
   }
+  if (Controller_.needsOtherStates())
+    Use_.StateBroadcast_.noteRemoteUse();
   probeDoubtfulEngines();
 }
 
+void PlacementCoordinator::reportTurn(const ServiceId &Service) {
+  const ReassignmentTurn *Turn = Controller_.turn(Service);
+  if (!Turn || !Turn->change())
+    return;
+  const TurnChange &Change = *Turn->change();
+  if (!Change.Waits_)
+    Use_.Metrics_.observe("reassignment_wait_seconds", Home_.str(), Change.Waited_);
+  Use_.Log_.log(Change.Waits_ ? LogEvent::ReassignmentWaits : LogEvent::ReassignmentWaitEnded,
+                {{"data_center", Home_.str()},
+                 {"service", Service.str()},
+                 {"others", Change.Others_},
+                 {"waited_ms", Change.Waited_ / milliseconds(1)}});
+}
+
 void PlacementCoordinator::probeDoubtfulEngines() {
   if (Controller_.doubtfulEngines().empty() || std::exchange(DoubtTimerRuns_, true))
     return;
@@ -291,6 +308,7 @@
                                           {"fence", Order.Fence_.value()},
                                           {"expected_orders", Order.ExpectedOrders_},
                                           {"fills_gap", static_cast<int>(Order.FillsGap_)},
+                                          {"from_scratch", static_cast<int>(Order.FromScratch_)},
                                           {"cuts", static_cast<int>(Order.CutsStreams_)}});
   const EndpointRecord *Record = Use_.Roster_.find(Order.Engine_);
   const Incarnation ListedRun = Record ? Record->Listing_.Run_ : Incarnation(0);
--- a/Source/Gateway/PlacementCoordinator.h
+++ b/Source/Gateway/PlacementCoordinator.h
@@ -69,6 +69,8 @@
   /// Logs and counts which silent engines were lost and which answered, and when planning is
   /// suspended.
   void reportLosses(const ServiceId &Service);
+  /// Logs and counts for how long orders wait for other data centres.
+  void reportTurn(const ServiceId &Service);
   /// Logs and counts the steps of the recovery from a loss of engines.
   void trackRecovery(const LayeredModel &Model, const ServiceId &Service);
   void send(const PlacementOrder &Order);
--- a/Tests/Core/Layers/LossConfirmationTest.cpp
+++ b/Tests/Core/Layers/LossConfirmationTest.cpp
@@ -268,23 +268,13 @@
 
 namespace {
 
-/// Indices of the engines that hold a layer.
-std::vector<std::size_t> holders(const LossSimulation &Simulation, std::uint32_t Layer) {
-  std::vector<std::size_t> Found;
-  const std::vector<PlannedEngine> Layout = Simulation.layout(0);
-  for (std::size_t Index = 0; Index < Layout.size(); ++Index)
-    if (Layer >= Layout[Index].Layers_.Begin_ && Layer < Layout[Index].Layers_.End_)
-      Found.push_back(Index);
-  return Found;
-}
-
 /// How long a data centre lacks layers after the engines that hold a layer ended for good.
 Duration timeUntilWhole(const Deployment &Site, std::uint32_t Layer, bool Refuse,
                         std::optional<Duration> ReplaceOwnerAfter) {
   LossSimulation Simulation({Site});
   Simulation.setBusy(true);
   Simulation.run(1s);
-  for (const std::size_t Each : holders(Simulation, Layer))
+  for (const std::size_t Each : Simulation.holders(0, Layer))
     Simulation.end(0, Each, Refuse);
   BOOST_TEST(Simulation.tokens(0) == 0);
   Duration Time{};
@@ -333,7 +323,7 @@
     LossSimulation Simulation({Site});
     Simulation.setBusy(true);
     Simulation.run(1s);
-    const std::vector<std::size_t> Lost = holders(Simulation, 40);
+    const std::vector<std::size_t> Lost = Simulation.holders(0, 40);
     if (contains(Lost, First, 3))
       continue;
     Simulation.muffle(0, 3, 500ms, First);
@@ -398,7 +388,7 @@
   Simulation.run(1s);
   const TimePoint Since = Simulation.now();
   // The engines that hold a layer, and the slowest ones, which have the least memory.
-  std::vector<std::size_t> Lost = holders(Simulation, 40);
+  std::vector<std::size_t> Lost = Simulation.holders(0, 40);
   for (std::size_t Each = Simulation.engineCount(0); Lost.size() < mutedEngines(Simulation, 0.4);)
     if (std::find(Lost.begin(), Lost.end(), --Each) == Lost.end())
       Lost.push_back(Each);
--- a/Tests/Core/Layers/LossSimulation.h
+++ b/Tests/Core/Layers/LossSimulation.h
@@ -24,12 +24,16 @@
     PlacementOrder Order_;
     /// Whether the owner knew the engine as silent.
     bool ToSilentEngine_ = false;
+    /// The layers that the engine held before.
+    LayerRange Held_;
   };
 
-  /// States of engines of other data centres arrive with an interval of RemoteInterval.
+  /// States of engines arrive after ReportLag, those of other data centres with an interval of
+  /// RemoteInterval.
   explicit LossSimulation(const std::vector<Deployment> &Site,
-                          Duration RemoteInterval = std::chrono::seconds(3))
-      : Model_(makeModel(80)), RemoteInterval_(RemoteInterval) {
+                          Duration RemoteInterval = std::chrono::seconds(3),
+                          Duration ReportLag = std::chrono::milliseconds(200))
+      : Model_(makeModel(80)), RemoteInterval_(RemoteInterval), ReportLag_(ReportLag) {
     for (const Deployment &Each : Site) {
       auto Added = std::make_unique<DataCenter>();
       Added->Id_ = DataCenterId(Each.Name_);
@@ -92,6 +96,10 @@
   /// Owners poll each engine in each round, since all of them are busy, and not in every third one.
   void setBusy(bool Busy) { PolledRounds_ = Busy ? 1 : 3; }
 
+  /// The number of other data centres that owners believe to hold the whole model; with fewer than
+  /// two, they interrupt streams to close a gap.
+  void setOthersWithWholeModel(std::size_t Others) { OthersWithWholeModel_ = Others; }
+
   void run(Duration Time) { Queue_.run(Time); }
   TimePoint now() const { return Queue_.now(); }
   std::vector<PlannedEngine> layout(std::size_t Index) const {
@@ -102,7 +110,25 @@
     return Serving;
   }
   double tokens(std::size_t Index) const { return tokensInFlight(Model_, layout(Index)); }
+  /// Indices of the engines of the data centre that hold a layer.
+  std::vector<std::size_t> holders(std::size_t Index, std::uint32_t Layer) const {
+    std::vector<std::size_t> Found;
+    const std::vector<Engine> &Engines = DataCenters_[Index]->Engines_;
+    for (std::size_t Each = 0; Each < Engines.size(); ++Each)
+      if (Layer >= Engines[Each].State_.Layers_.Begin_ && Layer < Engines[Each].State_.Layers_.End_)
+        Found.push_back(Each);
+    return Found;
+  }
   std::size_t engineCount(std::size_t Index) const { return DataCenters_[Index]->Engines_.size(); }
+  /// Whether the engines that are left have memory for the whole model.
+  bool couldHoldModel(std::size_t Index) const {
+    const double MinTokenCapacity = 20'000;
+    std::uint32_t Total = 0;
+    for (const Engine &Each : DataCenters_[Index]->Engines_)
+      if (Each.Runs_)
+        Total += layerCapacity(Model_, *Each.State_.Kind_, MinTokenCapacity);
+    return Total >= Model_.Layers_;
+  }
   std::size_t mostLoads() const { return MostLoads_; }
   /// All orders since the start.
   const std::vector<GivenOrder> &orders() const { return Orders_; }
@@ -113,7 +139,6 @@
 
 private:
   static constexpr Duration TickInterval = std::chrono::milliseconds(200);
-  static constexpr Duration ReportLag = std::chrono::milliseconds(200);
   static constexpr Duration ProbeInterval = std::chrono::milliseconds(50);
   /// A poll and the probe after it take this long without an answer.
   static constexpr Duration SilenceTimeout = std::chrono::milliseconds(150);
@@ -162,10 +187,12 @@
         static_cast<std::size_t>(std::find_if(DataCenters_.begin(), DataCenters_.end(),
                                               [&](const auto &Each) { return Each.get() == &At; }) -
                                  DataCenters_.begin());
-    for (const PlacementOrder &Order : At.Owner_.tick(
-             Model_, Service_, {At.Id_, DataCenters_.size(), 2}, At.Roster_, Queue_.now())) {
-      Orders_.push_back(
-          {Queue_.now(), Index, Order, At.Roster_.find(Order.Engine_)->silent(Queue_.now())});
+    for (const PlacementOrder &Order :
+         At.Owner_.tick(Model_, Service_, {At.Id_, DataCenters_.size(), OthersWithWholeModel_},
+                        At.Roster_, Queue_.now())) {
+      Orders_.push_back({Queue_.now(), Index, Order,
+                         At.Roster_.find(Order.Engine_)->silent(Queue_.now()),
+                         At.Roster_.find(Order.Engine_)->layersOf(Model_)});
       At.Owner_.onOrderEnded(Order, take(At, Order), Queue_.now());
     }
   }
@@ -207,8 +234,13 @@
         Report->Layers_ = Report->Busy_ ? LayerRange{} : Each.State_.Layers_;
         Report->Orders_ = Each.Orders_;
       }
-      Queue_.after(ReportLag, [&To, Listing, Report, MeasuredAt = Queue_.now()] {
+      // Owners pass on which engines they find silent.
+      const EndpointRecord *Known = From.Roster_.find(Listing.Id_);
+      const bool Silent = &From != &To && Known && Known->silent(Queue_.now());
+      Queue_.after(ReportLag_, [this, &To, Listing, Report, Silent, MeasuredAt = Queue_.now()] {
         To.Roster_.updateListing(Listing, MeasuredAt);
+        if (Silent)
+          To.Roster_.markSilent(Listing.Id_, Queue_.now(), Queue_.now() + SilentHold);
         if (Report)
           To.Roster_.updateReport(Listing.Id_, *Report, MeasuredAt);
       });
@@ -284,11 +316,13 @@
   const ServiceId Service_{"model"};
   LayeredModel Model_;
   Duration RemoteInterval_;
+  Duration ReportLag_;
   EventQueue Queue_;
   std::vector<std::unique_ptr<DataCenter>> DataCenters_;
   TimePoint NextRemote_{};
   std::size_t MostLoads_ = 0;
   std::size_t PolledRounds_ = 3;
+  std::size_t OthersWithWholeModel_ = 2;
   std::vector<GivenOrder> Orders_;
 };
 
