Log sends of requests with a suspected part of a prompt

Cause: whether a request with a part under which engines crashed was sent, when, and what its gateway knew of the part, could not be told from the logs, so that the end of a quarantine, a gateway that does not know it and late sends look alike. SuspectSent states part, known crashes and the time since the last one. No change of logic.

--- a/Source/Core/Recovery/PromptQuarantine.cpp
+++ b/Source/Core/Recovery/PromptQuarantine.cpp
@@ -59,6 +59,18 @@
   return std::nullopt;
 }
 
+std::optional<SuspectedPart> PromptQuarantine::mostSuspected(const std::vector<PromptPartId> &Parts,
+                                                             TimePoint Now) const {
+  std::optional<SuspectedPart> Most;
+  for (const PromptPartId &Part : Parts) {
+    const auto Found = Suspects_.find(Part);
+    const std::size_t Crashes = Found == Suspects_.end() ? 0 : countCrashes(Found->second);
+    if (Crashes > (Most ? Most->Crashes_ : 0))
+      Most = SuspectedPart{Part, Crashes, Now - lastCrashAt(Found->second)};
+  }
+  return Most;
+}
+
 std::size_t PromptQuarantine::size(TimePoint Now) const {
   return static_cast<std::size_t>(
       std::count_if(Suspects_.begin(), Suspects_.end(), [&](const auto &Entry) {
@@ -157,15 +169,19 @@
   const std::size_t Crashes = countCrashes(Suspect);
   if (Crashes < crashLimit(Suspect))
     return std::nullopt;
-  TimePoint Last{};
-  for (const auto &[Id, Each] : Suspect.Crashes_)
-    if (!Each.Cleared_)
-      Last = std::max(Last, Each.At_);
   Duration Hold = Options_.HoldTime_;
   for (std::size_t Count = crashLimit(Suspect); Count < Crashes && Hold < Options_.MaxHoldTime_;
        ++Count)
     Hold *= 2;
-  return Last + std::min(Hold, Options_.MaxHoldTime_);
+  return lastCrashAt(Suspect) + std::min(Hold, Options_.MaxHoldTime_);
+}
+
+TimePoint PromptQuarantine::lastCrashAt(const Record &Suspect) {
+  TimePoint Last{};
+  for (const auto &[Id, Each] : Suspect.Crashes_)
+    if (!Each.Cleared_)
+      Last = std::max(Last, Each.At_);
+  return Last;
 }
 
 bool PromptQuarantine::isExplainedBy(const Record &Suspect, const Record &Other) {
--- a/Source/Core/Recovery/PromptQuarantine.h
+++ b/Source/Core/Recovery/PromptQuarantine.h
@@ -61,6 +61,12 @@
   Duration Remaining_{};
 };
 
+struct SuspectedPart {
+  PromptPartId Part_;
+  std::size_t Crashes_ = 0;
+  Duration SinceLastCrash_{};
+};
+
 /// Finds the part of prompts that crashes engines, so that requests with it are refused and not
 /// sent to one engine after the other.
 ///
@@ -88,6 +94,10 @@
   void onServed(const std::vector<PromptPartId> &Parts, TimePoint Now);
   /// The part for which a request with these parts must be refused; nothing if it may be sent.
   std::optional<QuarantinedPart> find(const std::vector<PromptPartId> &Parts, TimePoint Now) const;
+  /// Of these parts, the one with the most crashes that no answer has cleared; nothing if there is
+  /// none.
+  std::optional<SuspectedPart> mostSuspected(const std::vector<PromptPartId> &Parts,
+                                             TimePoint Now) const;
   /// The number of quarantined parts.
   std::size_t size(TimePoint Now) const;
   /// The number of crashes for which the part is suspected; 0 if it is not.
@@ -131,6 +141,8 @@
   /// Whether another suspect explains this one and has more crashes.
   bool isAccessory(const Record &Suspect) const;
   static std::size_t countUncleared(const Record &Suspect);
+  /// When the last crash was that is not cleared. Precondition: there is one.
+  static TimePoint lastCrashAt(const Record &Suspect);
   /// Clears the crashes until the time of an answer; returns whether one was not cleared before.
   static bool clear(Record &Suspect, TimePoint ServedAt);
   void mergeCrash(Record &Suspect, const EngineCrash &Other, TimePoint Now) const;
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -106,9 +106,24 @@
   logSend(Attempt_->Endpoint_,
           fmt::format("path {} in {}, reports up to {} ms old", pathText(Path_),
                       Choice.DataCenter_.str(), Choice.OldestReport_ / milliseconds(1)));
+  logSuspect();
   return true;
 }
 
+void StreamExchange::logSuspect() {
+  const auto Suspected =
+      Context_.Quarantine_.mostSuspected(Routed_.Caller_.SharedPromptParts_, Context_.Time_.now());
+  if (!Suspected)
+    return;
+  Context_.Log_.log(LogEvent::SuspectSent,
+                    {{"id", Routed_.Caller_.Id_.str()},
+                     {"endpoint", Attempt_->Endpoint_.str()},
+                     {"part", Suspected->Part_.str()},
+                     {"crashes", Suspected->Crashes_},
+                     {"last_crash_ms", Suspected->SinceLastCrash_ / milliseconds(1)},
+                     {"sends", Sends_}});
+}
+
 RetryPurpose StreamExchange::retryPurpose() const {
   const bool MayHaveRun =
       Started_ || MayHaveRun_ || !ResumeCause_.empty() || Routed_.Caller_.LastEvent_;
--- a/Source/Gateway/StreamExchange.h
+++ b/Source/Gateway/StreamExchange.h
@@ -84,6 +84,8 @@
   /// Continues the request on another path, or waits for one, or gives up.
   void continueElsewhere(bool MayHaveRun, std::string_view Cause);
   void logKept();
+  /// Logs a send of a request with a part of its prompt under which engines crashed.
+  void logSuspect();
   void giveUp();
   /// Whether the request may be sent once more; does not consider retry budget and paths.
   bool mayResend() const;
