--- a/Schemas/Gateway_generated.h
+++ b/Schemas/Gateway_generated.h
@@ -871,6 +871,8 @@
   std::string part{};
   bool served = false;
   std::vector<std::unique_ptr<rattancart::wire::EngineCrashT>> crashes{};
+  uint64_t trial = 0;
+  uint32_t trial_age_ms = 0;
   PromptSuspectT() = default;
   PromptSuspectT(const PromptSuspectT &o);
   PromptSuspectT(PromptSuspectT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -883,7 +885,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_PART = 4,
     VT_SERVED = 6,
-    VT_CRASHES = 8
+    VT_CRASHES = 8,
+    VT_TRIAL = 10,
+    VT_TRIAL_AGE_MS = 12
   };
   const flatbuffers::String *part() const {
     return GetPointer<const flatbuffers::String *>(VT_PART);
@@ -894,6 +898,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EngineCrash>> *crashes() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EngineCrash>> *>(VT_CRASHES);
   }
+  uint64_t trial() const {
+    return GetField<uint64_t>(VT_TRIAL, 0);
+  }
+  uint32_t trial_age_ms() const {
+    return GetField<uint32_t>(VT_TRIAL_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_PART) &&
@@ -902,6 +912,8 @@
            VerifyOffset(verifier, VT_CRASHES) &&
            verifier.VerifyVector(crashes()) &&
            verifier.VerifyVectorOfTables(crashes()) &&
+           VerifyField<uint64_t>(verifier, VT_TRIAL, 8) &&
+           VerifyField<uint32_t>(verifier, VT_TRIAL_AGE_MS, 4) &&
            verifier.EndTable();
   }
   PromptSuspectT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -922,6 +934,12 @@
   void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EngineCrash>>> crashes) {
     fbb_.AddOffset(PromptSuspect::VT_CRASHES, crashes);
   }
+  void add_trial(uint64_t trial) {
+    fbb_.AddElement<uint64_t>(PromptSuspect::VT_TRIAL, trial, 0);
+  }
+  void add_trial_age_ms(uint32_t trial_age_ms) {
+    fbb_.AddElement<uint32_t>(PromptSuspect::VT_TRIAL_AGE_MS, trial_age_ms, 0);
+  }
   explicit PromptSuspectBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -937,8 +955,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> part = 0,
     bool served = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EngineCrash>>> crashes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EngineCrash>>> crashes = 0,
+    uint64_t trial = 0,
+    uint32_t trial_age_ms = 0) {
   PromptSuspectBuilder builder_(_fbb);
+  builder_.add_trial(trial);
+  builder_.add_trial_age_ms(trial_age_ms);
   builder_.add_crashes(crashes);
   builder_.add_part(part);
   builder_.add_served(served);
@@ -949,14 +971,18 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *part = nullptr,
     bool served = false,
-    const std::vector<flatbuffers::Offset<rattancart::wire::EngineCrash>> *crashes = nullptr) {
+    const std::vector<flatbuffers::Offset<rattancart::wire::EngineCrash>> *crashes = nullptr,
+    uint64_t trial = 0,
+    uint32_t trial_age_ms = 0) {
   auto part__ = part ? _fbb.CreateString(part) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::EngineCrash>>(*crashes) : 0;
   return rattancart::wire::CreatePromptSuspect(
       _fbb,
       part__,
       served,
-      crashes__);
+      crashes__,
+      trial,
+      trial_age_ms);
 }
 
 flatbuffers::Offset<PromptSuspect> CreatePromptSuspect(flatbuffers::FlatBufferBuilder &_fbb, const PromptSuspectT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2208,7 +2234,9 @@
 
 inline PromptSuspectT::PromptSuspectT(const PromptSuspectT &o)
       : part(o.part),
-        served(o.served) {
+        served(o.served),
+        trial(o.trial),
+        trial_age_ms(o.trial_age_ms) {
   crashes.reserve(o.crashes.size());
   for (const auto &crashes_ : o.crashes) { crashes.emplace_back((crashes_) ? new rattancart::wire::EngineCrashT(*crashes_) : nullptr); }
 }
@@ -2217,6 +2245,8 @@
   std::swap(part, o.part);
   std::swap(served, o.served);
   std::swap(crashes, o.crashes);
+  std::swap(trial, o.trial);
+  std::swap(trial_age_ms, o.trial_age_ms);
   return *this;
 }
 
@@ -2232,6 +2262,8 @@
   { auto _e = part(); if (_e) _o->part = _e->str(); }
   { auto _e = served(); _o->served = _e; }
   { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<rattancart::wire::EngineCrashT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = trial(); _o->trial = _e; }
+  { auto _e = trial_age_ms(); _o->trial_age_ms = _e; }
 }
 
 inline flatbuffers::Offset<PromptSuspect> PromptSuspect::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PromptSuspectT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2245,11 +2277,15 @@
   auto _part = _o->part.empty() ? 0 : _fbb.CreateString(_o->part);
   auto _served = _o->served;
   auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::EngineCrash>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateEngineCrash(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _trial = _o->trial;
+  auto _trial_age_ms = _o->trial_age_ms;
   return rattancart::wire::CreatePromptSuspect(
       _fbb,
       _part,
       _served,
-      _crashes);
+      _crashes,
+      _trial,
+      _trial_age_ms);
 }
 
 inline PromptReportT::PromptReportT(const PromptReportT &o) {
--- a/Source/Core/Common/Ids.h
+++ b/Source/Core/Common/Ids.h
@@ -46,5 +46,7 @@
 /// Orders to endpoints carry a fencing number. An endpoint that checks it refuses orders with a
 /// lower number than the highest that it has seen.
 using FencingNumber = StrongNumber<struct FencingTag, std::int64_t>;
+/// Counts the turns at something that one process of the deployment at a time may do, from 1.
+using TurnNumber = StrongNumber<struct TurnTag>;
 
 } // namespace rattancart
--- a/Source/Core/Recovery/PromptQuarantine.cpp
+++ b/Source/Core/Recovery/PromptQuarantine.cpp
@@ -16,6 +16,8 @@
 void PromptQuarantine::onCrash(const std::vector<PromptPartId> &Parts, const EndpointId &Engine,
                                Incarnation Run, TimePoint Now) {
   bool Changed = false;
+  // Old crashes don't count towards the limit together with a new one.
+  forgetOldCrashes(Now);
   for (const PromptPartId &Part : Parts) {
     Record &Suspect = Suspects_[Part];
     Suspect.Served_ = Suspect.Served_ || ServedAt_.contains(Part);
@@ -24,7 +26,6 @@
     report(Suspect, Now);
     Changed = true;
   }
-  forgetOldCrashes(Now);
   limitSuspects();
   if (Changed && ReportHandler_)
     ReportHandler_();
@@ -48,15 +49,35 @@
 
 std::optional<QuarantinedPart> PromptQuarantine::find(const std::vector<PromptPartId> &Parts,
                                                       TimePoint Now) const {
+  std::optional<QuarantinedPart> Due;
   for (const PromptPartId &Part : Parts) {
     const auto Found = Suspects_.find(Part);
-    if (Found == Suspects_.end())
+    if (Found == Suspects_.end() || !isQuarantined(Found->second) ||
+        isExplainedByOther(Found->second, Parts))
       continue;
-    const auto Until = quarantinedUntil(Found->second);
-    if (Until && Now < *Until && !isExplainedByOther(Found->second, Parts))
-      return QuarantinedPart{Part, *Until - Now};
+    const Duration Remaining = trialDueAt(Found->second) - Now;
+    if (Remaining > Duration{})
+      return QuarantinedPart{Part, Remaining, false, Found->second.Trial_};
+    if (!Due)
+      Due = QuarantinedPart{Part, Duration{}, true, Found->second.Trial_};
   }
-  return std::nullopt;
+  return Due;
+}
+
+void PromptQuarantine::onTrialRequested(const PromptPartId &Part, TimePoint Now) {
+  if (const auto Found = Suspects_.find(Part); Found != Suspects_.end())
+    Found->second.ClaimAfter_ = Now + Options_.ClaimRetryTime_;
+}
+
+void PromptQuarantine::onTrialClaimed(const PromptPartId &Part, TurnNumber Trial, TimePoint Now) {
+  const auto Found = Suspects_.find(Part);
+  if (Found == Suspects_.end() || Trial <= Found->second.Trial_)
+    return;
+  Found->second.Trial_ = Trial;
+  Found->second.TrialAt_ = Now;
+  report(Found->second, Now);
+  if (ReportHandler_)
+    ReportHandler_();
 }
 
 std::optional<SuspectedPart> PromptQuarantine::mostSuspected(const std::vector<PromptPartId> &Parts,
@@ -71,12 +92,10 @@
   return Most;
 }
 
-std::size_t PromptQuarantine::size(TimePoint Now) const {
+std::size_t PromptQuarantine::size() const {
   return static_cast<std::size_t>(
-      std::count_if(Suspects_.begin(), Suspects_.end(), [&](const auto &Entry) {
-        const auto Until = quarantinedUntil(Entry.second);
-        return Until && Now < *Until;
-      }));
+      std::count_if(Suspects_.begin(), Suspects_.end(),
+                    [this](const auto &Entry) { return isQuarantined(Entry.second); }));
 }
 
 std::size_t PromptQuarantine::crashCount(const PromptPartId &Part) const {
@@ -86,11 +105,19 @@
 
 void PromptQuarantine::merge(const std::vector<PromptSuspect> &Suspects, TimePoint Now) {
   bool Changed = false;
+  forgetOldCrashes(Now);
   for (const PromptSuspect &Other : Suspects) {
     Record &Suspect = Suspects_[Other.Part_];
     Suspect.Served_ = Suspect.Served_ || Other.Served_;
+    const Duration Retention = retentionTime(toRecord(Other));
     for (const EngineCrash &Each : Other.Crashes_)
-      mergeCrash(Suspect, Each, Now);
+      if (Now - Each.At_ < Retention)
+        mergeCrash(Suspect, Each, Now);
+    if (Other.Trial_ > Suspect.Trial_) {
+      Suspect.Trial_ = Other.Trial_;
+      Suspect.TrialAt_ = Other.TrialAt_;
+      Suspect.ChangedAt_ = Now;
+    }
     // The others know already what was to be reported.
     if (Other.Served_ && countUncleared(Suspect) == 0)
       Suspect.Reports_ = 0;
@@ -103,15 +130,12 @@
     if (clear(Suspect, ServedHere->second) || NewlyServed)
       Changed = reportCleared(Suspect, NearLimit, Now) || Changed;
   }
-  forgetOldCrashes(Now);
   limitSuspects();
   if (Changed && ReportHandler_)
     ReportHandler_();
 }
 
-void PromptQuarantine::mergeCrash(Record &Suspect, const EngineCrash &Other, TimePoint Now) const {
-  if (Now - Other.At_ >= Options_.RetentionTime_)
-    return;
+void PromptQuarantine::mergeCrash(Record &Suspect, const EngineCrash &Other, TimePoint Now) {
   const auto [Known, New] =
       Suspect.Crashes_.try_emplace({Other.Engine_, Other.Run_}, Crash{Other.At_, Other.Cleared_});
   if (New || (Other.Cleared_ && !Known->second.Cleared_))
@@ -165,15 +189,14 @@
   return Count;
 }
 
-std::optional<TimePoint> PromptQuarantine::quarantinedUntil(const Record &Suspect) const {
+TimePoint PromptQuarantine::trialDueAt(const Record &Suspect) const {
   const std::size_t Crashes = countCrashes(Suspect);
-  if (Crashes < crashLimit(Suspect))
-    return std::nullopt;
   Duration Hold = Options_.HoldTime_;
   for (std::size_t Count = crashLimit(Suspect); Count < Crashes && Hold < Options_.MaxHoldTime_;
        ++Count)
     Hold *= 2;
-  return lastCrashAt(Suspect) + std::min(Hold, Options_.MaxHoldTime_);
+  const TimePoint Since = std::max(lastCrashAt(Suspect), Suspect.TrialAt_);
+  return std::max(Since + std::min(Hold, Options_.MaxHoldTime_) + TrialDelay_, Suspect.ClaimAfter_);
 }
 
 TimePoint PromptQuarantine::lastCrashAt(const Record &Suspect) {
@@ -195,7 +218,7 @@
                                           const std::vector<PromptPartId> &Parts) const {
   return std::any_of(Suspects_.begin(), Suspects_.end(), [&](const auto &Entry) {
     return std::find(Parts.begin(), Parts.end(), Entry.first) == Parts.end() &&
-           quarantinedUntil(Entry.second) && isExplainedBy(Suspect, Entry.second);
+           isQuarantined(Entry.second) && isExplainedBy(Suspect, Entry.second);
   });
 }
 
@@ -237,8 +260,8 @@
 
 void PromptQuarantine::forgetOldCrashes(TimePoint Now) {
   for (auto &[Part, Suspect] : Suspects_)
-    std::erase_if(Suspect.Crashes_, [&](const auto &Entry) {
-      return Now - Entry.second.At_ >= Options_.RetentionTime_;
+    std::erase_if(Suspect.Crashes_, [&, Retention = retentionTime(Suspect)](const auto &Entry) {
+      return Now - Entry.second.At_ >= Retention;
     });
 }
 
@@ -266,8 +289,16 @@
   ServedOrder_.erase(ServedOrder_.begin());
 }
 
+PromptQuarantine::Record PromptQuarantine::toRecord(const PromptSuspect &Shared) {
+  Record Suspect;
+  Suspect.Served_ = Shared.Served_;
+  for (const EngineCrash &Each : Shared.Crashes_)
+    Suspect.Crashes_.try_emplace({Each.Engine_, Each.Run_}, Crash{Each.At_, Each.Cleared_});
+  return Suspect;
+}
+
 PromptSuspect PromptQuarantine::toShared(const PromptPartId &Part, const Record &Suspect) const {
-  PromptSuspect Shared{Part, Suspect.Served_, {}};
+  PromptSuspect Shared{Part, Suspect.Served_, {}, Suspect.Trial_, Suspect.TrialAt_};
   for (const auto &[Id, Each] : Suspect.Crashes_)
     Shared.Crashes_.push_back({Id.first, Id.second, Each.At_, Each.Cleared_});
   std::sort(Shared.Crashes_.begin(), Shared.Crashes_.end(),
--- a/Source/Core/Recovery/PromptQuarantine.h
+++ b/Source/Core/Recovery/PromptQuarantine.h
@@ -3,7 +3,9 @@
 #include "Core/Common/Clock.h"
 #include "Core/Common/Ids.h"
 
+#include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -22,13 +24,17 @@
   /// Engines that end together have a common cause outside of the prompts, so their crashes count
   /// once.
   Duration SameCrashTime_ = std::chrono::milliseconds(60);
-  /// How long after the last crash a part is quarantined that has just reached its limit. Each
-  /// further crash doubles the time, up to the maximum. The first crash after that time quarantines
-  /// the part again at once.
+  /// Time from the last crash, or the last trial, to the next trial of a part that has just reached
+  /// its limit. Each further crash doubles the time, up to the maximum.
   Duration HoldTime_ = std::chrono::minutes(1);
   Duration MaxHoldTime_ = std::chrono::minutes(10);
-  /// Crashes are forgotten after this time.
+  /// Time after which a trial is due again here if it could not be claimed.
+  Duration ClaimRetryTime_ = std::chrono::seconds(10);
+  /// Part of the time between the first and the last gateway that may claim a trial.
+  Duration TrialDelayPerGateway_ = std::chrono::milliseconds(20);
+  /// Crashes are forgotten after this time, those of quarantined parts later.
   Duration RetentionTime_ = std::chrono::minutes(20);
+  Duration QuarantineRetentionTime_ = std::chrono::hours(24);
   /// Maximum number of parts of which crashes, or answers, are remembered.
   std::size_t MaxSuspects_ = 128;
   std::size_t MaxServedParts_ = 4096;
@@ -54,11 +60,19 @@
   /// An answer to a request with the part was seen at some time.
   bool Served_ = false;
   std::vector<EngineCrash> Crashes_;
+  /// The last trial that a gateway claimed, and when; 0 if there was none.
+  TurnNumber Trial_{0};
+  TimePoint TrialAt_{};
 };
 
 struct QuarantinedPart {
   PromptPartId Part_;
+  /// Time until the part is tried again.
   Duration Remaining_{};
+  /// The trial is due: one request with the part may be sent by the gateway that claims the turn
+  /// after LastTrial_.
+  bool TrialDue_ = false;
+  TurnNumber LastTrial_{0};
 };
 
 struct SuspectedPart {
@@ -82,6 +96,11 @@
 /// alone is answered. So such requests are let through as long as another part, which they don't
 /// have, explains all crashes.
 ///
+/// A quarantine ends only by an answer. If it ended by time, all gateways would send the requests
+/// that come meanwhile before the next crash is known. So after some time one request of all
+/// gateways is a trial: sent by the gateway that claims the turn. A trial without a known outcome,
+/// since its gateway was lost, counts as failed.
+///
 /// Not thread-safe.
 class PromptQuarantine {
 public:
@@ -92,14 +111,27 @@
                TimePoint Now);
   /// The first event of an answer to a request with these parts has arrived.
   void onServed(const std::vector<PromptPartId> &Parts, TimePoint Now);
-  /// The part for which a request with these parts must be refused; nothing if it may be sent.
+  /// The part for which a request with these parts must be refused, or be a trial; nothing if it
+  /// may be sent. If a trial is due, no other part stands against it.
   std::optional<QuarantinedPart> find(const std::vector<PromptPartId> &Parts, TimePoint Now) const;
+  /// This gateway is about to claim the next trial of the part. Until the outcome is known, or for
+  /// ClaimRetryTime_, no further trial is due here.
+  void onTrialRequested(const PromptPartId &Part, TimePoint Now);
+  /// This or another gateway has claimed a trial of the part. Does nothing for an older trial than
+  /// the last one known, or a part that is not suspected.
+  void onTrialClaimed(const PromptPartId &Part, TurnNumber Trial, TimePoint Now);
+  /// Lets this gateway claim a trial later than others, so that most of many gateways hear of the
+  /// trial before they would claim it. Position is this gateway's among them, in [0, 1).
+  void spreadTrials(std::uint32_t Gateways, double Position) {
+    TrialDelay_ = std::chrono::duration_cast<Duration>(Options_.TrialDelayPerGateway_ *
+                                                       (Gateways * Position));
+  }
   /// Of these parts, the one with the most crashes that no answer has cleared; nothing if there is
   /// none.
   std::optional<SuspectedPart> mostSuspected(const std::vector<PromptPartId> &Parts,
                                              TimePoint Now) const;
   /// The number of quarantined parts.
-  std::size_t size(TimePoint Now) const;
+  std::size_t size() const;
   /// The number of crashes for which the part is suspected; 0 if it is not.
   std::size_t crashCount(const PromptPartId &Part) const;
 
@@ -123,6 +155,10 @@
   struct Record {
     bool Served_ = false;
     std::map<CrashId, Crash> Crashes_;
+    TurnNumber Trial_{0};
+    TimePoint TrialAt_{};
+    /// No trial is due here until then.
+    TimePoint ClaimAfter_{};
     TimePoint ChangedAt_{};
     /// How often the record is still to be reported.
     int Reports_ = 0;
@@ -132,8 +168,14 @@
     return Suspect.Served_ ? Options_.ServedCrashLimit_ : Options_.CrashLimit_;
   }
   std::size_t countCrashes(const Record &Suspect) const;
-  /// When the quarantine of the part ends; nothing if it is not quarantined.
-  std::optional<TimePoint> quarantinedUntil(const Record &Suspect) const;
+  bool isQuarantined(const Record &Suspect) const {
+    return countCrashes(Suspect) >= crashLimit(Suspect);
+  }
+  /// When the next trial of a quarantined part is due.
+  TimePoint trialDueAt(const Record &Suspect) const;
+  Duration retentionTime(const Record &Suspect) const {
+    return isQuarantined(Suspect) ? Options_.QuarantineRetentionTime_ : Options_.RetentionTime_;
+  }
   /// Whether all crashes of the first record that are not cleared are crashes of the second one.
   static bool isExplainedBy(const Record &Suspect, const Record &Other);
   /// Whether a suspect that is not among the parts explains this one.
@@ -145,7 +187,7 @@
   static TimePoint lastCrashAt(const Record &Suspect);
   /// Clears the crashes until the time of an answer; returns whether one was not cleared before.
   static bool clear(Record &Suspect, TimePoint ServedAt);
-  void mergeCrash(Record &Suspect, const EngineCrash &Other, TimePoint Now) const;
+  static void mergeCrash(Record &Suspect, const EngineCrash &Other, TimePoint Now);
   /// Marks the record to be reported.
   static void report(Record &Suspect, TimePoint Now);
   /// Records that crashes of the suspect were cleared here. Returns whether others need to know at
@@ -158,6 +200,7 @@
   /// Removes the records with the fewest crashes and the oldest changes if there are too many.
   void limitSuspects();
   void rememberServed(const PromptPartId &Part, TimePoint Now);
+  static Record toRecord(const PromptSuspect &Shared);
   PromptSuspect toShared(const PromptPartId &Part, const Record &Suspect) const;
 
   PromptQuarantineOptions Options_;
@@ -166,6 +209,7 @@
   std::map<PromptPartId, TimePoint> ServedAt_;
   std::set<std::pair<TimePoint, PromptPartId>> ServedOrder_;
   std::function<void()> ReportHandler_;
+  Duration TrialDelay_{};
 };
 
 } // namespace rattancart
--- a/Source/Gateway/DatagramCodec.cpp
+++ b/Source/Gateway/DatagramCodec.cpp
@@ -70,6 +70,9 @@
       Crash->cleared = Each.Cleared_;
       Entry->crashes.push_back(std::move(Crash));
     }
+    Entry->trial = Suspect.Trial_.value();
+    if (Suspect.Trial_ != TurnNumber(0))
+      Entry->trial_age_ms = static_cast<std::uint32_t>((Now - Suspect.TrialAt_) / milliseconds(1));
     Encoded.push_back(std::move(Entry));
   }
   return Encoded;
@@ -80,7 +83,11 @@
   for (const auto &Entry : Encoded) {
     if (!Entry)
       continue;
-    PromptSuspect Suspect{PromptPartId(Entry->part), Entry->served, {}};
+    PromptSuspect Suspect{PromptPartId(Entry->part),
+                          Entry->served,
+                          {},
+                          TurnNumber(Entry->trial),
+                          Now - milliseconds(Entry->trial_age_ms)};
     for (const auto &Crash : Entry->crashes)
       if (Crash)
         Suspect.Crashes_.push_back({EndpointId(Crash->engine), Incarnation(Crash->run),
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -9,8 +9,6 @@
 
 using std::chrono::milliseconds;
 
-/// A send that needed a permission is not handed to its connection later than this: after a pause
-/// of the process, the permission may have run out. Connections open sooner.
 constexpr Duration PermissionLifetime = milliseconds(500);
 
 std::int64_t millis(Duration Time) { return Time / milliseconds(1); }
@@ -80,6 +78,10 @@
 
 Duration Exchange::timeLeft() const { return Deadline_ - Context_.Time_.now(); }
 
+bool Exchange::isPermissionValid(TimePoint GivenAt) const {
+  return Context_.Time_.now() - GivenAt <= PermissionLifetime;
+}
+
 ForwardOptions Exchange::forwardOptions() const {
   ForwardOptions Options;
   Options.TimeBudget_ = timeLeft();
@@ -217,14 +219,14 @@
 }
 
 bool Exchange::mayHandOver(const Attempt &Sent) {
-  if (!Sent.Live_)
+  if (!Sent.Live_ || !mayStillBeSent(Sent))
     return false;
-  if (Context_.Time_.now() - Sent.SentAt_ > PermissionLifetime && !mayHandOverLate(Sent))
+  if (!isPermissionValid(Sent.SentAt_) && !mayHandOverLate(Sent))
     return false;
   if (!Sent.RetryTakenAt_)
     return true;
   const Duration Age = Context_.Time_.now() - *Sent.RetryTakenAt_;
-  if (Age > PermissionLifetime && !tryTakeRetry("late", Sent.RetryPurpose_))
+  if (!isPermissionValid(*Sent.RetryTakenAt_) && !tryTakeRetry("late", Sent.RetryPurpose_))
     return false;
   Context_.Log_.log(LogEvent::RepeatHandedOver, {{"id", Routed_.Caller_.Id_.str()},
                                                  {"endpoint", Sent.Endpoint_.str()},
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -95,6 +95,8 @@
   /// Text of the field "detail" in the last log line of the request.
   virtual std::string endDetail() const { return "-"; }
 
+  /// Whether an attempt whose connection has opened may still be handed to it.
+  virtual bool mayStillBeSent(const Attempt & /*Sent*/) const { return true; }
   /// Sends the request to an endpoint. Done is called when the attempt ends, unless it is
   /// cancelled.
   AttemptPtr send(const EndpointRecord &Endpoint, ForwardOptions Options, ConnectionUse Use,
@@ -110,6 +112,9 @@
   std::uint32_t priority() const { return Routed_.priority(); }
   /// Time until the deadline of the request.
   Duration timeLeft() const;
+  /// Whether a permission that was given at this time, to send something, may still be used. After
+  /// a pause of the process it may have run out. Connections open sooner.
+  bool isPermissionValid(TimePoint GivenAt) const;
   /// Whether the limit that the endpoint names lets the request be sent to it. Call it once for
   /// each endpoint that the request would be sent to. A lower priority value is preferred.
   bool tryAdmit(const EndpointRecord &Endpoint, std::uint32_t Priority);
--- a/Source/Gateway/GatewayContext.h
+++ b/Source/Gateway/GatewayContext.h
@@ -13,6 +13,7 @@
 #include "Gateway/EndpointProtocol.h"
 #include "Gateway/EngineHealthMonitor.h"
 #include "Gateway/ResponseLimits.h"
+#include "Gateway/TurnStore.h"
 #include "Net/HttpSender.h"
 #include "Process/MetricSet.h"
 
@@ -58,6 +59,9 @@
   /// Null if endpoints that have started or recovered are not treated differently.
   EndpointSlowStart *SlowStart_ = nullptr;
 
+  /// Hands out the trials of quarantined parts of prompts. Null if no such part is ever tried.
+  TurnStore *Turns_ = nullptr;
+
   /// A random number in [0, 1).
   double randomFraction() { return std::uniform_real_distribution<double>(0, 1)(Random_); }
 };
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -74,7 +74,8 @@
       Paths_(Roster_, Settings_.Process_.DataCenter_), Retries_(Settings_.Retries_, Time.now()),
       CountEstimator_(Settings_.DataCenters_, Settings_.Process_.DataCenter_,
                       GatewayCountOptions::forWindow(Settings_.Retries_.Window_)),
-      Limiter_(Random_), Datagrams_(Loop_, Log, Metrics_), SlowStart_(Settings_.SlowStart_),
+      TrialPosition_(std::uniform_real_distribution<double>(0, 1)(Random_)), Limiter_(Random_),
+      Datagrams_(Loop_, Log, Metrics_), SlowStart_(Settings_.SlowStart_),
       StateBroadcast_(Loop_, Time, Log, Datagrams_, *Store_, Roster_, CountEstimator_, Quarantine_,
                       Limiter_, Settings_.Process_.DataCenter_, Settings_.DataCenters_),
       StoreRelay_({Loop_, Time, Log, Metrics_, *Store_, Datagrams_, StateBroadcast_},
@@ -137,6 +138,7 @@
 
 void GatewayProcess::subscribeToEngineEvents() {
   Context_.SlowStart_ = &SlowStart_;
+  Context_.Turns_ = Store_.get();
   Paths_.setSlowStart(&SlowStart_);
   takeSlowStartOptions(Settings_.SlowStart_);
   Context_.OnNoPathAtHome_ = [this] { StateBroadcast_.noteRemoteUse(); };
@@ -276,6 +278,8 @@
             {"before", Retries_.processes().value_or(0)},
             {"doubt", Count.UnknownReason_.empty() ? "-" : Count.UnknownReason_}});
   Retries_.setProcesses(Count.Gateways_);
+  if (Count.Gateways_)
+    Quarantine_.spreadTrials(*Count.Gateways_, TrialPosition_);
   Limiter_.setGateways(Count.Gateways_);
   Roster_.setGateways(Count.Gateways_);
   SlowStart_.setGateways(Count.Gateways_);
@@ -479,7 +483,7 @@
   for (const auto &[Key, Count] : AdmissionQueue_.sizeByClass())
     Gauges.add("waiting_by_class", static_cast<double>(Count),
                {{"service", Key.first.str()}, {"class", std::to_string(Key.second.value())}});
-  Gauges.add("prompts_quarantined", static_cast<double>(Quarantine_.size(Time_.now())));
+  Gauges.add("prompts_quarantined", static_cast<double>(Quarantine_.size()));
   Gauges.add("store_reachable", StoreReachable_ ? 1 : 0);
   Gauges.add("owns_placement", PlacementCoordinator_.owns() ? 1 : 0);
   Gauges.add("resident_bytes", static_cast<double>(residentBytes()));
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -96,6 +96,8 @@
   GatewayCountEstimator CountEstimator_;
   StreamAdmissionQueue AdmissionQueue_;
   PromptQuarantine Quarantine_;
+  /// See PromptQuarantine::spreadTrials.
+  double TrialPosition_;
   EndpointLimiter Limiter_;
   DatagramSocket Datagrams_;
   EndpointSlowStart SlowStart_;
--- a/Source/Gateway/MetadataStore.h
+++ b/Source/Gateway/MetadataStore.h
@@ -3,6 +3,7 @@
 #include "Core/Membership/ListRelay.h"
 #include "Core/Serving/EndpointRoster.h"
 #include "Core/Serving/ServingConfig.h"
+#include "Gateway/TurnStore.h"
 
 #include <functional>
 #include <optional>
@@ -35,15 +36,14 @@
 };
 
 /// Client of the platform's store, which holds the operators' configuration, the list of endpoints,
-/// and groups that decide which process owns a duty. Not thread-safe.
-class MetadataStore {
+/// groups that decide which process owns a duty, and turns. Not thread-safe.
+class MetadataStore : public TurnStore {
 public:
   using JoinDone = std::function<void(std::optional<Membership>, std::error_code)>;
   /// Receives the member that owns the duty, an empty name if none does, or nothing if the store
   /// did not answer.
   using OwnerDone = std::function<void(std::optional<std::string>)>;
 
-  virtual ~MetadataStore() = default;
   /// Lets Relay decide when the store is read, and reports to it what was read. Precondition:
   /// called before follow(), and Relay outlives the store.
   virtual void shareReads(ListRelay &Relay) = 0;
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -34,9 +34,22 @@
 /// Range of the Retry-After when the limits of the engines leave no room.
 constexpr Duration MinLimitRetryAfter = milliseconds(400);
 constexpr Duration MaxLimitRetryAfter = milliseconds(1500);
+constexpr Duration MinQuarantineRetryAfter = milliseconds(1000);
 /// A request after which this many engines ended as they began to answer it is not sent again.
 constexpr std::uint32_t MaxEngineEndsAtStart = 2;
 
+const char *turnOutcomeName(TurnOutcome Outcome) {
+  switch (Outcome) {
+  case TurnOutcome::Granted:
+    return "granted";
+  case TurnOutcome::Taken:
+    return "taken";
+  case TurnOutcome::Unknown:
+    break;
+  }
+  return "unknown";
+}
+
 std::string pathText(const LayerPath &Path) {
   std::string Text;
   for (const PathStage &Stage : Path.Stages_)
@@ -49,8 +62,75 @@
 
 void StreamExchange::begin() {
   LastEvent_ = Routed_.Caller_.LastEvent_;
+  const auto Quarantined = quarantinedPart();
+  if (Quarantined && Quarantined->TrialDue_ && Context_.Turns_)
+    return requestTrial(*Quarantined);
+  if (Quarantined)
+    return refuseWithoutPath();
+  place();
+}
+
+void StreamExchange::requestTrial(const QuarantinedPart &Part) {
+  const TimePoint Now = Context_.Time_.now();
+  Trial_ = Trial{Part.Part_, Part.LastTrial_, Now, false};
+  Context_.Quarantine_.onTrialRequested(Part.Part_, Now);
+  Context_.Turns_->claimTurn(
+      Part.Part_.str(), Part.LastTrial_,
+      [&Context = Context_, Part = Part.Part_,
+       Weak = std::weak_ptr(std::static_pointer_cast<StreamExchange>(shared_from_this()))](
+          const TurnClaim &Claim) {
+        Context.Metrics_.count("prompt_trial_claims_total", turnOutcomeName(Claim.Outcome_));
+        // Others need to know of a trial that is granted too late to be used as well.
+        if (Claim.Outcome_ != TurnOutcome::Unknown)
+          Context.Quarantine_.onTrialClaimed(Part, Claim.Turn_, Context.Time_.now());
+        if (const auto Self = Weak.lock(); Self && !Self->ended() && Self->awaitsTrialClaim())
+          Self->onTrialClaim(Claim);
+      });
+}
+
+void StreamExchange::onTrialClaim(const TurnClaim &Claim) {
+  if (Claim.Outcome_ != TurnOutcome::Granted || !isPermissionValid(Trial_->RequestedAt_))
+    return endTrialRequest();
+  Trial_->Turn_ = Claim.Turn_;
+  Trial_->Granted_ = true;
+  Context_.Log_.log(LogEvent::PromptTrialBegan, {{"id", Routed_.Caller_.Id_.str()},
+                                                 {"part", Trial_->Part_.str()},
+                                                 {"trial", Claim.Turn_.value()}});
+  place();
+}
+
+void StreamExchange::endTrialRequest() {
+  Trial_.reset();
   if (quarantinedPart())
     return refuseWithoutPath();
+  // The trial of another request was answered meanwhile.
+  place();
+}
+
+bool StreamExchange::isTrialOpen() const {
+  if (!Trial_ || !Trial_->Granted_)
+    return false;
+  return Sends_ == 0 ? isPermissionValid(Trial_->RequestedAt_) : attemptIsLive();
+}
+
+void StreamExchange::logTrialEnd(std::string_view Outcome) {
+  if (!Trial_ || !Trial_->Granted_)
+    return;
+  Context_.Metrics_.count("prompt_trials_total", Outcome);
+  Context_.Log_.log(LogEvent::PromptTrialEnded, {{"id", Routed_.Caller_.Id_.str()},
+                                                 {"part", Trial_->Part_.str()},
+                                                 {"trial", Trial_->Turn_.value()},
+                                                 {"outcome", Outcome}});
+}
+
+bool StreamExchange::mayStillBeSent(const Attempt &Sent) const {
+  // A process that stood still may have missed that the next trial is another gateway's.
+  if (Trial_ && !Started_ && !isPermissionValid(Sent.SentAt_))
+    return false;
+  return !quarantinedPart();
+}
+
+void StreamExchange::place() {
   Placement_.noteArrival();
   // Requests that are already queued go first.
   const TimePoint Now = Context_.Time_.now();
@@ -165,9 +245,15 @@
   return Placement_.isOrderedByClass() && !BudgetSpent_ && Placement_.enterQueue();
 }
 
+Duration StreamExchange::quarantineRetryAfter(const QuarantinedPart &Part) {
+  // Callers return after the trial, and not all at once.
+  const Duration Least = std::max(Part.Remaining_, MinQuarantineRetryAfter);
+  return randomDuration(Least, Least + Least / 4);
+}
+
 void StreamExchange::refuseWithoutPath() {
   if (const auto Quarantined = quarantinedPart())
-    return refuse(503, ErrorCode::PromptQuarantined, Quarantined->Remaining_);
+    return refuse(503, ErrorCode::PromptQuarantined, quarantineRetryAfter(*Quarantined));
   if (BudgetSpent_)
     return refuse(503, ErrorCode::RetryBudgetSpent, Placement_.retryAfter(Context_.Time_.now()));
   Placement_.logShortage("refused");
@@ -265,6 +351,7 @@
                               Monitor_.firstEventAt() - Routed_.ArrivedAt_);
     Placement_.onFirstEvent(Monitor_.firstEventAt() - Attempt_->SentAt_);
     Context_.Quarantine_.onServed(Routed_.Caller_.SharedPromptParts_, Now);
+    logTrialEnd("served");
     for (const PathStage &Stage : Path_.Stages_)
       noteAnswered(Stage.Engine_, Attempt_->SentAt_);
     Routed_.Responder_->startChunked(Context_.Protocol_.responseForCaller(Attempt_->Head_));
@@ -407,6 +494,7 @@
 void StreamExchange::noteCrash(const EndpointId &Engine, Incarnation Run, TimePoint At) {
   const std::vector<PromptPartId> &Parts = Routed_.Caller_.SharedPromptParts_;
   ++EngineEndsAtStart_;
+  logTrialEnd("crashed");
   const bool WasQuarantined = Context_.Quarantine_.find(Parts, At).has_value();
   Context_.Quarantine_.onCrash(Parts, Engine, Run, At);
   Context_.Metrics_.count("prompt_crashes_total", Routed_.Service_->Id_.str());
@@ -429,7 +517,7 @@
 
 std::optional<QuarantinedPart> StreamExchange::quarantinedPart() const {
   // The parts of a stream that has begun are sound.
-  if (Started_)
+  if (Started_ || isTrialOpen())
     return std::nullopt;
   return Context_.Quarantine_.find(Routed_.Caller_.SharedPromptParts_, Context_.Time_.now());
 }
@@ -484,6 +572,9 @@
 
 bool StreamExchange::mayResend() const {
   const bool MayRunTwice = MayHaveRun_ || attemptIsLive();
+  // A trial is one send.
+  if (Trial_ && !Started_)
+    return false;
   return (!MayRunTwice || Routed_.Route_->isRetryable()) && Sends_ < MaxSends &&
          EngineEndsAtStart_ < MaxEngineEndsAtStart && !quarantinedPart() && timeLeft() > Duration{};
 }
@@ -550,6 +641,11 @@
 void StreamExchange::tick(TimePoint Now) {
   if (ended())
     return;
+  if (awaitsTrialClaim()) {
+    if (!isPermissionValid(Trial_->RequestedAt_))
+      endTrialRequest();
+    return;
+  }
   // An engine that has not begun the answer yet would crash too.
   if (quarantinedPart())
     return giveUp();
@@ -698,7 +794,8 @@
   if (Started_)
     return giveUp();
   // A request that only waited has not run and never will.
-  if (Reason == ErrorCode::ShuttingDown && Placement_.waits() && !MayHaveRun_)
+  if (Reason == ErrorCode::ShuttingDown && (Placement_.waits() || awaitsTrialClaim()) &&
+      !MayHaveRun_)
     return refuse(503, Reason, Placement_.retryAfter(Context_.Time_.now()));
   cancelAttempts();
   refuse(504, Reason, std::nullopt);
--- a/Source/Gateway/StreamExchange.h
+++ b/Source/Gateway/StreamExchange.h
@@ -25,6 +25,7 @@
   void cancelAttempts() override;
   void endEarly(ErrorCode Reason) override;
   std::string endDetail() const override;
+  bool mayStillBeSent(const Attempt &Sent) const override;
 
 private:
   /// False if there is no path, or no budget to send the request again.
@@ -42,6 +43,7 @@
   /// over; false if it may not wait there.
   bool waitForTurn();
   void refuseWithoutPath();
+  Duration quarantineRetryAfter(const QuarantinedPart &Part);
   /// Ends an attempt at once whose successful response must not be passed on.
   void onHead(Attempt &From);
   /// Whether the response of the attempt, whose head has arrived, is a stream of events that may be
@@ -74,7 +76,21 @@
   /// Checks whether the first engine of the attempt has ended, perhaps because of the request.
   void checkCrashedEngine(const EndpointId &First);
   void noteCrash(const EndpointId &Engine, Incarnation Run, TimePoint At);
-  /// The part of the prompt for which the request must not be sent.
+  /// Sends the request, queues it or refuses it. Precondition: no part of its prompt stands against
+  /// that.
+  void place();
+  /// Claims the trial of a part whose quarantine is due to be tested, and sends the request as that
+  /// trial if the claim is granted.
+  void requestTrial(const QuarantinedPart &Part);
+  void onTrialClaim(const TurnClaim &Claim);
+  /// The request is not the trial that it asked for: refuses it, unless the quarantine has ended.
+  void endTrialRequest();
+  bool awaitsTrialClaim() const { return Trial_ && !Trial_->Granted_; }
+  /// Whether the request is the trial of a quarantined part and has not been sent yet, or is under
+  /// way.
+  bool isTrialOpen() const;
+  void logTrialEnd(std::string_view Outcome);
+  /// The part of the prompt for which the request must not be sent, unless it is the part's trial.
   std::optional<QuarantinedPart> quarantinedPart() const;
   /// If the attempt was refused for an engine of its path, that engine has no memory for such a
   /// request.
@@ -119,6 +135,14 @@
     std::string FailureBody_;
   };
 
+  /// A trial of a quarantined part that the request asked for or is.
+  struct Trial {
+    PromptPartId Part_;
+    TurnNumber Turn_{0};
+    TimePoint RequestedAt_{};
+    bool Granted_ = false;
+  };
+
   /// The newest attempt.
   AttemptPtr Attempt_;
   ReservedPath Path_;
@@ -136,6 +160,7 @@
   std::optional<std::uint64_t> LastEvent_;
   /// Engines that ended as they began to answer this request.
   std::uint32_t EngineEndsAtStart_ = 0;
+  std::optional<Trial> Trial_;
   StreamMonitor Monitor_;
   std::uint32_t Resumes_ = 0;
   /// Why the stream left its path; empty if the last attempt did not run.
--- a/Source/SiteModel/SimulatedSite.cpp
+++ b/Source/SiteModel/SimulatedSite.cpp
@@ -28,6 +28,7 @@
 constexpr Duration RecheckInterval = milliseconds(500);
 constexpr Duration DoubtInterval = milliseconds(100);
 constexpr Duration DatagramDelay = milliseconds(1);
+constexpr Duration TurnDelay = milliseconds(8);
 
 /// Counts some events and discards all log lines.
 class EventCounter final : public Logger {
@@ -186,6 +187,29 @@
   EndpointRoster &Roster_;
 };
 
+/// Hands out turns as the platform's store does, some time after each claim.
+class SimulatedSite::Turns final : public TurnStore {
+public:
+  explicit Turns(SimulatedSite &Site) : Site_(Site) {}
+
+  void claimTurn(const std::string &Key, TurnNumber After, TurnDone Done) override {
+    ++Site_.TurnClaims_;
+    Site_.Queue_.after(TurnDelay, [this, Key, After, Done = std::move(Done)] {
+      TurnNumber &Newest = Newest_[Key];
+      if (Newest > After)
+        return Done({TurnOutcome::Taken, Newest});
+      Newest = After.next();
+      const bool Lost =
+          std::uniform_real_distribution(0.0, 1.0)(Site_.TurnRandom_) < Site_.TurnLoss_;
+      Done({Lost ? TurnOutcome::Unknown : TurnOutcome::Granted, Newest});
+    });
+  }
+
+private:
+  SimulatedSite &Site_;
+  std::map<std::string, TurnNumber> Newest_;
+};
+
 struct SimulatedSite::Gateway {
   Gateway(SimulatedSite &Site, const DataCenterId &Home, bool Owner, std::uint32_t Count,
           Duration RetryWindow)
@@ -203,6 +227,8 @@
     Retries_.setProcesses(Count);
     SlowStart_.setGateways(Count);
     Quarantine_.onReport([this, &Site] { Site.reportSuspects(*this); });
+    Quarantine_.spreadTrials(Count, std::uniform_real_distribution(0.0, 1.0)(Site.TurnRandom_));
+    Context_.Turns_ = Site.Turns_.get();
   }
 
   EndpointRoster Roster_;
@@ -226,7 +252,8 @@
 SimulatedSite::SimulatedSite(unsigned Seed, LayeredModel Model,
                              const std::vector<DataCenterSetup> &DataCenters)
     : Model_(std::move(Model)), Engines_(Queue_, Model_),
-      Log_(std::make_unique<EventCounter>(Counts_)), Random_(Seed), LossRandom_(Seed) {
+      Log_(std::make_unique<EventCounter>(Counts_)), Random_(Seed), LossRandom_(Seed), TurnRandom_(Seed),
+      Turns_(std::make_shared<Turns>(*this)) {
   Config_.replaceIfNewer(makeConfig(Model_), Queue_.now());
   std::uint32_t GatewayCount = 0;
   for (const DataCenterSetup &Each : DataCenters)
@@ -393,9 +420,11 @@
   Queue_.after(DatagramDelay, [this, Suspects, SentAt, &To] {
     std::vector<PromptSuspect> Received = Suspects;
     // Datagrams state ages, so the times of the receiver are later by the delay.
-    for (PromptSuspect &Suspect : Received)
+    for (PromptSuspect &Suspect : Received) {
+      Suspect.TrialAt_ += Queue_.now() - SentAt;
       for (EngineCrash &Each : Suspect.Crashes_)
         Each.At_ += Queue_.now() - SentAt;
+    }
     To.Quarantine_.merge(Received, Queue_.now());
   });
 }
@@ -403,7 +432,7 @@
 std::size_t SimulatedSite::quarantinedParts() const {
   std::size_t Count = 0;
   for (const auto &Each : Gateways_)
-    Count += Each->Quarantine_.size(Queue_.now());
+    Count += Each->Quarantine_.size();
   return Count;
 }
 
--- a/Source/SiteModel/SimulatedSite.h
+++ b/Source/SiteModel/SimulatedSite.h
@@ -96,6 +96,10 @@
   void exhaustRetryBudget();
   /// The share of datagrams about suspected parts of prompts that are lost; 0 by default.
   void setDatagramLoss(double Share) { DatagramLoss_ = Share; }
+  /// The share of claims of a turn whose answer is lost after the turn was taken; 0 by default.
+  void setTurnLoss(double Share) { TurnLoss_ = Share; }
+  /// The number of claims of a turn so far.
+  std::uint64_t turnClaims() const { return TurnClaims_; }
   /// Sends a request through the gateway with that index, in the order of the data centres. The
   /// parts of its prompt that other requests share are separated by commas. The view is updated as
   /// simulated time passes.
@@ -120,6 +124,7 @@
 
 private:
   class HealthMonitor;
+  class Turns;
   struct Gateway;
 
   /// Tells the slow start of a gateway what is in its roster.
@@ -155,6 +160,10 @@
   bool DoubtTimerRuns_ = false;
   double DatagramLoss_ = 0;
   std::mt19937 LossRandom_;
+  std::mt19937 TurnRandom_;
+  std::shared_ptr<Turns> Turns_;
+  double TurnLoss_ = 0;
+  std::uint64_t TurnClaims_ = 0;
 };
 
 } // namespace rattancart
--- a/Source/StandIns/Site/FakeStoreHandler.cpp
+++ b/Source/StandIns/Site/FakeStoreHandler.cpp
@@ -90,7 +90,12 @@
     return Responder->send(jsonAnswer(503, "{}"));
   if (Fault_ == StoreFault::None || Fault_ == StoreFault::RateLimited)
     return dispatch(Request, Responder);
-  // StoreFault::LosesAnswers: a join takes effect, and the connection closes without an answer.
+  // StoreFault::LosesAnswers: a join or an append takes effect, and the connection closes without
+  // an answer. Reads are answered, as the platform's store answers them.
+  if (Request.path() == "/-/log-newest")
+    return readNewest(Request, *Responder);
+  if (Request.path() == "/-/log-append")
+    applyAppend(Request);
   if (Request.path() == "/-/log-join")
     group(jsonText(bodyOf(Request), "group"))
         .join(jsonText(bodyOf(Request), "member"),
@@ -105,6 +110,8 @@
     return read(Request, Responder);
   if (Path == "/-/log-newest")
     return readNewest(Request, *Responder);
+  if (Path == "/-/log-append")
+    return appendRecord(Request, *Responder);
   if (Path == "/-/log-join")
     return join(Request, *Responder);
   if (Path == "/-/log-leave")
@@ -188,6 +195,27 @@
                           {"items", std::move(Items)}, {"has_more", More}, {"end", Log.end()}})));
 }
 
+std::optional<std::uint64_t> FakeStoreHandler::applyAppend(const HttpRequest &Request) {
+  constexpr std::size_t LengthBytes = 4;
+  const std::string &Body = Request.Body_;
+  const std::string Topic(Request.query("topic"));
+  KeyedTopic &Log = Topics_[Topic];
+  if (Body.size() <= LengthBytes || numberQuery(Request, "at") != Log.end())
+    return std::nullopt;
+  const std::uint64_t Offset = Log.end();
+  const auto KeyBytes = static_cast<unsigned char>(Body[LengthBytes]);
+  append(Topic, {Body.substr(LengthBytes + 1, KeyBytes), Body.substr(LengthBytes + 1 + KeyBytes)});
+  return Offset;
+}
+
+void FakeStoreHandler::appendRecord(const HttpRequest &Request, HttpResponder &Responder) {
+  const auto Offset = applyAppend(Request);
+  const std::uint64_t End = Topics_[std::string(Request.query("topic"))].end();
+  if (!Offset)
+    return Responder.send(jsonAnswer(412, fmt::format("{{\"end\":{}}}", End)));
+  Responder.send(jsonAnswer(200, fmt::format("{{\"offset\":{},\"end\":{}}}", *Offset, End)));
+}
+
 MemberGroup &FakeStoreHandler::group(const std::string &Name) {
   return Groups_.try_emplace(Name, Partitions).first->second;
 }
--- a/Source/StandIns/Site/FakeStoreHandler.h
+++ b/Source/StandIns/Site/FakeStoreHandler.h
@@ -9,6 +9,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace rattancart {
@@ -22,7 +23,7 @@
   RateLimited,
   /// Accepts calls and does not answer them.
   Silent,
-  /// Executes group joins and closes the connection of each call without an answer.
+  /// Executes group joins and appends and closes the connection of each call without an answer.
   LosesAnswers,
 };
 
@@ -55,6 +56,9 @@
   void dispatch(const HttpRequest &Request, const HttpResponderPtr &Responder);
   void read(const HttpRequest &Request, const HttpResponderPtr &Responder);
   void readNewest(const HttpRequest &Request, HttpResponder &Responder);
+  /// Appends the record of the body if the log ends where the request says; returns its offset.
+  std::optional<std::uint64_t> applyAppend(const HttpRequest &Request);
+  void appendRecord(const HttpRequest &Request, HttpResponder &Responder);
   void join(const HttpRequest &Request, HttpResponder &Responder);
   void leave(const HttpRequest &Request, HttpResponder &Responder);
   void readOwners(const HttpRequest &Request, HttpResponder &Responder);
--- a/Tests/Core/Recovery/PromptQuarantineTest.cpp
+++ b/Tests/Core/Recovery/PromptQuarantineTest.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <array>
+#include <optional>
 #include <ostream>
 #include <random>
 #include <string>
@@ -140,24 +141,120 @@
   BOOST_TEST(Quarantine.find(SoundParts, Now).has_value() == Case.RefusesSound_);
 }
 
-BOOST_AUTO_TEST_CASE(AQuarantineEndsAndTheNextCrashRenewsIt) {
+// Each crash after the limit doubles the time to the next trial, and none of them ends it.
+BOOST_AUTO_TEST_CASE(AQuarantineEndsByTimeAndLetsAllRequestsThrough) {
   PromptQuarantine Quarantine;
   for (int I = 0; I < 2; ++I)
     crash(Quarantine, PoisonParts, I, I * 1s);
   const TimePoint Last = Start + 1s;
   BOOST_TEST((Quarantine.find(PoisonParts, Last + 20s)->Remaining_ == 40s));
-  BOOST_TEST(Quarantine.size(Last + 20s) == 2U);
-  // The requests that are sent after that show whether the part still crashes engines.
-  BOOST_TEST(!Quarantine.find(PoisonParts, Last + 1min));
-  BOOST_TEST(Quarantine.size(Last + 1min) == 0U);
+  BOOST_TEST(!Quarantine.find(PoisonParts, Last + 20s)->TrialDue_);
+  BOOST_TEST(Quarantine.size() == 2U);
+  BOOST_TEST(Quarantine.find(PoisonParts, Last + 1min)->TrialDue_);
+  BOOST_TEST(Quarantine.size() == 2U);
   crash(Quarantine, PoisonParts, 2, 2min);
   BOOST_TEST((Quarantine.find(PoisonParts, Start + 2min)->Remaining_ == 2min));
   for (int I = 3; I < 9; ++I)
     crash(Quarantine, PoisonParts, I, 2min + I * 1s);
   BOOST_TEST((Quarantine.find(PoisonParts, Start + 2min + 8s)->Remaining_ == 10min));
-  // After the retention time, old crashes don't count.
   crash(Quarantine, PoisonParts, 9, 40min);
-  BOOST_TEST(!Quarantine.find(PoisonParts, Start + 40min));
+  BOOST_TEST((Quarantine.find(PoisonParts, Start + 40min)->Remaining_ == 10min));
+  // Without any crash for a day, the part is forgotten.
+  crash(Quarantine, SoundParts, 10, 25h);
+  BOOST_TEST(!Quarantine.find({Poison}, Start + 25h));
+}
+
+namespace {
+
+/// What becomes of a trial, and when the next one is due.
+struct TrialCase {
+  const char *Name_;
+  void (*Happens_)(PromptQuarantine &, TimePoint);
+  /// Time from the trial to the next one; nothing if the quarantine has ended.
+  std::optional<Duration> NextTrialAfter_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const TrialCase &Case) { return Out << Case.Name_; }
+
+const TurnNumber First(1);
+
+const TrialCase TrialCases[] = {
+    {"another request asks while the claim is under way",
+     [](PromptQuarantine &Quarantine, TimePoint Now) { Quarantine.onTrialRequested(Poison, Now); },
+     10s},
+    {"the store does not answer the claim",
+     [](PromptQuarantine &Quarantine, TimePoint Now) { Quarantine.onTrialRequested(Poison, Now); },
+     10s},
+    {"the gateway of the trial is lost",
+     [](PromptQuarantine &Quarantine, TimePoint Now) {
+       Quarantine.onTrialClaimed(Poison, First, Now);
+     },
+     1min},
+    {"another gateway claimed the trial",
+     [](PromptQuarantine &Quarantine, TimePoint Now) {
+       Quarantine.merge({{Poison, false, {}, First, Now}}, Now);
+     },
+     1min},
+    {"the trial crashes an engine",
+     [](PromptQuarantine &Quarantine, TimePoint Now) {
+       Quarantine.onTrialClaimed(Poison, First, Now);
+       Quarantine.onCrash({Poison}, EndpointId("trial"), Incarnation(1), Now);
+     },
+     2min},
+    {"the trial is answered",
+     [](PromptQuarantine &Quarantine, TimePoint Now) {
+       Quarantine.onTrialClaimed(Poison, First, Now);
+       Quarantine.onServed({Poison}, Now);
+     },
+     {}},
+    {"an old trial is reported late",
+     [](PromptQuarantine &Quarantine, TimePoint Now) {
+       Quarantine.onTrialClaimed(Poison, TurnNumber(2), Now);
+       Quarantine.merge({{Poison, false, {}, First, Now + 30s}}, Now + 30s);
+     },
+     1min},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(FurtherTrialsFollowWhileTheOutcomeOfOneIsUnknown, TrialCases, Case) {
+  PromptQuarantine Quarantine;
+  for (int I = 0; I < 2; ++I)
+    crash(Quarantine, {Poison}, I, I * 1s);
+  const TimePoint Due = Start + 1s + 1min;
+  BOOST_TEST_REQUIRE(Quarantine.find({Poison}, Due)->TrialDue_);
+  Case.Happens_(Quarantine, Due);
+  BOOST_TEST(Quarantine.find({Poison}, Due).has_value() == Case.NextTrialAfter_.has_value());
+  if (!Case.NextTrialAfter_)
+    return;
+  BOOST_TEST(!Quarantine.find({Poison}, Due + *Case.NextTrialAfter_ - 1ms)->TrialDue_);
+  BOOST_TEST(Quarantine.find({Poison}, Due + *Case.NextTrialAfter_)->TrialDue_);
+}
+
+// Both parts of the request would have to be tried at once, so the earlier trial waits.
+BOOST_AUTO_TEST_CASE(ATrialIsSentWithAnotherPartThatIsQuarantined) {
+  PromptQuarantine Quarantine;
+  const PromptPartId Other("other");
+  for (int I = 0; I < 2; ++I)
+    crash(Quarantine, {Poison}, I, I * 1s);
+  for (int I = 2; I < 4; ++I)
+    crash(Quarantine, {Other}, I, 30s + I * 1s);
+  const TimePoint Due = Start + 1s + 1min;
+  BOOST_TEST(Quarantine.find({Poison}, Due)->TrialDue_);
+  BOOST_TEST(!Quarantine.find({Poison, Other}, Due)->TrialDue_);
+}
+
+// A gateway that starts late learns of the quarantine although its crashes are old.
+BOOST_AUTO_TEST_CASE(AnOldQuarantineIsUnknownToGatewaysThatStart) {
+  PromptQuarantine Owner;
+  PromptQuarantine Started;
+  for (int I = 0; I < 2; ++I)
+    crash(Owner, {Poison}, I, I * 1s);
+  const TimePoint Now = Start + 2h;
+  Owner.onTrialClaimed(Poison, First, Now - 1s);
+  Started.merge(Owner.suspects(Now), Now);
+  BOOST_TEST_REQUIRE(Started.find({Poison}, Now).has_value());
+  BOOST_TEST(!Started.find({Poison}, Now)->TrialDue_);
 }
 
 BOOST_AUTO_TEST_CASE(QuarantinedPartsOutliveManySuspects) {
--- a/Tests/Gateway/StateSubscriptionsTest.cpp
+++ b/Tests/Gateway/StateSubscriptionsTest.cpp
@@ -31,6 +31,7 @@
   void follow(StoreObserver &) override {}
   void join(const std::string &, const std::string &, Duration, FencingNumber, JoinDone) override {}
   void leave(const std::string &, const std::string &) override {}
+  void claimTurn(const std::string &, TurnNumber, TurnDone) override {}
   void findOwner(const std::string &, OwnerDone Done) override {
     ++Lookups_;
     Done(Named_);
