A sound part is judged without the crashes that a worse part explains

Cause: a part that was never answered and ended an engine by chance, beside one crash of the part that is the cause, has two crashes. The cause explains only one of them, and a part was let through only if another one explained all of its crashes.

Change: the crashes of quarantined parts with more crashes don't count towards the limit of a part whose request doesn't have them.

The new row of OnlyThePartThatCrashesEnginesIsQuarantined failed before.

--- a/Source/Core/Recovery/PromptQuarantine.cpp
+++ b/Source/Core/Recovery/PromptQuarantine.cpp
@@ -178,6 +178,10 @@
   for (const auto &[Id, Each] : Suspect.Crashes_)
     if (!Each.Cleared_)
       Times.push_back(Each.At_);
+  return countApart(std::move(Times));
+}
+
+std::size_t PromptQuarantine::countApart(std::vector<TimePoint> Times) const {
   std::sort(Times.begin(), Times.end());
   std::size_t Count = 0;
   std::optional<TimePoint> Last;
@@ -216,10 +220,28 @@
 
 bool PromptQuarantine::isExplainedByOther(const Record &Suspect,
                                           const std::vector<PromptPartId> &Parts) const {
-  return std::any_of(Suspects_.begin(), Suspects_.end(), [&](const auto &Entry) {
+  const bool ByOne = std::any_of(Suspects_.begin(), Suspects_.end(), [&](const auto &Entry) {
     return std::find(Parts.begin(), Parts.end(), Entry.first) == Parts.end() &&
            isQuarantined(Entry.second) && isExplainedBy(Suspect, Entry.second);
   });
+  if (ByOne)
+    return true;
+  std::vector<TimePoint> Unexplained;
+  for (const auto &[Id, Each] : Suspect.Crashes_)
+    if (!Each.Cleared_ && !isCrashOfOther(Id, Suspect, Parts))
+      Unexplained.push_back(Each.At_);
+  return countApart(std::move(Unexplained)) < crashLimit(Suspect);
+}
+
+bool PromptQuarantine::isCrashOfOther(const CrashId &Id, const Record &Suspect,
+                                      const std::vector<PromptPartId> &Parts) const {
+  return std::any_of(Suspects_.begin(), Suspects_.end(), [&](const auto &Entry) {
+    const auto Same = Entry.second.Crashes_.find(Id);
+    return &Entry.second != &Suspect && Same != Entry.second.Crashes_.end() &&
+           !Same->second.Cleared_ &&
+           std::find(Parts.begin(), Parts.end(), Entry.first) == Parts.end() &&
+           isQuarantined(Entry.second) && countUncleared(Entry.second) > countUncleared(Suspect);
+  });
 }
 
 bool PromptQuarantine::isAccessory(const Record &Suspect) const {
--- a/Source/Core/Recovery/PromptQuarantine.h
+++ b/Source/Core/Recovery/PromptQuarantine.h
@@ -168,6 +168,8 @@
     return Suspect.Served_ ? Options_.ServedCrashLimit_ : Options_.CrashLimit_;
   }
   std::size_t countCrashes(const Record &Suspect) const;
+  /// The number of these times, where those that are close together count once.
+  std::size_t countApart(std::vector<TimePoint> Times) const;
   bool isQuarantined(const Record &Suspect) const {
     return countCrashes(Suspect) >= crashLimit(Suspect);
   }
@@ -178,8 +180,12 @@
   }
   /// Whether all crashes of the first record that are not cleared are crashes of the second one.
   static bool isExplainedBy(const Record &Suspect, const Record &Other);
-  /// Whether a suspect that is not among the parts explains this one.
+  /// Whether too few crashes remain for a quarantine without those of quarantined parts that are
+  /// not among these ones.
   bool isExplainedByOther(const Record &Suspect, const std::vector<PromptPartId> &Parts) const;
+  /// Whether a quarantined part, other than this suspect and these parts, has the crash too.
+  bool isCrashOfOther(const CrashId &Id, const Record &Suspect,
+                      const std::vector<PromptPartId> &Parts) const;
   /// Whether another suspect explains this one and has more crashes.
   bool isAccessory(const Record &Suspect) const;
   static std::size_t countUncleared(const Record &Suspect);
--- a/Tests/Core/Recovery/PromptQuarantineTest.cpp
+++ b/Tests/Core/Recovery/PromptQuarantineTest.cpp
@@ -55,6 +55,14 @@
          crash(Quarantine, PoisonParts, I, I * 1s);
      },
      true, false},
+    {"a sound part has a crash by chance beside one of the cause",
+     [](PromptQuarantine &Quarantine) {
+       crash(Quarantine, PoisonParts, 0, 0s);
+       for (int I = 1; I < 3; ++I)
+         crash(Quarantine, {Poison}, I, I * 1s);
+       crash(Quarantine, SoundParts, 3, 3s);
+     },
+     true, false},
     {"one engine seen by several requests",
      [](PromptQuarantine &Quarantine) {
        for (int I = 0; I < 9; ++I)
