Failing test: callers of gateways that reach no engine are refused

The simulated site gets links between gateways and engines that hang, are reset, or go on while new connections are refused.

--- a/Source/SiteModel/SimulatedSite.cpp
+++ b/Source/SiteModel/SimulatedSite.cpp
@@ -120,7 +120,8 @@
 /// delay, any other engine doesn't.
 class SimulatedSite::HealthMonitor final : public EngineHealthMonitor {
 public:
-  HealthMonitor(SimulatedSite &Site, EndpointRoster &Roster) : Site_(Site), Roster_(Roster) {}
+  HealthMonitor(SimulatedSite &Site, EndpointRoster &Roster, const GatewayLink &Link)
+      : Site_(Site), Roster_(Roster), Link_(Link) {}
 
   void check(const std::vector<EndpointId> &Engines, TimePoint Since, Callback Done) override {
     std::vector<EndpointId> Silent;
@@ -134,7 +135,7 @@
       if (Record->LastActivityAt_ >= Since)
         continue;
       Asked = true;
-      if (Site_.Engines_.condition(Engine) != EngineCondition::Running)
+      if (!answers(Engine))
         Silent.push_back(Engine);
       else
         Roster_.noteActivity(Engine, Site_.Queue_.now());
@@ -148,7 +149,7 @@
   }
   void suspect(const EndpointId &Engine) override {
     Site_.Queue_.after(ProbeTimeout, [this, Engine] {
-      if (Site_.Engines_.condition(Engine) != EngineCondition::Running)
+      if (!answers(Engine))
         markSilent(Engine);
     });
   }
@@ -162,7 +163,7 @@
         probeAgain(Id);
   }
   void probeAgain(const EndpointId &Engine) {
-    if (Site_.Engines_.condition(Engine) == EngineCondition::Running)
+    if (answers(Engine))
       return Roster_.markHeard(Engine, Site_.Queue_.now());
     noteIfStopped(Engine);
     Roster_.markSilent(Engine, Site_.Queue_.now(), Site_.Queue_.now() + SilenceDuration);
@@ -170,6 +171,10 @@
 
 private:
   /// The address of an engine that has stopped refuses connections.
+  bool answers(const EndpointId &Engine) const {
+    return Link_.fault() == LinkFault::None &&
+           Site_.Engines_.condition(Engine) == EngineCondition::Running;
+  }
   void noteIfStopped(const EndpointId &Engine) {
     if (Site_.Engines_.condition(Engine) == EngineCondition::Stopped)
       Roster_.noteConnectionRefused(Engine, Site_.Queue_.now());
@@ -185,6 +190,7 @@
 
   SimulatedSite &Site_;
   EndpointRoster &Roster_;
+  const GatewayLink &Link_;
 };
 
 /// Hands out turns as the platform's store does, some time after each claim.
@@ -213,15 +219,15 @@
 struct SimulatedSite::Gateway {
   Gateway(SimulatedSite &Site, const DataCenterId &Home, bool Owner, std::uint32_t Count,
           Duration RetryWindow)
-      : Health_(Site, Roster_), Paths_(Roster_, Home),
+      : Link_(Site.Queue_, Site.Engines_), Health_(Site, Roster_, Link_), Paths_(Roster_, Home),
         Retries_({0.2, 202, RetryWindow}, Site.Queue_.now() - 2 * RetryWindow),
-        Random_(Site.Random_()), Context_{Site.Loop_,    Site.Queue_.clock(),
-                                          *Site.Log_,    Metrics_,
-                                          Site.Engines_, Site.Dialect_,
-                                          Roster_,       Paths_,
-                                          Retries_,      Health_,
-                                          MemoryQueue_,  Quarantine_,
-                                          Limiter_,      Random_,
+        Random_(Site.Random_()), Context_{Site.Loop_,   Site.Queue_.clock(),
+                                          *Site.Log_,   Metrics_,
+                                          Link_,        Site.Dialect_,
+                                          Roster_,      Paths_,
+                                          Retries_,     Health_,
+                                          MemoryQueue_, Quarantine_,
+                                          Limiter_,     Random_,
                                           Home},
         Handler_(Context_, Site.Config_), Home_(Home), Owner_(Owner) {
     Retries_.setProcesses(Count);
@@ -232,6 +238,7 @@
   }
 
   EndpointRoster Roster_;
+  GatewayLink Link_;
   HealthMonitor Health_;
   PathChooser Paths_;
   RetryShare Retries_;
@@ -252,8 +259,8 @@
 SimulatedSite::SimulatedSite(unsigned Seed, LayeredModel Model,
                              const std::vector<DataCenterSetup> &DataCenters)
     : Model_(std::move(Model)), Engines_(Queue_, Model_),
-      Log_(std::make_unique<EventCounter>(Counts_)), Random_(Seed), LossRandom_(Seed), TurnRandom_(Seed),
-      Turns_(std::make_shared<Turns>(*this)) {
+      Log_(std::make_unique<EventCounter>(Counts_)), Random_(Seed), LossRandom_(Seed),
+      TurnRandom_(Seed), Turns_(std::make_shared<Turns>(*this)) {
   Config_.replaceIfNewer(makeConfig(Model_), Queue_.now());
   std::uint32_t GatewayCount = 0;
   for (const DataCenterSetup &Each : DataCenters)
@@ -464,6 +471,10 @@
       ;
 }
 
+void SimulatedSite::setLinkFault(std::size_t GatewayIndex, LinkFault Fault) {
+  Gateways_[GatewayIndex]->Link_.setFault(Fault);
+}
+
 std::shared_ptr<CallerView> SimulatedSite::sendRequest(std::size_t GatewayIndex, double Prompt,
                                                        std::uint64_t Events,
                                                        const std::string &Parts,
--- a/Source/SiteModel/SimulatedSite.h
+++ b/Source/SiteModel/SimulatedSite.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Gateway/GatewayRequestHandler.h"
+#include "SiteModel/GatewayLink.h"
 #include "SiteModel/SimulatedEngines.h"
 
 #include <boost/asio/io_context.hpp>
@@ -100,6 +101,9 @@
   void setTurnLoss(double Share) { TurnLoss_ = Share; }
   /// The number of claims of a turn so far.
   std::uint64_t turnClaims() const { return TurnClaims_; }
+  /// Cuts the gateway with that index off from all engines, or ends the cut. Callers and the other
+  /// gateways still reach it.
+  void setLinkFault(std::size_t GatewayIndex, LinkFault Fault);
   /// Sends a request through the gateway with that index, in the order of the data centres. The
   /// parts of its prompt that other requests share are separated by commas. The view is updated as
   /// simulated time passes.
