--- a/Schemas/Gateway_generated.h
+++ b/Schemas/Gateway_generated.h
@@ -40,6 +40,10 @@
 struct PromptReportBuilder;
 struct PromptReportT;
 
+struct PeerGateway;
+struct PeerGatewayBuilder;
+struct PeerGatewayT;
+
 struct EngineStates;
 struct EngineStatesBuilder;
 struct EngineStatesT;
@@ -429,6 +433,7 @@
   std::string data_center{};
   std::string home{};
   bool in_use = false;
+  bool isolated = false;
   std::vector<std::unique_ptr<rattancart::wire::EndpointLimitT>> limits{};
   EngineSubscribeT() = default;
   EngineSubscribeT(const EngineSubscribeT &o);
@@ -443,7 +448,8 @@
     VT_DATA_CENTER = 4,
     VT_HOME = 6,
     VT_IN_USE = 8,
-    VT_LIMITS = 10
+    VT_ISOLATED = 10,
+    VT_LIMITS = 12
   };
   const flatbuffers::String *data_center() const {
     return GetPointer<const flatbuffers::String *>(VT_DATA_CENTER);
@@ -454,6 +460,9 @@
   bool in_use() const {
     return GetField<uint8_t>(VT_IN_USE, 0) != 0;
   }
+  bool isolated() const {
+    return GetField<uint8_t>(VT_ISOLATED, 0) != 0;
+  }
   const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EndpointLimit>> *limits() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EndpointLimit>> *>(VT_LIMITS);
   }
@@ -464,6 +473,7 @@
            VerifyOffset(verifier, VT_HOME) &&
            verifier.VerifyString(home()) &&
            VerifyField<uint8_t>(verifier, VT_IN_USE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_ISOLATED, 1) &&
            VerifyOffset(verifier, VT_LIMITS) &&
            verifier.VerifyVector(limits()) &&
            verifier.VerifyVectorOfTables(limits()) &&
@@ -487,6 +497,9 @@
   void add_in_use(bool in_use) {
     fbb_.AddElement<uint8_t>(EngineSubscribe::VT_IN_USE, static_cast<uint8_t>(in_use), 0);
   }
+  void add_isolated(bool isolated) {
+    fbb_.AddElement<uint8_t>(EngineSubscribe::VT_ISOLATED, static_cast<uint8_t>(isolated), 0);
+  }
   void add_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EndpointLimit>>> limits) {
     fbb_.AddOffset(EngineSubscribe::VT_LIMITS, limits);
   }
@@ -506,11 +519,13 @@
     flatbuffers::Offset<flatbuffers::String> data_center = 0,
     flatbuffers::Offset<flatbuffers::String> home = 0,
     bool in_use = false,
+    bool isolated = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EndpointLimit>>> limits = 0) {
   EngineSubscribeBuilder builder_(_fbb);
   builder_.add_limits(limits);
   builder_.add_home(home);
   builder_.add_data_center(data_center);
+  builder_.add_isolated(isolated);
   builder_.add_in_use(in_use);
   return builder_.Finish();
 }
@@ -520,6 +535,7 @@
     const char *data_center = nullptr,
     const char *home = nullptr,
     bool in_use = false,
+    bool isolated = false,
     const std::vector<flatbuffers::Offset<rattancart::wire::EndpointLimit>> *limits = nullptr) {
   auto data_center__ = data_center ? _fbb.CreateString(data_center) : 0;
   auto home__ = home ? _fbb.CreateString(home) : 0;
@@ -529,6 +545,7 @@
       data_center__,
       home__,
       in_use,
+      isolated,
       limits__);
 }
 
@@ -1054,12 +1071,90 @@
 
 flatbuffers::Offset<PromptReport> CreatePromptReport(flatbuffers::FlatBufferBuilder &_fbb, const PromptReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct PeerGatewayT : public flatbuffers::NativeTable {
+  typedef PeerGateway TableType;
+  std::string address{};
+  std::string data_center{};
+};
+
+struct PeerGateway FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PeerGatewayT NativeTableType;
+  typedef PeerGatewayBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ADDRESS = 4,
+    VT_DATA_CENTER = 6
+  };
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  const flatbuffers::String *data_center() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTER);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyOffset(verifier, VT_DATA_CENTER) &&
+           verifier.VerifyString(data_center()) &&
+           verifier.EndTable();
+  }
+  PeerGatewayT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PeerGatewayT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PeerGateway> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PeerGatewayT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PeerGatewayBuilder {
+  typedef PeerGateway Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(PeerGateway::VT_ADDRESS, address);
+  }
+  void add_data_center(flatbuffers::Offset<flatbuffers::String> data_center) {
+    fbb_.AddOffset(PeerGateway::VT_DATA_CENTER, data_center);
+  }
+  explicit PeerGatewayBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PeerGateway> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PeerGateway>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PeerGateway> CreatePeerGateway(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> data_center = 0) {
+  PeerGatewayBuilder builder_(_fbb);
+  builder_.add_data_center(data_center);
+  builder_.add_address(address);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PeerGateway> CreatePeerGatewayDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *address = nullptr,
+    const char *data_center = nullptr) {
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto data_center__ = data_center ? _fbb.CreateString(data_center) : 0;
+  return rattancart::wire::CreatePeerGateway(
+      _fbb,
+      address__,
+      data_center__);
+}
+
+flatbuffers::Offset<PeerGateway> CreatePeerGateway(flatbuffers::FlatBufferBuilder &_fbb, const PeerGatewayT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EngineStatesT : public flatbuffers::NativeTable {
   typedef EngineStates TableType;
   std::string data_center{};
   int64_t fence = 0;
   uint32_t gateways = 0;
   std::vector<std::string> members{};
+  std::vector<std::unique_ptr<rattancart::wire::PeerGatewayT>> peers{};
   std::vector<std::unique_ptr<rattancart::wire::EngineStateT>> engines{};
   std::vector<std::string> pass_to{};
   std::vector<std::unique_ptr<rattancart::wire::PromptSuspectT>> suspects{};
@@ -1078,10 +1173,11 @@
     VT_FENCE = 6,
     VT_GATEWAYS = 8,
     VT_MEMBERS = 10,
-    VT_ENGINES = 12,
-    VT_PASS_TO = 14,
-    VT_SUSPECTS = 16,
-    VT_LIMITS = 18
+    VT_PEERS = 12,
+    VT_ENGINES = 14,
+    VT_PASS_TO = 16,
+    VT_SUSPECTS = 18,
+    VT_LIMITS = 20
   };
   const flatbuffers::String *data_center() const {
     return GetPointer<const flatbuffers::String *>(VT_DATA_CENTER);
@@ -1095,6 +1191,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *members() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_MEMBERS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::PeerGateway>> *peers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::PeerGateway>> *>(VT_PEERS);
+  }
   const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EngineState>> *engines() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EngineState>> *>(VT_ENGINES);
   }
@@ -1116,6 +1215,9 @@
            VerifyOffset(verifier, VT_MEMBERS) &&
            verifier.VerifyVector(members()) &&
            verifier.VerifyVectorOfStrings(members()) &&
+           VerifyOffset(verifier, VT_PEERS) &&
+           verifier.VerifyVector(peers()) &&
+           verifier.VerifyVectorOfTables(peers()) &&
            VerifyOffset(verifier, VT_ENGINES) &&
            verifier.VerifyVector(engines()) &&
            verifier.VerifyVectorOfTables(engines()) &&
@@ -1151,6 +1253,9 @@
   void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> members) {
     fbb_.AddOffset(EngineStates::VT_MEMBERS, members);
   }
+  void add_peers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::PeerGateway>>> peers) {
+    fbb_.AddOffset(EngineStates::VT_PEERS, peers);
+  }
   void add_engines(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EngineState>>> engines) {
     fbb_.AddOffset(EngineStates::VT_ENGINES, engines);
   }
@@ -1180,6 +1285,7 @@
     int64_t fence = 0,
     uint32_t gateways = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> members = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::PeerGateway>>> peers = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::EngineState>>> engines = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> pass_to = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::PromptSuspect>>> suspects = 0,
@@ -1190,6 +1296,7 @@
   builder_.add_suspects(suspects);
   builder_.add_pass_to(pass_to);
   builder_.add_engines(engines);
+  builder_.add_peers(peers);
   builder_.add_members(members);
   builder_.add_gateways(gateways);
   builder_.add_data_center(data_center);
@@ -1202,12 +1309,14 @@
     int64_t fence = 0,
     uint32_t gateways = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *members = nullptr,
+    const std::vector<flatbuffers::Offset<rattancart::wire::PeerGateway>> *peers = nullptr,
     const std::vector<flatbuffers::Offset<rattancart::wire::EngineState>> *engines = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *pass_to = nullptr,
     const std::vector<flatbuffers::Offset<rattancart::wire::PromptSuspect>> *suspects = nullptr,
     const std::vector<flatbuffers::Offset<rattancart::wire::EndpointLimit>> *limits = nullptr) {
   auto data_center__ = data_center ? _fbb.CreateString(data_center) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*members) : 0;
+  auto peers__ = peers ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::PeerGateway>>(*peers) : 0;
   auto engines__ = engines ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::EngineState>>(*engines) : 0;
   auto pass_to__ = pass_to ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*pass_to) : 0;
   auto suspects__ = suspects ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::PromptSuspect>>(*suspects) : 0;
@@ -1218,6 +1327,7 @@
       fence,
       gateways,
       members__,
+      peers__,
       engines__,
       pass_to__,
       suspects__,
@@ -2084,7 +2194,8 @@
 inline EngineSubscribeT::EngineSubscribeT(const EngineSubscribeT &o)
       : data_center(o.data_center),
         home(o.home),
-        in_use(o.in_use) {
+        in_use(o.in_use),
+        isolated(o.isolated) {
   limits.reserve(o.limits.size());
   for (const auto &limits_ : o.limits) { limits.emplace_back((limits_) ? new rattancart::wire::EndpointLimitT(*limits_) : nullptr); }
 }
@@ -2093,6 +2204,7 @@
   std::swap(data_center, o.data_center);
   std::swap(home, o.home);
   std::swap(in_use, o.in_use);
+  std::swap(isolated, o.isolated);
   std::swap(limits, o.limits);
   return *this;
 }
@@ -2109,6 +2221,7 @@
   { auto _e = data_center(); if (_e) _o->data_center = _e->str(); }
   { auto _e = home(); if (_e) _o->home = _e->str(); }
   { auto _e = in_use(); _o->in_use = _e; }
+  { auto _e = isolated(); _o->isolated = _e; }
   { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = std::unique_ptr<rattancart::wire::EndpointLimitT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
@@ -2123,12 +2236,14 @@
   auto _data_center = _o->data_center.empty() ? 0 : _fbb.CreateString(_o->data_center);
   auto _home = _o->home.empty() ? 0 : _fbb.CreateString(_o->home);
   auto _in_use = _o->in_use;
+  auto _isolated = _o->isolated;
   auto _limits = _o->limits.size() ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::EndpointLimit>> (_o->limits.size(), [](size_t i, _VectorArgs *__va) { return CreateEndpointLimit(*__va->__fbb, __va->__o->limits[i].get(), __va->__rehasher); }, &_va ) : 0;
   return rattancart::wire::CreateEngineSubscribe(
       _fbb,
       _data_center,
       _home,
       _in_use,
+      _isolated,
       _limits);
 }
 
@@ -2324,12 +2439,43 @@
       _suspects);
 }
 
+inline PeerGatewayT *PeerGateway::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::unique_ptr<PeerGatewayT>(new PeerGatewayT());
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PeerGateway::UnPackTo(PeerGatewayT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = data_center(); if (_e) _o->data_center = _e->str(); }
+}
+
+inline flatbuffers::Offset<PeerGateway> PeerGateway::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PeerGatewayT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePeerGateway(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PeerGateway> CreatePeerGateway(flatbuffers::FlatBufferBuilder &_fbb, const PeerGatewayT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PeerGatewayT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _data_center = _o->data_center.empty() ? 0 : _fbb.CreateString(_o->data_center);
+  return rattancart::wire::CreatePeerGateway(
+      _fbb,
+      _address,
+      _data_center);
+}
+
 inline EngineStatesT::EngineStatesT(const EngineStatesT &o)
       : data_center(o.data_center),
         fence(o.fence),
         gateways(o.gateways),
         members(o.members),
         pass_to(o.pass_to) {
+  peers.reserve(o.peers.size());
+  for (const auto &peers_ : o.peers) { peers.emplace_back((peers_) ? new rattancart::wire::PeerGatewayT(*peers_) : nullptr); }
   engines.reserve(o.engines.size());
   for (const auto &engines_ : o.engines) { engines.emplace_back((engines_) ? new rattancart::wire::EngineStateT(*engines_) : nullptr); }
   suspects.reserve(o.suspects.size());
@@ -2343,6 +2489,7 @@
   std::swap(fence, o.fence);
   std::swap(gateways, o.gateways);
   std::swap(members, o.members);
+  std::swap(peers, o.peers);
   std::swap(engines, o.engines);
   std::swap(pass_to, o.pass_to);
   std::swap(suspects, o.suspects);
@@ -2363,6 +2510,7 @@
   { auto _e = fence(); _o->fence = _e; }
   { auto _e = gateways(); _o->gateways = _e; }
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = peers(); if (_e) { _o->peers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->peers[_i] = std::unique_ptr<rattancart::wire::PeerGatewayT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = engines(); if (_e) { _o->engines.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->engines[_i] = std::unique_ptr<rattancart::wire::EngineStateT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = pass_to(); if (_e) { _o->pass_to.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pass_to[_i] = _e->Get(_i)->str(); } } }
   { auto _e = suspects(); if (_e) { _o->suspects.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->suspects[_i] = std::unique_ptr<rattancart::wire::PromptSuspectT>(_e->Get(_i)->UnPack(_resolver)); } } }
@@ -2381,6 +2529,7 @@
   auto _fence = _o->fence;
   auto _gateways = _o->gateways;
   auto _members = _o->members.size() ? _fbb.CreateVectorOfStrings(_o->members) : 0;
+  auto _peers = _o->peers.size() ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::PeerGateway>> (_o->peers.size(), [](size_t i, _VectorArgs *__va) { return CreatePeerGateway(*__va->__fbb, __va->__o->peers[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _engines = _o->engines.size() ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::EngineState>> (_o->engines.size(), [](size_t i, _VectorArgs *__va) { return CreateEngineState(*__va->__fbb, __va->__o->engines[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _pass_to = _o->pass_to.size() ? _fbb.CreateVectorOfStrings(_o->pass_to) : 0;
   auto _suspects = _o->suspects.size() ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::PromptSuspect>> (_o->suspects.size(), [](size_t i, _VectorArgs *__va) { return CreatePromptSuspect(*__va->__fbb, __va->__o->suspects[i].get(), __va->__rehasher); }, &_va ) : 0;
@@ -2391,6 +2540,7 @@
       _fence,
       _gateways,
       _members,
+      _peers,
       _engines,
       _pass_to,
       _suspects,
--- a/Source/Gateway/CallExchange.cpp
+++ b/Source/Gateway/CallExchange.cpp
@@ -82,12 +82,16 @@
 }
 
 bool CallExchange::canSendNext() const {
-  return chooseEndpoint(Tried_) && Sends_ < MaxSends && timeLeft() > Duration{};
+  if (Sends_ >= MaxSends || timeLeft() <= Duration{})
+    return false;
+  return usesPeer() ? choosePeer().has_value() : chooseEndpoint(Tried_) != nullptr;
 }
 
 bool CallExchange::sendNext() {
   if (!canSendNext())
     return false;
+  if (usesPeer())
+    return sendToNextPeer();
   const EndpointRecord *Endpoint = admitToEndpoint();
   if (!Endpoint)
     return false;
@@ -103,14 +107,32 @@
       send(*Endpoint, forwardOptions(),
            isRetryable() ? ConnectionUse::Pooled : ConnectionUse::Fresh, ConnectTimeout,
            [this, Item](const AttemptPtr &, const HttpResult &Result) { onDone(Item, Result); });
-  Item->Attempt_->BodyHandler_ = [this, Raw = Item.get()](std::string_view Data) {
-    Raw->Body_ += Data;
-    return Raw->Body_.size() <= Context_.ResponseLimits_.MaxBodyBytes_;
-  };
+  collectBody(*Item);
   logSend(Id, "call");
   return true;
 }
 
+bool CallExchange::sendToNextPeer() {
+  const auto Peer = choosePeer();
+  if (!Peer)
+    return false;
+  auto Item = std::make_shared<CallAttempt>();
+  Pending_.push_back(Item);
+  ++PossibleRuns_;
+  Item->Attempt_ = sendToPeer(
+      *Peer, forwardOptions(), isRetryable() ? ConnectionUse::Pooled : ConnectionUse::Fresh,
+      [this, Item](const AttemptPtr &, const HttpResult &Result) { onDone(Item, Result); });
+  collectBody(*Item);
+  return true;
+}
+
+void CallExchange::collectBody(CallAttempt &Item) {
+  Item.Attempt_->BodyHandler_ = [this, &Item](std::string_view Data) {
+    Item.Body_ += Data;
+    return Item.Body_.size() <= Context_.ResponseLimits_.MaxBodyBytes_;
+  };
+}
+
 bool CallExchange::isComplete(const CallAttempt &Item, const HttpResult &Result) const {
   const Attempt &Sent = *Item.Attempt_;
   return !Result.Error_ && Sent.HeadSeen_ && mayPassOn(Sent.Head_.Status_, Sent.Info_);
@@ -126,6 +148,8 @@
     noteAnswered(Item->Attempt_->Endpoint_, Item->Attempt_->SentAt_);
     return sendResponse(*Item);
   }
+  if (Item->Attempt_->Peer_)
+    return onPeerFailure(Item, Result);
   // If it is cancelled, the retry budget or the limit of the endpoint no longer allowed the send.
   if (Result.Error_ != ErrorCode::Cancelled)
     noteAnswer(Item->Attempt_->Endpoint_,
@@ -135,6 +159,16 @@
   onFailure(Item, Result);
 }
 
+void CallExchange::onPeerFailure(const CallAttemptPtr &Item, const HttpResult &Result) {
+  notePeerFailure(*Item->Attempt_, Result);
+  logFailure(*Item->Attempt_, Result);
+  const bool Answered = !Result.Error_ && Item->Attempt_->Refusal_ == PeerRefusal::Final;
+  // What an earlier send may have done is not known to the other gateway.
+  if (Answered && PossibleRuns_ == 1 && Pending_.empty())
+    return sendPeerRefusal(*Item->Attempt_, std::move(Item->Body_));
+  onFailure(Item, Result);
+}
+
 void CallExchange::onFailure(const CallAttemptPtr &Item, const HttpResult &Result) {
   const bool NotRun = !Result.BytesHandedOver_ || Item->Attempt_->Info_.NotRun_;
   if (NotRun)
@@ -150,8 +184,9 @@
     return giveUp();
   const bool MaySend = NotRun || (isRetryable() && PossibleRuns_ < Routed_.Route_->MaxAttempts_);
   // A send that never got a connection puts no load on the service, so it takes no retry budget.
-  const bool InBudget = MaySend && canSendNext() &&
-                        (!Result.BytesHandedOver_ || tryTakeRetry(NotRun ? "not_run" : "failed"));
+  const bool Unsent = !Result.BytesHandedOver_ || Item->Attempt_->Refusal_ == PeerRefusal::Declined;
+  const bool InBudget =
+      MaySend && canSendNext() && (Unsent || tryTakeRetry(NotRun ? "not_run" : "failed"));
   if (!InBudget || !sendNext())
     giveUp();
 }
--- a/Source/Gateway/CallExchange.h
+++ b/Source/Gateway/CallExchange.h
@@ -41,6 +41,11 @@
   bool canSendNext() const;
   /// False if canSendNext is.
   bool sendNext();
+  /// Forwards the request to another gateway; false if there is none.
+  bool sendToNextPeer();
+  void collectBody(CallAttempt &Item);
+  /// A forwarded attempt did not end with an endpoint's answer that may be passed on.
+  void onPeerFailure(const CallAttemptPtr &Item, const HttpResult &Result);
   void onDone(const CallAttemptPtr &Item, const HttpResult &Result);
   void onFailure(const CallAttemptPtr &Item, const HttpResult &Result);
   /// Whether the attempt ended with a complete response that may be passed on.
--- a/Source/Gateway/EndpointProtocol.h
+++ b/Source/Gateway/EndpointProtocol.h
@@ -97,6 +97,10 @@
   /// The request as it is sent to an endpoint.
   virtual HttpRequest requestForEndpoint(const HttpRequest &Request,
                                          const ForwardOptions &Options) const = 0;
+  /// The request as it is forwarded to another gateway: the caller's, with the time that is left.
+  /// Only TimeBudget_ and LastEvent_ of the options are used.
+  virtual HttpRequest requestForGateway(const HttpRequest &Request,
+                                        const ForwardOptions &Options) const = 0;
   virtual ResponseInfo parseResponse(const HttpResponse &Head) const = 0;
   /// The head of an endpoint's response as it is passed on to the caller, without the header fields
   /// that apply only to the connection to the endpoint.
--- a/Source/Gateway/EngineStateBroadcast.cpp
+++ b/Source/Gateway/EngineStateBroadcast.cpp
@@ -18,6 +18,7 @@
 /// Maximum number of engines in one datagram, so that it fits into one packet.
 constexpr std::size_t EnginesPerDatagram = 10;
 constexpr std::size_t LimitsPerDatagram = 15;
+constexpr std::size_t PeersPerDatagram = 6;
 /// A silent engine gets no work for this long after the owner has reported it.
 constexpr Duration SilentHold = milliseconds(1500);
 
@@ -70,7 +71,7 @@
   if (Request.data_center != Home_.str())
     return;
   const TimePoint Now = Time_.now();
-  Subscriptions_.onSubscribe(From, DataCenterId(Request.home), Request.in_use);
+  Subscriptions_.onSubscribe(From, DataCenterId(Request.home), Request.in_use, Request.isolated);
   const std::string Gateway = addressText(From);
   for (const auto &Each : Request.limits)
     if (Each)
@@ -79,6 +80,9 @@
 
 void EngineStateBroadcast::onStates(const wire::EngineStatesT &States) {
   Quarantine_.merge(fromWire(States.suspects, Time_.now()), Time_.now());
+  for (const auto &Each : States.peers)
+    if (Each && PeerHandler_ && Each->address != member())
+      PeerHandler_({NetAddress(Each->address), DataCenterId(Each->data_center)});
   const DataCenterId DataCenter(States.data_center);
   if (!Subscriptions_.owner(DataCenter))
     return;
@@ -122,7 +126,20 @@
   Datagrams_.sendToAll(Datagrams, Receivers);
 }
 
-std::vector<wire::EngineStatesT> EngineStateBroadcast::stateDatagrams() const {
+std::vector<std::unique_ptr<wire::PeerGatewayT>> EngineStateBroadcast::peers() {
+  std::vector<PeerGateway> Named = Subscriptions_.takePeers(PeersPerDatagram);
+  if (!Isolated_)
+    Named.push_back({NetAddress(member()), Home_});
+  std::vector<std::unique_ptr<wire::PeerGatewayT>> Encoded;
+  for (const PeerGateway &Each : Named) {
+    Encoded.push_back(std::make_unique<wire::PeerGatewayT>());
+    Encoded.back()->address = Each.Address_.str();
+    Encoded.back()->data_center = Each.DataCenter_.str();
+  }
+  return Encoded;
+}
+
+std::vector<wire::EngineStatesT> EngineStateBroadcast::stateDatagrams() {
   const TimePoint Now = Time_.now();
   // Without engines, one datagram still announces the number of gateways.
   std::vector<wire::EngineStatesT> Datagrams(1);
@@ -136,6 +153,7 @@
   if (auto Suspects = suspectsDatagram())
     Datagrams.push_back(std::move(*Suspects));
   Datagrams.front().members = Subscriptions_.standIns(member());
+  Datagrams.front().peers = peers();
   return Datagrams;
 }
 
@@ -283,6 +301,7 @@
     Request.data_center = DataCenter.str();
     Request.home = Home_.str();
     Request.in_use = Now < RemoteInUseUntil_;
+    Request.isolated = Isolated_;
     for (; Next < Demands.size() && Request.limits.size() < LimitsPerDatagram; ++Next)
       Request.limits.push_back(toWire(
           LimitState{Demands[Next].Limit_, Demands[Next].Wanted_, Demands[Next].Sent_, 0}, Now));
--- a/Source/Gateway/EngineStateBroadcast.h
+++ b/Source/Gateway/EngineStateBroadcast.h
@@ -69,6 +69,13 @@
   void onOwnerFinding(std::function<bool(const EndpointId &)> Rejects) {
     RejectsOwnerFinding_ = std::move(Rejects);
   }
+  /// Sets whether this gateway reaches no endpoint of some service, so that no others forward their
+  /// requests here.
+  void setIsolated(bool Isolated) { Isolated_ = Isolated; }
+  /// Sets the handler for a gateway to which requests may be forwarded.
+  void onPeer(std::function<void(const PeerGateway &)> Handler) {
+    PeerHandler_ = std::move(Handler);
+  }
   /// Sets the handler that is called for every datagram.
   void onReceived(std::function<void()> Handler) { ReceivedHandler_ = std::move(Handler); }
   /// Sets the fencing number under which this gateway owns the placement at home; nothing if it
@@ -98,7 +105,9 @@
   void onEngineSilent(const wire::EngineSilentT &Message, const DatagramSocket::Endpoint &From);
   void sendReport(const SilenceReport &Report, const DataCenterId &DataCenter);
   /// The states of the home data centre's engines, split so that each datagram fits into a packet.
-  std::vector<wire::EngineStatesT> stateDatagrams() const;
+  std::vector<wire::EngineStatesT> stateDatagrams();
+  /// Some gateways that reach endpoints, as the first datagram lists them.
+  std::vector<std::unique_ptr<wire::PeerGatewayT>> peers();
   /// Sets the fields that all datagrams of the owner have.
   void describeSender(std::vector<wire::EngineStatesT> &Datagrams) const;
   /// A datagram with the prompt parts that may crash engines; nothing if there are none.
@@ -125,6 +134,8 @@
   std::function<bool(const EndpointId &)> RejectsOwnerFinding_;
   std::function<void()> ReceivedHandler_;
   std::function<void(FencingNumber)> OutrankedHandler_;
+  std::function<void(const PeerGateway &)> PeerHandler_;
+  bool Isolated_ = false;
   std::optional<FencingNumber> Fence_;
   TimePoint RemoteInUseUntil_{};
 };
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -10,6 +10,8 @@
 using std::chrono::milliseconds;
 
 constexpr Duration PermissionLifetime = milliseconds(500);
+/// Time limit of a connect to another gateway, which accepts within a few ms.
+constexpr Duration PeerConnectTimeout = milliseconds(150);
 
 std::int64_t millis(Duration Time) { return Time / milliseconds(1); }
 
@@ -22,7 +24,13 @@
 HeadDecision Attempt::onHead(const HttpResponse &Head) {
   if (!Live_)
     return HeadDecision::Abort;
+  if (Peer_)
+    Refusal_ = peerRefusal(Head, Expected_);
   ResponseInfo Info = Protocol_->parseResponse(Head);
+  if (Refusal_ != PeerRefusal::None) {
+    Info.Id_ = Expected_;
+    Info.NotRun_ = Refusal_ == PeerRefusal::Declined || meansNotRun(Head.Status_);
+  }
   // A second, late response to an earlier request may arrive in place of the response to this one.
   if (Info.Id_ != Expected_)
     return HeadDecision::Skip;
@@ -66,7 +74,9 @@
        {"customer", Routed_.Customer_ ? Routed_.Customer_->Id_.str() : std::string("-")},
        {"revision", Routed_.Config_->config().Revision_.value()},
        {"left_ms", millis(timeLeft())}});
-  Context_.Retries_.onFirstSend(Routed_.Service_->Id_, Routed_.ArrivedAt_);
+  // The gateway that forwarded the request has counted it.
+  if (!Routed_.Peer_)
+    Context_.Retries_.onFirstSend(Routed_.Service_->Id_, Routed_.ArrivedAt_);
   begin();
 }
 
@@ -92,22 +102,36 @@
   return Options;
 }
 
-AttemptPtr Exchange::send(const EndpointRecord &Endpoint, ForwardOptions Options, ConnectionUse Use,
-                          Duration ConnectTimeout,
-                          std::function<void(const AttemptPtr &, const HttpResult &)> Done) {
+AttemptPtr Exchange::makeAttempt(EndpointId Endpoint) {
   auto Sent = std::make_shared<Attempt>();
-  Sent->Endpoint_ = Endpoint.Listing_.Id_;
+  Sent->Endpoint_ = std::move(Endpoint);
   Sent->SentAt_ = Context_.Time_.now();
   Sent->Expected_ = Routed_.Caller_.Id_;
   Sent->RetryTakenAt_ = RetryTakenAt_;
   Sent->RetryPurpose_ = RetryPurpose_;
   Sent->Protocol_ = &Context_.Protocol_;
+  Sent->BodyHandler_ = [](std::string_view) { return true; };
+  ++Sends_;
+  return Sent;
+}
+
+AttemptPtr Exchange::send(const EndpointRecord &Endpoint, ForwardOptions Options, ConnectionUse Use,
+                          Duration ConnectTimeout,
+                          std::function<void(const AttemptPtr &, const HttpResult &)> Done) {
+  const AttemptPtr Sent = makeAttempt(Endpoint.Listing_.Id_);
   Sent->InfoHandler_ = [this, Raw = Sent.get(), SentTo = Endpoint.Listing_, Run = Endpoint.run()] {
     onResponseInfo(*Raw, SentTo, Run);
   };
-  Sent->BodyHandler_ = [](std::string_view) { return true; };
-  ++Sends_;
   Options.Expected_ = Sent->Endpoint_;
+  dispatch(Sent, Endpoint.Listing_.Address_,
+           Context_.Protocol_.requestForEndpoint(Routed_.Request_, Options), Use, ConnectTimeout,
+           std::move(Done));
+  return Sent;
+}
+
+void Exchange::dispatch(const AttemptPtr &Sent, const NetAddress &Address, HttpRequest Request,
+                        ConnectionUse Use, Duration ConnectTimeout,
+                        std::function<void(const AttemptPtr &, const HttpResult &)> Done) {
   HttpSendOptions Http;
   Http.Use_ = Use;
   Http.ConnectTimeout_ = ConnectTimeout;
@@ -116,8 +140,8 @@
   Http.KeepHost_ = true;
   Http.BeforeSend_ = [this, Raw = Sent.get()] { return mayHandOver(*Raw); };
   Sent->Call_ = Context_.Client_.send(
-      Endpoint.Listing_.Address_, Context_.Protocol_.requestForEndpoint(Routed_.Request_, Options),
-      Http, [Self = shared_from_this(), Sent, Done = std::move(Done)](const HttpResult &Result) {
+      Address, std::move(Request), Http,
+      [Self = shared_from_this(), Sent, Done = std::move(Done)](const HttpResult &Result) {
         if (!Sent->Live_)
           return;
         // No endpoint would get the request, so the caller's request is at fault. A later send
@@ -125,15 +149,68 @@
         if (Result.Error_ == ErrorCode::RequestNotSendable && Self->Sends_ == 1)
           return Self->refuse(400, ErrorCode::RequestNotSendable, std::nullopt);
         Sent->Live_ = false;
+        if (Sent->Peer_)
+          Self->Context_.Peers_->onEnded(*Sent->Peer_);
         if (!Sent->Rejected_)
           return Done(Sent, Result);
         HttpResult Rejected = Result;
         Rejected.Error_ = ErrorCode::MalformedResponse;
         Done(Sent, Rejected);
       });
+}
+
+bool Exchange::usesPeer() const {
+  return Context_.Peers_ && Context_.Reach_ && !Routed_.Peer_ &&
+         Context_.Reach_->isIsolated(Routed_.Service_->Id_);
+}
+
+std::optional<NetAddress> Exchange::choosePeer() const {
+  const TimePoint Now = Context_.Time_.now();
+  if (const auto Untried = Context_.Peers_->choose(TriedPeers_, Context_.randomFraction(), Now))
+    return Untried;
+  // One that declined the request, or lost it, gets none for a while.
+  return Context_.Peers_->choose({}, Context_.randomFraction(), Now);
+}
+
+AttemptPtr Exchange::sendToPeer(const NetAddress &Peer, ForwardOptions Options, ConnectionUse Use,
+                                std::function<void(const AttemptPtr &, const HttpResult &)> Done) {
+  const AttemptPtr Sent = makeAttempt(EndpointId(Peer.str()));
+  Sent->Peer_ = Peer;
+  TriedPeers_.insert(Peer);
+  Context_.Peers_->onSent(Peer);
+  HttpRequest Request = Context_.Protocol_.requestForGateway(Routed_.Request_, Options);
+  Request.Headers_.set(std::string(forwarding::Revision),
+                       std::to_string(Routed_.Config_->config().Revision_.value()));
+  Request.Headers_.set(std::string(forwarding::Sender), Context_.Member_);
+  Context_.Metrics_.count("forwarded_total", Routed_.Service_->Id_.str());
+  Context_.Log_.log(LogEvent::RequestForwarded, {{"id", Routed_.Caller_.Id_.str()},
+                                                 {"to", Peer.str()},
+                                                 {"send", Sends_},
+                                                 {"left_ms", millis(timeLeft())}});
+  dispatch(Sent, Peer, std::move(Request), Use, PeerConnectTimeout, std::move(Done));
   return Sent;
 }
 
+void Exchange::notePeerFailure(const Attempt &Sent, const HttpResult &Result) {
+  const TimePoint Now = Context_.Time_.now();
+  const bool Lost = Result.Error_ && Result.Error_ != ErrorCode::Cancelled;
+  if (Lost)
+    Context_.Peers_->onLost(*Sent.Peer_, Now);
+  else if (Sent.Refusal_ == PeerRefusal::Declined)
+    Context_.Peers_->onRefused(*Sent.Peer_, Now);
+  Context_.Metrics_.count("forwarded_failures_total", Lost ? "lost" : "declined");
+}
+
+void Exchange::sendPeerRefusal(const Attempt &Sent, std::string Body) {
+  HttpResponse Answer = Context_.Protocol_.responseForCaller(Sent.Head_);
+  Answer.Headers_.remove(forwarding::Refusal);
+  Answer.Headers_.remove(forwarding::Request);
+  Answer.Body_ = std::move(Body);
+  cancelAttempts();
+  Routed_.Responder_->send(std::move(Answer));
+  finish("refused_by_peer");
+}
+
 void Exchange::onResponseInfo(Attempt &Sent, const EndpointListing &SentTo, Incarnation Run) {
   const ResponseInfo &Info = Sent.Info_;
   const TimePoint Now = Context_.Time_.now();
@@ -155,8 +232,11 @@
 }
 
 void Exchange::cancelAttempt(const AttemptPtr &Sent) {
-  if (Sent && std::exchange(Sent->Live_, false))
-    Context_.Client_.cancel(Sent->Call_);
+  if (!Sent || !std::exchange(Sent->Live_, false))
+    return;
+  if (Sent->Peer_)
+    Context_.Peers_->onEnded(*Sent->Peer_);
+  Context_.Client_.cancel(Sent->Call_);
 }
 
 void Exchange::refuse(std::uint32_t Status, ErrorCode Reason, std::optional<Duration> RetryAfter) {
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Gateway/GatewayContext.h"
+#include "Gateway/PeerForwarding.h"
 #include "Net/HttpServer.h"
 #include "Net/Timer.h"
 
@@ -26,6 +27,8 @@
   /// Null on public routes.
   const ServingCustomer *Customer_ = nullptr;
   TimePoint ArrivedAt_{};
+  /// Set if another gateway forwarded the request. It is not forwarded again.
+  PeerResponderPtr Peer_;
 
   /// How urgent the request is; see ServingIndex::priority. Precondition: all members are set.
   std::uint32_t priority() const;
@@ -51,6 +54,10 @@
   bool Rejected_ = false;
   /// Another endpoint, which has the address now, refused the request.
   bool AddressTaken_ = false;
+  /// The gateway that the request was forwarded to; nothing if it was sent to an endpoint.
+  std::optional<NetAddress> Peer_;
+  /// What that gateway answered in place of an endpoint.
+  PeerRefusal Refusal_ = PeerRefusal::None;
   /// False once the attempt has ended or the exchange has cancelled it.
   bool Live_ = true;
   RequestId Expected_;
@@ -102,6 +109,17 @@
   AttemptPtr send(const EndpointRecord &Endpoint, ForwardOptions Options, ConnectionUse Use,
                   Duration ConnectTimeout,
                   std::function<void(const AttemptPtr &, const HttpResult &)> Done);
+  /// Whether the request is forwarded rather than sent to an endpoint: this process reaches none.
+  bool usesPeer() const;
+  /// The gateway for the next send, preferably one that was not tried; nothing if there is none.
+  std::optional<NetAddress> choosePeer() const;
+  /// Forwards the request to another gateway, like send().
+  AttemptPtr sendToPeer(const NetAddress &Peer, ForwardOptions Options, ConnectionUse Use,
+                        std::function<void(const AttemptPtr &, const HttpResult &)> Done);
+  /// Records how a forwarded attempt failed.
+  void notePeerFailure(const Attempt &Sent, const HttpResult &Result);
+  /// Passes the answer of another gateway on, which no endpoint gave, and ends the exchange.
+  void sendPeerRefusal(const Attempt &Sent, std::string Body);
   /// Cancels an attempt; its callbacks are not called again.
   void cancelAttempt(const AttemptPtr &Sent);
 
@@ -138,6 +156,10 @@
   std::uint32_t Sends_ = 0;
 
 private:
+  AttemptPtr makeAttempt(EndpointId Endpoint);
+  void dispatch(const AttemptPtr &Sent, const NetAddress &Address, HttpRequest Request,
+                ConnectionUse Use, Duration ConnectTimeout,
+                std::function<void(const AttemptPtr &, const HttpResult &)> Done);
   /// Called when the connection of an attempt is open, before any byte is handed to it. Returns
   /// whether the request may be handed over.
   bool mayHandOver(const Attempt &Sent);
@@ -152,6 +174,8 @@
   /// The last retry that was taken from the retry budget.
   std::optional<TimePoint> RetryTakenAt_;
   RetryPurpose RetryPurpose_ = RetryPurpose::AfterLoss;
+  /// Gateways that the request was forwarded to.
+  std::set<NetAddress> TriedPeers_;
   Timer DeadlineTimer_;
   Ended OnEnded_;
   bool Ended_ = false;
--- a/Source/Gateway/GatewayContext.h
+++ b/Source/Gateway/GatewayContext.h
@@ -5,6 +5,7 @@
 #include "Core/Admission/StreamAdmissionQueue.h"
 #include "Core/Common/Logger.h"
 #include "Core/Layers/PathChooser.h"
+#include "Core/Membership/PeerDirectory.h"
 #include "Core/Recovery/EndpointSlowStart.h"
 #include "Core/Recovery/PromptQuarantine.h"
 #include "Core/Recovery/RetryShare.h"
@@ -12,6 +13,7 @@
 #include "Core/Serving/ServingIndex.h"
 #include "Gateway/EndpointProtocol.h"
 #include "Gateway/EngineHealthMonitor.h"
+#include "Gateway/ReachabilityMonitor.h"
 #include "Gateway/ResponseLimits.h"
 #include "Gateway/TurnStore.h"
 #include "Net/HttpSender.h"
@@ -62,8 +64,15 @@
   /// Hands out the trials of quarantined parts of prompts. Null if no such part is ever tried.
   TurnStore *Turns_ = nullptr;
 
+  /// Whether this process reaches endpoints, and the gateways that take its requests if it doesn't.
+  /// Null if requests are never forwarded.
+  const ReachabilityMonitor *Reach_ = nullptr;
+  PeerDirectory *Peers_ = nullptr;
+  /// The address at which other gateways reach this one.
+  std::string Member_;
+
   /// A random number in [0, 1).
-  double randomFraction() { return std::uniform_real_distribution<double>(0, 1)(Random_); }
+  double randomFraction() const { return std::uniform_real_distribution<double>(0, 1)(Random_); }
 };
 
 } // namespace rattancart
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -19,6 +19,7 @@
 
 constexpr Duration DrainInterval = milliseconds(50);
 constexpr Duration HousekeepingInterval = milliseconds(200);
+constexpr Duration ReachInterval = milliseconds(100);
 /// How long the answers to requests that a shutdown ends have time to leave.
 constexpr Duration LastAnswersTime = milliseconds(200);
 /// Interval of a timer whose lateness measures the delay of the event loop.
@@ -61,6 +62,14 @@
   return Options;
 }
 
+/// A forwarded request is the caller's with a few fields more.
+HttpServerOptions peerOptions(const CallerLimits &Limits) {
+  constexpr std::size_t AddedHeaderBytes = 1024;
+  HttpServerOptions Options = callerOptions(Limits);
+  Options.MaxHeaderBytes_ += AddedHeaderBytes;
+  return Options;
+}
+
 } // namespace
 
 GatewayProcess::GatewayProcess(GatewaySettings Settings, std::string SettingsFile,
@@ -75,7 +84,9 @@
       CountEstimator_(Settings_.DataCenters_, Settings_.Process_.DataCenter_,
                       GatewayCountOptions::forWindow(Settings_.Retries_.Window_)),
       TrialPosition_(std::uniform_real_distribution<double>(0, 1)(Random_)), Limiter_(Random_),
-      Datagrams_(Loop_, Log, Metrics_), SlowStart_(Settings_.SlowStart_),
+      Reach_({Time, Log, Metrics_, Client_, Platform.Protocol_, Roster_, Random_}),
+      Peers_(Settings_.Process_.DataCenter_), Datagrams_(Loop_, Log, Metrics_),
+      SlowStart_(Settings_.SlowStart_),
       StateBroadcast_(Loop_, Time, Log, Datagrams_, *Store_, Roster_, CountEstimator_, Quarantine_,
                       Limiter_, Settings_.Process_.DataCenter_, Settings_.DataCenters_),
       StoreRelay_({Loop_, Time, Log, Metrics_, *Store_, Datagrams_, StateBroadcast_},
@@ -101,12 +112,14 @@
                Random_,
                Settings_.Process_.DataCenter_,
                Settings_.ResponseLimits_},
-      RequestHandler_(Context_, Config_), Protocol_(Platform.Protocol_),
-      CallerServer_(Loop_, callerOptions({}), *this, Log), StateHandler_(*this),
-      StateHttp_(Loop_, {}, StateHandler_, Log), MetricsHttp_(Loop_, {}, StateHandler_, Log),
+      RequestHandler_(Context_, Config_), PeerHandler_(Context_, Config_, RequestHandler_),
+      Protocol_(Platform.Protocol_), CallerServer_(Loop_, callerOptions({}), *this, Log),
+      StateHandler_(*this), StateHttp_(Loop_, {}, StateHandler_, Log),
+      MetricsHttp_(Loop_, {}, StateHandler_, Log),
+      PeerServer_(Loop_, peerOptions({}), PeerHandler_, Log),
       Signals_(Loop_, [this] { onShutdownSignal(); }), ReloadSignal_(Loop_, SIGHUP),
       Drain_({Settings_.ShutdownGrace_, Settings_.ShutdownLimit_}), DrainTimer_(Loop_),
-      Housekeeping_(Loop_), LoopDelayTimer_(Loop_) {}
+      Housekeeping_(Loop_), LoopDelayTimer_(Loop_), ReachTimer_(Loop_) {}
 
 GatewayProcess::~GatewayProcess() = default;
 
@@ -118,10 +131,13 @@
       return Failure;
   if (const std::error_code Failure = StateBroadcast_.listen(Settings_.PeerListen_))
     return Failure;
+  if (const std::error_code Failure = PeerServer_.listen(NetAddress(StateBroadcast_.member())))
+    return Failure;
   if (const std::error_code Failure = CallerServer_.listen(Settings_.Listen_))
     return Failure;
   RequestHandler_.queueUntilReady({.MaxWait_ = Settings_.StartupMaxWait_}, Time_.now());
   subscribeToEngineEvents();
+  startForwarding();
   StoreRelay_.start();
   Store_->follow(*this);
   PlacementCoordinator_.start();
@@ -162,13 +178,35 @@
   StateBroadcast_.onOwnerFinding(
       [this](const EndpointId &Engine) { return Prober_.rejectsOwnerFinding(Engine); });
   Prober_.onSilent([this](const EndpointId &Engine, bool Refused) {
-    if (const EndpointRecord *Record = Roster_.find(Engine))
+    const EndpointRecord *Record = Roster_.find(Engine);
+    // While the links of this gateway are in doubt, the others need not look for a lost engine.
+    if (Record && !Reach_.inDoubt(Record->Listing_.Service_))
       StateBroadcast_.announceSilent(Engine, Record->Listing_.DataCenter_, Refused);
     RequestHandler_.onEngineSilent(Engine);
     PlacementCoordinator_.onEngineSilent(Engine);
   });
 }
 
+void GatewayProcess::startForwarding() {
+  Context_.Reach_ = &Reach_;
+  Context_.Peers_ = &Peers_;
+  Context_.Member_ = StateBroadcast_.member();
+  Client_.onConnect([this](const NetAddress &Address, bool Accepted, Duration Took) {
+    Reach_.onConnect(Address, Accepted, Took);
+  });
+  Reach_.onChange([this](const ReachabilityChange &Change) { onReachabilityChange(Change); });
+  StateBroadcast_.onPeer([this](const PeerGateway &Peer) { Peers_.onNamed(Peer, Time_.now()); });
+  ReachTimer_.every(ReachInterval, [this] { Reach_.tick(); });
+}
+
+void GatewayProcess::onReachabilityChange(const ReachabilityChange &Change) {
+  StateBroadcast_.setIsolated(Reach_.isIsolatedFromAny());
+  const ServingIndexPtr &Config = Config_.current();
+  const ServingService *Service = Config ? Config->service(Change.Service_) : nullptr;
+  if (Service && Service->Model_)
+    PlacementCoordinator_.setIsolated(Change.Isolated_);
+}
+
 std::string GatewayProcess::listening() const {
   return CallerServer_.address().str() + " state " + StateHttp_.address().str();
 }
@@ -183,6 +221,7 @@
     return;
   }
   CallerServer_.setLimits(callerOptions(Limits));
+  PeerServer_.setLimits(peerOptions(Limits));
   const ServingConfig &Current = Config_.current()->config();
   Log_.log(LogEvent::ConfigInForce,
            {{"revision", Revision.value()},
@@ -383,6 +422,8 @@
     return;
   Log_.log(LogEvent::ShutdownStarted, {{"in_flight", RequestHandler_.inFlight()}});
   PlacementCoordinator_.stop();
+  PeerHandler_.setAccepting(false);
+  PeerServer_.announceClose();
   CallerServer_.announceClose();
   ShutdownEnd_ = Time_.now() + Settings_.ShutdownLimit_;
   Drain_.request(inFlight(), Time_.now());
@@ -392,8 +433,10 @@
 
 void GatewayProcess::drainTick() {
   Drain_.tick(inFlight(), Time_.now());
-  if (Drain_.phase() == DrainPhase::Draining && std::exchange(Accepting_, false))
+  if (Drain_.phase() == DrainPhase::Draining && std::exchange(Accepting_, false)) {
     CallerServer_.drain();
+    PeerServer_.drain();
+  }
   if (Drain_.phase() == DrainPhase::Finished)
     finish();
 }
@@ -485,6 +528,9 @@
                {{"service", Key.first.str()}, {"class", std::to_string(Key.second.value())}});
   Gauges.add("prompts_quarantined", static_cast<double>(Quarantine_.size()));
   Gauges.add("store_reachable", StoreReachable_ ? 1 : 0);
+  Gauges.add("isolated", Reach_.isIsolatedFromAny() ? 1 : 0);
+  Gauges.add("peers_available", static_cast<double>(Peers_.available(Time_.now())));
+  Gauges.add("forwarded_in_flight", static_cast<double>(RequestHandler_.forwardedInFlight()));
   Gauges.add("owns_placement", PlacementCoordinator_.owns() ? 1 : 0);
   Gauges.add("resident_bytes", static_cast<double>(residentBytes()));
   const TimePoint Now = Time_.now();
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -61,6 +61,9 @@
   std::string metricsText() const override;
 
   void subscribeToEngineEvents();
+  /// Connects the parts that forward requests while this gateway reaches no endpoint.
+  void startForwarding();
+  void onReachabilityChange(const ReachabilityChange &Change);
   void updateReadiness();
   /// Handles the requests that arrived before the configuration and the list, once both are there.
   void routeWaitingRequests();
@@ -99,6 +102,8 @@
   /// See PromptQuarantine::spreadTrials.
   double TrialPosition_;
   EndpointLimiter Limiter_;
+  ReachabilityMonitor Reach_;
+  PeerDirectory Peers_;
   DatagramSocket Datagrams_;
   EndpointSlowStart SlowStart_;
   EngineStateBroadcast StateBroadcast_;
@@ -106,11 +111,14 @@
   PlacementCoordinator PlacementCoordinator_;
   GatewayContext Context_;
   GatewayRequestHandler RequestHandler_;
+  PeerRequestHandler PeerHandler_;
   const EndpointProtocol &Protocol_;
   HttpServer CallerServer_;
   StateServer StateHandler_;
   HttpServer StateHttp_;
   HttpServer MetricsHttp_;
+  /// Takes requests that other gateways forward.
+  HttpServer PeerServer_;
   SignalWatcher Signals_;
   boost::asio::signal_set ReloadSignal_;
   DrainState Drain_;
@@ -119,6 +127,7 @@
   Timer DrainTimer_;
   Timer Housekeeping_;
   Timer LoopDelayTimer_;
+  Timer ReachTimer_;
   bool ListComplete_ = false;
   /// When the last record of the endpoint list arrived.
   TimePoint ListHeardAt_{};
--- a/Source/Gateway/GatewayRequestHandler.cpp
+++ b/Source/Gateway/GatewayRequestHandler.cpp
@@ -88,9 +88,14 @@
     route(std::move(Request), std::move(Responder), Context_.Time_.now());
 }
 
+void GatewayRequestHandler::handleForwarded(HttpRequest Request, PeerResponderPtr Responder) {
+  route(std::move(Request), Responder, Context_.Time_.now(), Responder);
+}
+
 void GatewayRequestHandler::route(HttpRequest Request, HttpResponderPtr Responder,
-                                  TimePoint ArrivedAt) {
+                                  TimePoint ArrivedAt, PeerResponderPtr Peer) {
   RoutedRequest Routed;
+  Routed.Peer_ = std::move(Peer);
   Routed.ArrivedAt_ = ArrivedAt;
   Routed.Caller_ = Context_.Protocol_.parseRequest(Request);
   Routed.Request_ = std::move(Request);
@@ -108,6 +113,8 @@
   Routed.Service_ = Index.chooseService(*Routed.Route_, Context_.randomFraction());
   if (!Routed.Service_)
     return refuse(Routed, 503, ErrorCode::NoEndpoint, NoConfigRetry);
+  if (Routed.Peer_ && Context_.Reach_ && Context_.Reach_->isIsolated(Routed.Service_->Id_))
+    return Routed.Peer_->decline();
   startExchange(std::move(Routed));
 }
 
@@ -128,7 +135,12 @@
 
 void GatewayRequestHandler::startExchange(RoutedRequest Routed) {
   const bool Layered = Routed.Service_->Model_.has_value();
-  auto OnEnded = [this](const std::shared_ptr<Exchange> &Ended) { Active_.erase(Ended); };
+  const std::size_t Forwarded = Routed.Peer_ ? 1 : 0;
+  Forwarded_ += Forwarded;
+  auto OnEnded = [this, Forwarded](const std::shared_ptr<Exchange> &Ended) {
+    Forwarded_ -= Forwarded;
+    Active_.erase(Ended);
+  };
   std::shared_ptr<Exchange> Started;
   if (Layered)
     Started = std::make_shared<StreamExchange>(Context_, std::move(Routed), OnEnded);
--- a/Source/Gateway/GatewayRequestHandler.h
+++ b/Source/Gateway/GatewayRequestHandler.h
@@ -19,6 +19,10 @@
   GatewayRequestHandler(GatewayContext &Context, const ConfigHolder &Config);
 
   void handle(HttpRequest Request, HttpResponderPtr Responder) override;
+  /// Handles a request that another gateway forwarded, or declines it if this one can't serve it
+  /// either.
+  void handleForwarded(HttpRequest Request, PeerResponderPtr Responder);
+  std::size_t forwardedInFlight() const { return Forwarded_; }
   /// Until the call of onReady, requests wait in a queue with these options instead of being
   /// refused. Without this call, no request waits.
   void queueUntilReady(StartupQueueOptions Options, TimePoint StartedAt);
@@ -43,7 +47,8 @@
   bool tryQueue(HttpRequest &Request, HttpResponderPtr &Responder);
   /// Stops waiting for these requests and routes them. Those that can't be served yet are refused.
   void routeWaiting(const std::vector<AdmissionTicket> &Tickets, std::string_view Outcome);
-  void route(HttpRequest Request, HttpResponderPtr Responder, TimePoint ArrivedAt);
+  void route(HttpRequest Request, HttpResponderPtr Responder, TimePoint ArrivedAt,
+             PeerResponderPtr Peer = nullptr);
   void refuse(const RoutedRequest &Routed, std::uint32_t Status, ErrorCode Reason,
               std::optional<Duration> RetryAfter);
   void startExchange(RoutedRequest Routed);
@@ -51,6 +56,7 @@
   GatewayContext &Context_;
   const ConfigHolder &Config_;
   std::unordered_set<std::shared_ptr<Exchange>> Active_;
+  std::size_t Forwarded_ = 0;
   StartupQueue StartupQueue_;
   std::map<AdmissionTicket, WaitingRequest> AwaitingStart_;
   Timer Timer_;
--- a/Source/Gateway/PlacementCoordinator.cpp
+++ b/Source/Gateway/PlacementCoordinator.cpp
@@ -83,6 +83,19 @@
   Use_.Store_.leave(EngineStateBroadcast::groupName(Home_), Use_.StateBroadcast_.member());
 }
 
+void PlacementCoordinator::setIsolated(bool Isolated) {
+  if (Stopped_ || Isolated == Isolated_)
+    return;
+  Isolated_ = Isolated;
+  // The store was not asked meanwhile, so nothing is known of it.
+  JoinedAt_ = {};
+  if (!Isolated)
+    return join();
+  JoinTimer_.cancel();
+  setOwner(std::nullopt, "isolated");
+  Use_.Store_.leave(EngineStateBroadcast::groupName(Home_), Use_.StateBroadcast_.member());
+}
+
 void PlacementCoordinator::join() {
   Use_.Store_.join(EngineStateBroadcast::groupName(Home_), Use_.StateBroadcast_.member(),
                    TimeToLive, Generation_,
@@ -93,7 +106,7 @@
 
 void PlacementCoordinator::onJoined(const std::optional<Membership> &Joined,
                                     std::error_code Failure) {
-  if (Stopped_)
+  if (Stopped_ || Isolated_)
     return;
   if (!Joined) {
     // The duty is kept: once there is another owner, engines refuse this one's orders.
@@ -120,7 +133,7 @@
 void PlacementCoordinator::tryStandIn() {
   const auto Silence = Use_.StateBroadcast_.ownerSilence();
   const auto Rank = Use_.StateBroadcast_.standInRank();
-  if (owns() || !storeLost() || !Silence || !Rank || Generation_ <= RefusedFence_)
+  if (owns() || Isolated_ || !storeLost() || !Silence || !Rank || Generation_ <= RefusedFence_)
     return;
   if (*Silence > OwnerLostTimeout + static_cast<std::int64_t>(*Rank) * StandInInterval)
     setOwner(Generation_, "stand-in");
--- a/Source/Gateway/PlacementCoordinator.h
+++ b/Source/Gateway/PlacementCoordinator.h
@@ -46,6 +46,9 @@
   /// Leaves the group, so that another gateway takes over at once. While the store is unreachable,
   /// no other gateway could take over, so an owner keeps the duty.
   void stop();
+  /// Isolated: this gateway reaches no engine. It leaves the group until it does again, so that
+  /// another gateway places the layers.
+  void setIsolated(bool Isolated);
   /// An engine was found silent; its layers may be missing now.
   void onEngineSilent(const EndpointId &Engine);
   bool owns() const { return Controller_.fence().has_value(); }
@@ -93,6 +96,7 @@
   std::size_t PollsOpen_ = 0;
   TimePoint JoinedAt_{};
   bool Stopped_ = false;
+  bool Isolated_ = false;
 };
 
 } // namespace rattancart
--- a/Source/Gateway/StateSubscriptions.cpp
+++ b/Source/Gateway/StateSubscriptions.cpp
@@ -85,12 +85,27 @@
   return Subscription == Owners_.end() ? None : Subscription->second.Members_;
 }
 
+std::vector<PeerGateway> StateSubscriptions::takePeers(std::size_t Count) {
+  std::vector<PeerGateway> Peers;
+  auto Next = LastPeer_ ? Subscribers_.upper_bound(*LastPeer_) : Subscribers_.begin();
+  for (std::size_t Seen = 0; Seen < Subscribers_.size() && Peers.size() < Count; ++Seen) {
+    if (Next == Subscribers_.end())
+      Next = Subscribers_.begin();
+    if (!Next->second.Isolated_)
+      Peers.push_back({NetAddress(addressText(Next->first)), Next->second.Home_});
+    LastPeer_ = Next->first;
+    ++Next;
+  }
+  return Peers;
+}
+
 void StateSubscriptions::onSubscribe(const DatagramSocket::Endpoint &From, const DataCenterId &Home,
-                                     bool InUse) {
+                                     bool InUse, bool Isolated) {
   Subscriber &Known = Subscribers_[From];
   Known.ExpiresAt_ = Time_.now() + SubscriptionLifetime;
   Known.Home_ = Home;
   Known.InUse_ = InUse;
+  Known.Isolated_ = Isolated;
 }
 
 void StateSubscriptions::dropExpired() {
--- a/Source/Gateway/StateSubscriptions.h
+++ b/Source/Gateway/StateSubscriptions.h
@@ -3,6 +3,7 @@
 #include "Core/Common/Clock.h"
 #include "Core/Common/Logger.h"
 #include "Core/Membership/GatewayCountEstimator.h"
+#include "Core/Membership/PeerDirectory.h"
 #include "Gateway/DatagramSocket.h"
 #include "Gateway/MetadataStore.h"
 
@@ -46,8 +47,12 @@
   /// The stand-ins that the last owner at home named, in the order in which they take over.
   const std::vector<std::string> &standInsAtHome() const;
 
-  /// A gateway subscribes here. InUse: it needs every update.
-  void onSubscribe(const DatagramSocket::Endpoint &From, const DataCenterId &Home, bool InUse);
+  /// A gateway subscribes here. InUse: it needs every update. Isolated: it reaches no endpoint of
+  /// some service.
+  void onSubscribe(const DatagramSocket::Endpoint &From, const DataCenterId &Home, bool InUse,
+                   bool Isolated);
+  /// Up to Count subscribers that reach endpoints, others at each call.
+  std::vector<PeerGateway> takePeers(std::size_t Count);
   void dropExpired();
   /// The subscribers that get the next states, by data centre.
   std::map<DataCenterId, std::vector<std::string>> takeReceivers();
@@ -78,6 +83,7 @@
     TimePoint ExpiresAt_{};
     DataCenterId Home_;
     bool InUse_ = false;
+    bool Isolated_ = false;
     /// When a subscriber of another data centre that sends no requests here gets the next states.
     TimePoint NextSendAt_{};
   };
@@ -101,6 +107,8 @@
   std::optional<TimePoint> RemoteInUseSince_;
   std::map<DataCenterId, OwnerSubscription> Owners_;
   std::map<DatagramSocket::Endpoint, Subscriber> Subscribers_;
+  /// The last subscriber that takePeers returned.
+  std::optional<DatagramSocket::Endpoint> LastPeer_;
 };
 
 } // namespace rattancart
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -63,7 +63,7 @@
 void StreamExchange::begin() {
   LastEvent_ = Routed_.Caller_.LastEvent_;
   const auto Quarantined = quarantinedPart();
-  if (Quarantined && Quarantined->TrialDue_ && Context_.Turns_)
+  if (Quarantined && Quarantined->TrialDue_ && Context_.Turns_ && !usesPeer())
     return requestTrial(*Quarantined);
   if (Quarantined)
     return refuseWithoutPath();
@@ -131,6 +131,12 @@
 }
 
 void StreamExchange::place() {
+  // The memory at the engines, and who waits for it, is known where the request is forwarded to.
+  if (usesPeer()) {
+    if (!sendOnPath(/*Again=*/false))
+      refuseWithoutPath();
+    return;
+  }
   Placement_.noteArrival();
   // Requests that are already queued go first.
   const TimePoint Now = Context_.Time_.now();
@@ -146,7 +152,47 @@
     refuseWithoutPath();
 }
 
+bool StreamExchange::sendOnPeer(bool Again) {
+  BudgetSpent_ = false;
+  const auto Peer = choosePeer();
+  if (!Peer)
+    return false;
+  if (Again && !DeclinedByPeer_ &&
+      !tryTakeRetry(ResumeCause_.empty() ? "not_run" : ResumeCause_, retryPurpose())) {
+    BudgetSpent_ = true;
+    return false;
+  }
+  keepAttempt();
+  resetAttempt(Context_.Time_.now());
+  ForwardOptions Options = forwardOptions();
+  Options.LastEvent_ = LastEvent_;
+  Attempt_ = sendToPeer(
+      *Peer, std::move(Options), Sends_ == 0 ? ConnectionUse::Pooled : ConnectionUse::Fresh,
+      [this](const AttemptPtr &Sent, const HttpResult &Result) { onDone(Sent, Result); });
+  followAttempt();
+  return true;
+}
+
+void StreamExchange::resetAttempt(TimePoint Now) {
+  Events_.reset();
+  BytesSinceEvent_ = 0;
+  FailureBody_.clear();
+  FailureComplete_ = false;
+  DeclinedByPeer_ = false;
+  FirstSendToEngine_ = false;
+  Monitor_.recordSent(Now);
+}
+
+void StreamExchange::followAttempt() {
+  Attempt_->HeadHandler_ = [this, From = Attempt_.get()] { onHead(*From); };
+  Attempt_->BodyHandler_ = [this, From = Attempt_.get()](std::string_view Data) {
+    return onBody(*From, Data);
+  };
+}
+
 bool StreamExchange::sendOnPath(bool Again) {
+  if (usesPeer())
+    return sendOnPeer(Again);
   const TimePoint Now = Context_.Time_.now();
   // A stream that has begun goes first.
   PathChoice Choice = Placement_.choose(Started_, Now);
@@ -168,21 +214,14 @@
     if (Context_.SlowStart_)
       Context_.SlowStart_->onSent(Stage.Engine_, Now);
   }
-  Events_.reset();
-  BytesSinceEvent_ = 0;
-  FailureBody_.clear();
-  FailureComplete_ = false;
-  Monitor_.recordSent(Now);
+  resetAttempt(Now);
   const EndpointRecord *First = Context_.Roster_.find(Path_.Stages_.front().Engine_);
   FirstSendToEngine_ = Placement_.addFirstEngine(First->Listing_.Id_);
   Attempt_ =
       send(*First, std::move(Options), Sends_ == 0 ? ConnectionUse::Pooled : ConnectionUse::Fresh,
            ConnectTimeout,
            [this](const AttemptPtr &Sent, const HttpResult &Result) { onDone(Sent, Result); });
-  Attempt_->HeadHandler_ = [this, From = Attempt_.get()] { onHead(*From); };
-  Attempt_->BodyHandler_ = [this, From = Attempt_.get()](std::string_view Data) {
-    return onBody(*From, Data);
-  };
+  followAttempt();
   logSend(Attempt_->Endpoint_,
           fmt::format("path {} in {}, reports up to {} ms old", pathText(Path_),
                       Choice.DataCenter_.str(), Choice.OldestReport_ / milliseconds(1)));
@@ -412,7 +451,23 @@
   finish(Resumes_ > 0 ? "served_resumed" : "served");
 }
 
+void StreamExchange::onPeerFailure(const HttpResult &Result) {
+  notePeerFailure(*Attempt_, Result);
+  const bool Answered = !Result.Error_ && Attempt_->Refusal_ == PeerRefusal::Final;
+  if (Answered && !Started_ && !Kept_ && !MayHaveRun_)
+    return sendPeerRefusal(*Attempt_, std::move(FailureBody_));
+  const bool NotRun = !Result.BytesHandedOver_ || Attempt_->Info_.NotRun_;
+  if (Kept_) {
+    MayHaveRun_ = MayHaveRun_ || !NotRun;
+    returnToKept();
+  }
+  DeclinedByPeer_ = !Result.BytesHandedOver_ || Attempt_->Refusal_ == PeerRefusal::Declined;
+  continueElsewhere(!NotRun, NotRun ? "not_run" : "gateway_failed");
+}
+
 void StreamExchange::onFailure(const HttpResult &Result) {
+  if (Attempt_->Peer_)
+    return onPeerFailure(Result);
   const bool NotRun = !Result.BytesHandedOver_ || Attempt_->Info_.NotRun_;
   noteFailure(Result);
   if (NotRun && !Started_)
@@ -429,7 +484,10 @@
 void StreamExchange::onKeptFailure(const HttpResult &Result) {
   const Attempt &Sent = *Kept_->Attempt_;
   logFailure(Sent, Result);
-  Placement_.exclude(Sent.Endpoint_);
+  if (Sent.Peer_)
+    notePeerFailure(Sent, Result);
+  else
+    Placement_.exclude(Sent.Endpoint_);
   if (endedAtStart(Sent))
     checkCrashedEngine(Sent.Endpoint_);
   const bool NotRun = !Result.BytesHandedOver_ || Sent.Info_.NotRun_;
@@ -471,7 +529,7 @@
 }
 
 bool StreamExchange::endedAtStart(const Attempt &Sent) const {
-  return !Started_ && Sent.HeadSeen_ && Sent.Head_.Status_ == 200;
+  return !Started_ && !Sent.Peer_ && Sent.HeadSeen_ && Sent.Head_.Status_ == 200;
 }
 
 void StreamExchange::checkCrashedEngine(const EndpointId &First) {
@@ -485,12 +543,18 @@
        Now](const std::vector<EndpointId> &Silent) {
         const EndpointRecord *Found = Self->Context_.Roster_.find(First);
         const bool Restarted = Found && std::max(Found->Listing_.Run_, Found->Report_.Run_) > Run;
+        // While the links of this process are in doubt, no answer tells nothing of the engine.
+        const bool EngineEnded = Restarted || (!Silent.empty() && !Self->linksInDoubt());
         // A leaving engine ends as planned.
-        if ((!Silent.empty() || Restarted) && !Leaving)
+        if (EngineEnded && !Leaving)
           Self->noteCrash(First, Run, Now);
       });
 }
 
+bool StreamExchange::linksInDoubt() const {
+  return Context_.Reach_ && Context_.Reach_->inDoubt(Routed_.Service_->Id_);
+}
+
 void StreamExchange::noteCrash(const EndpointId &Engine, Incarnation Run, TimePoint At) {
   const std::vector<PromptPartId> &Parts = Routed_.Caller_.SharedPromptParts_;
   ++EngineEndsAtStart_;
@@ -655,9 +719,20 @@
     return tryResume(Now);
   if (!Attempt_ || !Attempt_->Live_ || Checking_ || !Monitor_.isCheckDue(Now))
     return;
+  if (Attempt_->Peer_)
+    return checkPeer(Now);
   checkPath();
 }
 
+void StreamExchange::checkPeer(TimePoint Now) {
+  // The other gateway replaces engines that are lost, so the gateway itself is in doubt.
+  if (!Monitor_.isConnectionLost(Now) || UnexplainedResumes_ >= MaxUnexplainedResumes)
+    return;
+  ++UnexplainedResumes_;
+  Context_.Peers_->onLost(*Attempt_->Peer_, Now);
+  leavePath({}, "gateway_silent");
+}
+
 void StreamExchange::checkPath() {
   std::vector<EndpointId> Engines;
   for (const PathStage &Stage : Path_.Stages_)
--- a/Source/Gateway/StreamExchange.h
+++ b/Source/Gateway/StreamExchange.h
@@ -30,6 +30,14 @@
 private:
   /// False if there is no path, or no budget to send the request again.
   bool sendOnPath(bool Again);
+  /// The same for a stream that is forwarded to another gateway.
+  bool sendOnPeer(bool Again);
+  /// A forwarded attempt ended without a complete stream.
+  void onPeerFailure(const HttpResult &Result);
+  /// Resets what belongs to the newest attempt before the next one is sent.
+  void resetAttempt(TimePoint Now);
+  /// Sets the handlers of the newest attempt.
+  void followAttempt();
   bool resend();
   /// What the next send would be a retry for. A stream that was rejected on its way to another path
   /// has lost its engine all the same.
@@ -118,6 +126,9 @@
   /// Cancels the kept attempt.
   void endKept();
   void checkPath();
+  /// The same for a stream that was forwarded.
+  void checkPeer(TimePoint Now);
+  bool linksInDoubt() const;
   void onChecked(const std::vector<EndpointId> &Silent);
   /// Leaves the path as soon as there is another one.
   void leavePath(const std::vector<EndpointId> &Lost, std::string_view Cause);
@@ -178,6 +189,8 @@
   bool FailureComplete_ = false;
   /// The last resend failed because the retry budget was spent, not for lack of a path.
   bool BudgetSpent_ = false;
+  /// The last attempt ended at another gateway before it reached an engine.
+  bool DeclinedByPeer_ = false;
   bool Started_ = false;
   bool Checking_ = false;
   /// At least one attempt may have run.
--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -33,6 +33,9 @@
 /// Maximum total size of the bodies of the skipped responses, in bytes.
 constexpr std::size_t MaxSkippedBytes = 4 * 1024 * 1024;
 
+/// A connect that was given up sooner than this does not count as not accepted.
+constexpr std::chrono::milliseconds MinFailedConnect{40};
+
 /// Reads a body into a string that grows as bytes arrive. The library's own reader reserves memory
 /// for the length that the head states, which a faulty server can set to more than there is.
 class UnreservedReader : public http::string_body::reader {
@@ -178,6 +181,9 @@
   void onIdleClosed(std::function<void(const NetAddress &)> Handler) {
     IdleClosed_ = std::move(Handler);
   }
+  void onConnect(std::function<void(const NetAddress &, bool, Duration)> Handler) {
+    ConnectHandler_ = std::move(Handler);
+  }
 
 private:
   struct PendingRequest;
@@ -195,6 +201,8 @@
   void armTimer(const PendingRequestPtr &Pending, Duration Delay, ErrorCode Reason);
   void returnToPool(const PendingRequestPtr &Pending);
   void finish(const PendingRequestPtr &Pending, std::error_code Failure);
+  /// Tells the handler how the connect of the request ended, if one is under way.
+  void reportConnect(const PendingRequestPtr &Pending, bool Accepted);
 
   boost::asio::io_context &Loop_;
   std::size_t MaxIdle_;
@@ -203,6 +211,7 @@
   HttpCallId NextId_{1};
   HttpClientStats Stats_;
   std::function<void(const NetAddress &)> IdleClosed_;
+  std::function<void(const NetAddress &, bool, Duration)> ConnectHandler_;
 };
 
 struct HttpClient::Impl::PendingRequest {
@@ -216,6 +225,8 @@
   boost::asio::steady_timer Timer_;
   std::optional<http::response_parser<UnreservedBody>> Parser_;
   std::error_code TimerReason_;
+  /// Set while a connect is under way.
+  std::optional<std::chrono::steady_clock::time_point> ConnectStartedAt_;
   bool Sendable_ = true;
   bool BytesHandedOver_ = false;
   bool Refused_ = false;
@@ -281,6 +292,7 @@
     return finish(Pending, Target.error().Code_);
   Pending->Connection_ = std::make_shared<ClientConnection>(Loop_);
   ++Stats_.Connects_;
+  Pending->ConnectStartedAt_ = std::chrono::steady_clock::now();
   armTimer(Pending, Pending->Options_.ConnectTimeout_, ErrorCode::ConnectFailed);
   Pending->Connection_->Socket_.async_connect(
       *Target, [Self = shared_from_this(), Pending](boost::system::error_code E) {
@@ -291,6 +303,7 @@
                               E == boost::asio::error::connection_reset;
           return Self->finish(Pending, ErrorCode::ConnectFailed);
         }
+        Self->reportConnect(Pending, true);
         boost::system::error_code Ignored;
         Pending->Connection_->Socket_.set_option(tcp::no_delay(true), Ignored);
         setDeadPeerTimeouts(Pending->Connection_->Socket_);
@@ -425,8 +438,19 @@
       });
 }
 
+void HttpClient::Impl::reportConnect(const PendingRequestPtr &Pending, bool Accepted) {
+  const auto StartedAt = std::exchange(Pending->ConnectStartedAt_, std::nullopt);
+  if (!StartedAt || !ConnectHandler_)
+    return;
+  const Duration Took = std::chrono::steady_clock::now() - *StartedAt;
+  // One that was cancelled sooner might have been accepted.
+  if (Accepted || Pending->Refused_ || Took >= MinFailedConnect)
+    ConnectHandler_(Pending->Address_, Accepted, Took);
+}
+
 void HttpClient::Impl::finish(const PendingRequestPtr &Pending, std::error_code Failure) {
   Pending->Finished_ = true;
+  reportConnect(Pending, false);
   Pending->Timer_.cancel();
   PendingRequests_.erase(Pending->Id_);
 
@@ -475,6 +499,7 @@
 void HttpClient::Impl::shutDown() {
   Idle_.clear();
   const auto Requests = std::exchange(PendingRequests_, {});
+  ConnectHandler_ = nullptr;
   for (const auto &[Id, Pending] : Requests) {
     Pending->Finished_ = true;
     Pending->Done_ = nullptr;
@@ -504,6 +529,9 @@
 void HttpClient::onIdleClosed(std::function<void(const NetAddress &)> Handler) {
   Impl_->onIdleClosed(std::move(Handler));
 }
+void HttpClient::onConnect(std::function<void(const NetAddress &, bool, Duration)> Handler) {
+  Impl_->onConnect(std::move(Handler));
+}
 void HttpClient::closeIdle(const NetAddress &Address) { Impl_->closeIdle(Address); }
 void HttpClient::closeAllIdle() { Impl_->closeAllIdle(); }
 HttpClientStats HttpClient::stats() const { return Impl_->stats(); }
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -37,6 +37,9 @@
   /// Calls Handler whenever the server closes an idle connection: the first sign that its process
   /// has ended.
   void onIdleClosed(std::function<void(const NetAddress &)> Handler);
+  /// Calls Handler for each connect when it was accepted, or when it was refused or not accepted in
+  /// time. Took: how long that took.
+  void onConnect(std::function<void(const NetAddress &, bool Accepted, Duration Took)> Handler);
   /// Closes the idle connections to one address, or to all.
   void closeIdle(const NetAddress &Address);
   void closeAllIdle();
--- a/Source/SiteModel/SimulatedEngines.cpp
+++ b/Source/SiteModel/SimulatedEngines.cpp
@@ -76,12 +76,20 @@
   return Sent;
 }
 
+HttpRequest SimulatedEngineProtocol::requestForGateway(const HttpRequest &Request,
+                                                       const ForwardOptions &Options) const {
+  HttpRequest Sent = Request;
+  if (Options.LastEvent_)
+    Sent.Headers_.set("last", std::to_string(*Options.LastEvent_));
+  return Sent;
+}
+
 ResponseInfo SimulatedEngineProtocol::parseResponse(const HttpResponse &Head) const {
   ResponseInfo Answer;
   Answer.Id_ = RequestId(std::string(Head.Headers_.get("id")));
   Answer.Misdirected_ = Head.Status_ == 421;
   Answer.NotRun_ = Head.Headers_.has("not-run") || Answer.Misdirected_;
-  Answer.Signed_ = !Head.Headers_.has("unsigned");
+  Answer.Signed_ = !Head.Headers_.has("unsigned") && !Head.Headers_.has("error");
   Answer.Encoded_ = Head.Headers_.has("encoded");
   Answer.EventStream_ = !Head.Headers_.has("other-media-type");
   if (Head.Headers_.has("fault"))
--- a/Source/SiteModel/SimulatedEngines.h
+++ b/Source/SiteModel/SimulatedEngines.h
@@ -21,6 +21,8 @@
   CallerRequest parseRequest(const HttpRequest &Request) const override;
   HttpRequest requestForEndpoint(const HttpRequest &Request,
                                  const ForwardOptions &Options) const override;
+  HttpRequest requestForGateway(const HttpRequest &Request,
+                                const ForwardOptions &Options) const override;
   ResponseInfo parseResponse(const HttpResponse &Head) const override;
   HttpResponse responseForCaller(const HttpResponse &Head) const override { return Head; }
   HttpResponse errorResponse(std::uint32_t Status, ErrorCode Reason,
--- a/Source/SiteModel/SimulatedSite.cpp
+++ b/Source/SiteModel/SimulatedSite.cpp
@@ -28,6 +28,9 @@
 constexpr Duration RecheckInterval = milliseconds(500);
 constexpr Duration DoubtInterval = milliseconds(100);
 constexpr Duration DatagramDelay = milliseconds(1);
+constexpr Duration ReachInterval = milliseconds(100);
+/// Owners name gateways that reach engines.
+constexpr Duration PeerInterval = milliseconds(1000);
 constexpr Duration TurnDelay = milliseconds(8);
 
 /// Counts some events and discards all log lines.
@@ -147,6 +150,7 @@
       Done(Silent);
     });
   }
+  void setReachability(const ReachabilityMonitor &Reach) { Reach_ = &Reach; }
   void suspect(const EndpointId &Engine) override {
     Site_.Queue_.after(ProbeTimeout, [this, Engine] {
       if (!answers(Engine))
@@ -179,18 +183,20 @@
     if (Site_.Engines_.condition(Engine) == EngineCondition::Stopped)
       Roster_.noteConnectionRefused(Engine, Site_.Queue_.now());
   }
+  bool inDoubt() const { return Reach_ && Reach_->inDoubt(ServiceId("brief")); }
   void markSilent(const EndpointId &Engine) {
     const EndpointRecord *Record = Roster_.find(Engine);
     const bool Known = !Record || Record->silent(Site_.Queue_.now());
     noteIfStopped(Engine);
     Roster_.markSilent(Engine, Site_.Queue_.now(), Site_.Queue_.now() + SilenceDuration);
-    if (!Known)
+    if (!Known && !inDoubt())
       Site_.broadcastSilence(Engine);
   }
 
   SimulatedSite &Site_;
   EndpointRoster &Roster_;
   const GatewayLink &Link_;
+  const ReachabilityMonitor *Reach_ = nullptr;
 };
 
 /// Hands out turns as the platform's store does, some time after each claim.
@@ -229,12 +235,21 @@
                                           MemoryQueue_, Quarantine_,
                                           Limiter_,     Random_,
                                           Home},
-        Handler_(Context_, Site.Config_), Home_(Home), Owner_(Owner) {
+        Handler_(Context_, Site.Config_), PeerHandler_(Context_, Site.Config_, Handler_),
+        Reach_({Site.Queue_.clock(), *Site.Log_, Metrics_, Link_, Site.Dialect_, Roster_, Random_}),
+        Peers_(Home), Home_(Home), Owner_(Owner) {
     Retries_.setProcesses(Count);
     SlowStart_.setGateways(Count);
     Quarantine_.onReport([this, &Site] { Site.reportSuspects(*this); });
     Quarantine_.spreadTrials(Count, std::uniform_real_distribution(0.0, 1.0)(Site.TurnRandom_));
     Context_.Turns_ = Site.Turns_.get();
+    Health_.setReachability(Reach_);
+    Context_.Reach_ = &Reach_;
+    Context_.Peers_ = &Peers_;
+    Link_.onConnect([this](const NetAddress &Address, bool Accepted, Duration Took) {
+      Reach_.onConnect(Address, Accepted, Took);
+    });
+    Link_.setPeers([&Site](const NetAddress &Address) { return Site.peerHandler(Address); });
   }
 
   EndpointRoster Roster_;
@@ -250,6 +265,9 @@
   EndpointSlowStart SlowStart_{{}};
   GatewayContext Context_;
   GatewayRequestHandler Handler_;
+  PeerRequestHandler PeerHandler_;
+  ReachabilityMonitor Reach_;
+  PeerDirectory Peers_;
   DataCenterId Home_;
   /// Whether it owns the engines of its data centre.
   bool Owner_;
@@ -287,6 +305,11 @@
     for (const auto &Each : Gateways_)
       Each->Handler_.tick();
   });
+  Queue_.every(ReachInterval, [this] {
+    for (const auto &Each : Gateways_)
+      Each->Reach_.tick();
+  });
+  Queue_.every(PeerInterval, [this] { namePeers(); });
   Queue_.every(RecheckInterval, [this] {
     for (const auto &Each : Gateways_)
       Each->Health_.recheck();
@@ -471,6 +494,24 @@
       ;
 }
 
+NetAddress SimulatedSite::peerAddress(std::size_t GatewayIndex) {
+  return NetAddress(fmt::format("gateway-{}", GatewayIndex));
+}
+
+HttpHandler *SimulatedSite::peerHandler(const NetAddress &Address) {
+  for (std::size_t I = 0; I < Gateways_.size(); ++I)
+    if (peerAddress(I) == Address)
+      return &Gateways_[I]->PeerHandler_;
+  return nullptr;
+}
+
+void SimulatedSite::namePeers() {
+  for (std::size_t Named = 0; Named < Gateways_.size(); ++Named)
+    for (const auto &Each : Gateways_)
+      if (Each != Gateways_[Named] && !Gateways_[Named]->Reach_.isIsolatedFromAny())
+        Each->Peers_.onNamed({peerAddress(Named), Gateways_[Named]->Home_}, Queue_.now());
+}
+
 void SimulatedSite::setLinkFault(std::size_t GatewayIndex, LinkFault Fault) {
   Gateways_[GatewayIndex]->Link_.setFault(Fault);
 }
--- a/Source/SiteModel/SimulatedSite.h
+++ b/Source/SiteModel/SimulatedSite.h
@@ -133,6 +133,12 @@
 
   /// Tells the slow start of a gateway what is in its roster.
   void updateSlowStart(Gateway &Each);
+  /// The address at which a gateway takes requests of others, and what takes them there; null if
+  /// there is no such gateway.
+  static NetAddress peerAddress(std::size_t GatewayIndex);
+  HttpHandler *peerHandler(const NetAddress &Address);
+  /// Names the gateways that reach engines to all others.
+  void namePeers();
   /// Sends the reports of all engines to all gateways.
   void updateRosters();
   void updatePlacement();
--- a/Source/StandIns/Site/FakeSiteMain.cpp
+++ b/Source/StandIns/Site/FakeSiteMain.cpp
@@ -17,7 +17,7 @@
   CLI::App App("Stand-in for the users' platform: store, layered engines and desks on loopback");
   App.add_option("--folder", Folder, "Where the gateways' settings files are written");
   App.add_option("--gateways", Gateways, "How many settings files to write");
-  App.add_option("--peer-port", PeerPort, "First UDP port of the gateways");
+  App.add_option("--peer-port", PeerPort, "First port of the gateways for each other, UDP and TCP");
   CLI11_PARSE(App, Count, Arguments);
 
   sigset_t Signals;
--- a/Tests/System/GatewayDeployment.cpp
+++ b/Tests/System/GatewayDeployment.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/Common/ErrorCode.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -21,23 +22,29 @@
 constexpr Duration AwaitTimeout = std::chrono::seconds(30);
 constexpr Duration PollInterval = std::chrono::milliseconds(5);
 
-/// Returns the first of Count consecutive UDP ports that are free now. Throws std::runtime_error if
-/// none are found.
+/// Whether a socket of this protocol can be bound to the port on the loopback interface.
+template <typename Protocol> bool isFree(boost::asio::io_context &Loop, std::uint16_t Port) {
+  typename Protocol::socket Socket(Loop);
+  boost::system::error_code E;
+  Socket.open(Protocol::v4(), E);
+  Socket.bind({boost::asio::ip::address_v4::loopback(), Port}, E);
+  return !E;
+}
+
+/// Returns the first of Count consecutive ports that are free now for TCP and UDP. Throws
+/// std::runtime_error if none are found. The ports lie below those that the kernel gives to
+/// connections, which could take one before a gateway is restarted.
 int findFreePorts(std::size_t Count) {
-  using Udp = boost::asio::ip::udp;
+  constexpr int FirstPort = 20000;
+  constexpr int LastPort = 32000;
   boost::asio::io_context Loop;
+  std::random_device Random;
   for (int Attempt = 0; Attempt < 100; ++Attempt) {
-    Udp::socket First(Loop, Udp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-    const int Port = First.local_endpoint().port();
+    const int Port = std::uniform_int_distribution(FirstPort, LastPort)(Random);
     bool Free = true;
-    for (std::size_t I = 1; I < Count && Free; ++I) {
-      Udp::socket Next(Loop);
-      boost::system::error_code E;
-      Next.open(Udp::v4(), E);
-      Next.bind({boost::asio::ip::address_v4::loopback(),
-                 static_cast<std::uint16_t>(Port + static_cast<int>(I))},
-                E);
-      Free = !E;
+    for (std::size_t I = 0; I < Count && Free; ++I) {
+      const auto Next = static_cast<std::uint16_t>(Port + static_cast<int>(I));
+      Free = isFree<boost::asio::ip::udp>(Loop, Next) && isFree<boost::asio::ip::tcp>(Loop, Next);
     }
     if (Free)
       return Port;
