--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -118,7 +118,7 @@
 AttemptPtr Exchange::send(const EndpointRecord &Endpoint, ForwardOptions Options, ConnectionUse Use,
                           Duration ConnectTimeout,
                           std::function<void(const AttemptPtr &, const HttpResult &)> Done) {
-  const AttemptPtr Sent = makeAttempt(Endpoint.Listing_.Id_);
+  AttemptPtr Sent = makeAttempt(Endpoint.Listing_.Id_);
   Sent->InfoHandler_ = [this, Raw = Sent.get(), SentTo = Endpoint.Listing_, Run = Endpoint.run()] {
     onResponseInfo(*Raw, SentTo, Run);
   };
@@ -166,7 +166,7 @@
 
 std::optional<NetAddress> Exchange::choosePeer() const {
   const TimePoint Now = Context_.Time_.now();
-  if (const auto Untried = Context_.Peers_->choose(TriedPeers_, Context_.randomFraction(), Now))
+  if (auto Untried = Context_.Peers_->choose(TriedPeers_, Context_.randomFraction(), Now))
     return Untried;
   // One that declined the request, or lost it, gets none for a while.
   return Context_.Peers_->choose({}, Context_.randomFraction(), Now);
@@ -174,7 +174,7 @@
 
 AttemptPtr Exchange::sendToPeer(const NetAddress &Peer, ForwardOptions Options, ConnectionUse Use,
                                 std::function<void(const AttemptPtr &, const HttpResult &)> Done) {
-  const AttemptPtr Sent = makeAttempt(EndpointId(Peer.str()));
+  AttemptPtr Sent = makeAttempt(EndpointId(Peer.str()));
   Sent->Peer_ = Peer;
   TriedPeers_.insert(Peer);
   Context_.Peers_->onSent(Peer);
--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -462,6 +462,9 @@
     returnToKept();
   }
   DeclinedByPeer_ = !Result.BytesHandedOver_ || Attempt_->Refusal_ == PeerRefusal::Declined;
+  // Waiting would not help: the other gateways reach no engine either.
+  if (DeclinedByPeer_ && !Started_ && !attemptIsLive() && !choosePeer())
+    return giveUp();
   continueElsewhere(!NotRun, NotRun ? "not_run" : "gateway_failed");
 }
 
--- a/Tests/System/GatewayDeployment.cpp
+++ b/Tests/System/GatewayDeployment.cpp
@@ -129,6 +129,10 @@
   await([&] { return isReady(Index); }, "the gateway to be ready again");
 }
 
+NetAddress GatewayDeployment::peerAddress(std::size_t Index) const {
+  return NetAddress(fmt::format("127.0.0.1:{}", FirstPort_ + static_cast<int>(Index)));
+}
+
 HttpResult GatewayDeployment::call(std::size_t Index, const std::string &Id, const char *Method,
                                    const char *Path, int Events, const std::string &Key,
                                    int Prompt) const {
--- a/Tests/System/GatewayDeployment.h
+++ b/Tests/System/GatewayDeployment.h
@@ -37,6 +37,8 @@
   ChildProcess &gateway(std::size_t Index) { return *Gateways_[Index]; }
   /// The address at which a gateway takes requests.
   const NetAddress &address(std::size_t Index) const { return Addresses_[Index]; }
+  /// The address at which a gateway takes requests of other gateways.
+  NetAddress peerAddress(std::size_t Index) const;
   /// Starts a gateway again that has ended, and waits until it is ready. Its ports for requests and
   /// for its state are new.
   void restart(std::size_t Index);
