--- a/Source/Gateway/StreamExchange.cpp
+++ b/Source/Gateway/StreamExchange.cpp
@@ -546,7 +546,8 @@
        Now](const std::vector<EndpointId> &Silent) {
         const EndpointRecord *Found = Self->Context_.Roster_.find(First);
         const bool Restarted = Found && std::max(Found->Listing_.Run_, Found->Report_.Run_) > Run;
-        // While the links of this process are in doubt, no answer tells nothing of the engine.
+        // While the links of this process are in doubt, a missing answer says nothing of the
+        // engine.
         const bool EngineEnded = Restarted || (!Silent.empty() && !Self->linksInDoubt());
         // A leaving engine ends as planned.
         if (EngineEnded && !Leaving)
