--- a/Tests/Support/ChildProcess.cpp
+++ b/Tests/Support/ChildProcess.cpp
@@ -86,13 +86,16 @@
 
 std::string ChildProcess::awaitLine(std::string_view Prefix, Duration Limit) {
   const TimePoint Deadline = SystemClock().now() + Limit;
+  std::string Last;
   for (;;) {
-    while (const std::optional<std::string> Line = takeLine())
+    while (const std::optional<std::string> Line = takeLine()) {
       if (std::string_view(*Line).starts_with(Prefix))
         return Line->substr(Prefix.size());
+      Last = *Line;
+    }
     if (!readMore(Deadline))
-      throw std::runtime_error(
-          fmt::format("{} ended before it wrote the line \"{}\"", Program_, Prefix));
+      throw std::runtime_error(fmt::format("{} ended before it wrote the line \"{}\", after \"{}\"",
+                                           Program_, Prefix, Last));
   }
 }
 
--- a/Tests/System/GatewayDeployment.cpp
+++ b/Tests/System/GatewayDeployment.cpp
@@ -125,6 +125,8 @@
 }
 
 void GatewayDeployment::restart(std::size_t Index) {
+  // A process that was killed a moment ago may still listen.
+  Gateways_[Index]->wait(AwaitTimeout);
   start(Index);
   await([&] { return isReady(Index); }, "the gateway to be ready again");
 }
