--- a/Source/StandIns/Site/FakeStoreHandler.cpp
+++ b/Source/StandIns/Site/FakeStoreHandler.cpp
@@ -85,9 +85,9 @@
     return;
   }
   if (Fault_ == StoreFault::RateLimited && Calls_ % RateLimitedEvery == 0)
-    return Responder->send(jsonAnswer(429, "{}"));
+    return send(*Responder, jsonAnswer(429, "{}"));
   if (Fault_ == StoreFault::Unavailable)
-    return Responder->send(jsonAnswer(503, "{}"));
+    return send(*Responder, jsonAnswer(503, "{}"));
   if (Fault_ == StoreFault::None || Fault_ == StoreFault::RateLimited)
     return dispatch(Request, Responder);
   // StoreFault::LosesAnswers: a join or an append takes effect, and the connection closes without
@@ -118,7 +118,7 @@
     return leave(Request, *Responder);
   if (Path == "/-/log-owners")
     return readOwners(Request, *Responder);
-  Responder->send(jsonAnswer(404, "{}"));
+  send(*Responder, jsonAnswer(404, "{}"));
 }
 
 void FakeStoreHandler::append(const std::string &Topic, StoreRecord Record) {
@@ -131,12 +131,35 @@
     Topic.truncateLogs();
 }
 
+void FakeStoreHandler::takeCopy() { Copy_ = {Topics_, Groups_}; }
+
+void FakeStoreHandler::returnFromCopy(ReadsAtReturn Reads) {
+  Topics_ = Copy_.Topics_;
+  Groups_ = Copy_.Groups_;
+  ++Era_;
+  std::list<WaitingRead> Waiting;
+  if (Reads != ReadsAtReturn::Kept)
+    Waiting.swap(Waiting_);
+  for (const WaitingRead &Read : Waiting)
+    if (Reads == ReadsAtReturn::Closed)
+      Read.Responder_->abort();
+    else
+      Unanswered_.push_back(Read.Responder_);
+  answerWaitingReads();
+}
+
+void FakeStoreHandler::send(HttpResponder &Responder, HttpResponse Answer) const {
+  if (NamesEra_)
+    Answer.Headers_.add("Store-Era", std::to_string(Era_));
+  Responder.send(std::move(Answer));
+}
+
 void FakeStoreHandler::read(const HttpRequest &Request, const HttpResponderPtr &Responder) {
   const std::string Topic(Request.query("topic"));
   const std::uint64_t From = numberQuery(Request, "from");
   const KeyedTopic &Log = Topics_[Topic];
-  if (From < Log.first())
-    return Responder->send(jsonAnswer(410, fmt::format("{{\"first\":{}}}", Log.first())));
+  if (From < Log.first() || From > Log.end())
+    return send(*Responder, jsonAnswer(410, fmt::format("{{\"first\":{}}}", Log.first())));
   const WaitingRead Read{Topic, From, Responder,
                          Time_.now() + std::chrono::milliseconds(numberQuery(Request, "wait_ms"))};
   if (From < Log.end())
@@ -146,6 +169,8 @@
 
 void FakeStoreHandler::answerRead(const WaitingRead &Read) {
   const KeyedTopic &Log = Topics_[Read.Topic_];
+  if (Read.From_ > Log.end())
+    return send(*Read.Responder_, jsonAnswer(410, fmt::format("{{\"first\":{}}}", Log.first())));
   HttpResponse Answer;
   Answer.Headers_.add("Content-Type", "application/octet-stream");
   Answer.Body_ = bigEndian(Log.end(), 8) + bigEndian(Log.first(), 8);
@@ -155,14 +180,14 @@
                                   Record.Key_ + Record.Value_.value_or("");
       Answer.Body_ += bigEndian(Content.size(), 4) + Content;
     }
-  Read.Responder_->send(std::move(Answer));
+  send(*Read.Responder_, std::move(Answer));
 }
 
 void FakeStoreHandler::answerWaitingReads() {
   if (Fault_ != StoreFault::None && Fault_ != StoreFault::RateLimited)
     return;
   for (auto Read = Waiting_.begin(); Read != Waiting_.end();) {
-    if (Read->From_ >= Topics_[Read->Topic_].end() && Time_.now() < Read->Until_) {
+    if (Read->From_ == Topics_[Read->Topic_].end() && Time_.now() < Read->Until_) {
       ++Read;
       continue;
     }
@@ -175,7 +200,7 @@
   const KeyedTopic &Log = Topics_[std::string(Request.query("topic"))];
   const auto From = decodedQuery(Request.query("after"));
   if (!From)
-    return Responder.send(jsonAnswer(400, "{}"));
+    return send(Responder, jsonAnswer(400, "{}"));
   const std::string &After = *From;
   // Small, so that tests make callers request more than one page.
   constexpr std::size_t PageRecords = 5;
@@ -190,9 +215,9 @@
     }
     Items.push_back({{"key", Key}, {"value", base64(Value)}, {"offset", 0}});
   }
-  Responder.send(
-      jsonAnswer(200, boost::json::serialize(boost::json::object{
-                          {"items", std::move(Items)}, {"has_more", More}, {"end", Log.end()}})));
+  send(Responder,
+       jsonAnswer(200, boost::json::serialize(boost::json::object{
+                           {"items", std::move(Items)}, {"has_more", More}, {"end", Log.end()}})));
 }
 
 std::optional<std::uint64_t> FakeStoreHandler::applyAppend(const HttpRequest &Request) {
@@ -212,8 +237,8 @@
   const auto Offset = applyAppend(Request);
   const std::uint64_t End = Topics_[std::string(Request.query("topic"))].end();
   if (!Offset)
-    return Responder.send(jsonAnswer(412, fmt::format("{{\"end\":{}}}", End)));
-  Responder.send(jsonAnswer(200, fmt::format("{{\"offset\":{},\"end\":{}}}", *Offset, End)));
+    return send(Responder, jsonAnswer(412, fmt::format("{{\"end\":{}}}", End)));
+  send(Responder, jsonAnswer(200, fmt::format("{{\"offset\":{},\"end\":{}}}", *Offset, End)));
 }
 
 MemberGroup &FakeStoreHandler::group(const std::string &Name) {
@@ -224,7 +249,7 @@
   const auto Body = bodyOf(Request);
   const auto *Topics = Body.if_contains("topics");
   if (!Topics || !Topics->is_array() || Topics->as_array().empty())
-    return Responder.send(jsonAnswer(400, "{}"));
+    return send(Responder, jsonAnswer(400, "{}"));
   const MemberGroup::Assignment Assigned =
       group(jsonText(Body, "group"))
           .join(jsonText(Body, "member"), std::chrono::milliseconds(jsonInteger(Body, "ttl_ms")),
@@ -232,16 +257,16 @@
   boost::json::array Parts;
   for (const std::uint32_t Part : Assigned.Partitions_)
     Parts.push_back(boost::json::array{Topics->as_array().front(), Part, 0});
-  Responder.send(jsonAnswer(
-      200, boost::json::serialize(boost::json::object{{"generation", Assigned.Generation_},
-                                                      {"ttl_ms", jsonInteger(Body, "ttl_ms")},
-                                                      {"parts", std::move(Parts)}})));
+  send(Responder, jsonAnswer(200, boost::json::serialize(
+                                      boost::json::object{{"generation", Assigned.Generation_},
+                                                          {"ttl_ms", jsonInteger(Body, "ttl_ms")},
+                                                          {"parts", std::move(Parts)}})));
 }
 
 void FakeStoreHandler::leave(const HttpRequest &Request, HttpResponder &Responder) {
   const auto Body = bodyOf(Request);
   group(jsonText(Body, "group")).leave(jsonText(Body, "member"), Time_.now());
-  Responder.send(jsonAnswer(200, "{}"));
+  send(Responder, jsonAnswer(200, "{}"));
 }
 
 void FakeStoreHandler::readOwners(const HttpRequest &Request, HttpResponder &Responder) {
@@ -250,8 +275,8 @@
   for (std::uint32_t Part = 0; Part < Owners.size(); ++Part)
     if (!Owners[Part].empty())
       Parts.push_back(boost::json::array{"rattancart-duty", Part, Owners[Part], 0});
-  Responder.send(
-      jsonAnswer(200, boost::json::serialize(boost::json::object{{"parts", std::move(Parts)}})));
+  send(Responder,
+       jsonAnswer(200, boost::json::serialize(boost::json::object{{"parts", std::move(Parts)}})));
 }
 
 } // namespace rattancart
--- a/Source/StandIns/Site/FakeStoreHandler.h
+++ b/Source/StandIns/Site/FakeStoreHandler.h
@@ -27,6 +27,16 @@
   LosesAnswers,
 };
 
+/// What becomes of the reads that wait in the store when it returns from a copy.
+enum class ReadsAtReturn : std::uint8_t {
+  /// They go on at their offsets in the copy.
+  Kept,
+  /// Their connections are closed.
+  Closed,
+  /// They are never answered, and their connections stay open.
+  Unanswered,
+};
+
 /// A stand-in for the store of the users' platform: the part of its HTTP interface that gateways
 /// call. Not thread-safe.
 class FakeStoreHandler final : public HttpHandler {
@@ -41,6 +51,12 @@
   void append(const std::string &Topic, StoreRecord Record);
   /// Removes all records from the logs of all topics; the newest values stay.
   void truncateLogs();
+  /// Keeps a copy of all topics and groups as they are now.
+  void takeCopy();
+  /// Replaces all topics and groups by those of the last copy, and raises the era.
+  void returnFromCopy(ReadsAtReturn Reads);
+  /// Whether answers name the era.
+  void setNamesEra(bool NamesEra) { NamesEra_ = NamesEra; }
   void setFault(StoreFault Fault) { Fault_ = Fault; }
   std::uint64_t calls() const { return Calls_; }
 
@@ -53,6 +69,14 @@
     TimePoint Until_;
   };
 
+  /// The topics and groups of the store at one moment.
+  struct Copy {
+    std::map<std::string, KeyedTopic> Topics_;
+    std::map<std::string, MemberGroup> Groups_;
+  };
+
+  /// Sends an answer, with the era as the store names it in all answers.
+  void send(HttpResponder &Responder, HttpResponse Answer) const;
   void dispatch(const HttpRequest &Request, const HttpResponderPtr &Responder);
   void read(const HttpRequest &Request, const HttpResponderPtr &Responder);
   void readNewest(const HttpRequest &Request, HttpResponder &Responder);
@@ -75,6 +99,9 @@
   /// Calls that arrived while the store was silent; they are never answered.
   std::list<HttpResponderPtr> Unanswered_;
   StoreFault Fault_ = StoreFault::None;
+  Copy Copy_;
+  std::uint64_t Era_ = 1;
+  bool NamesEra_ = true;
   std::uint64_t Calls_ = 0;
 };
 
--- a/Source/StandIns/Site/Site.cpp
+++ b/Source/StandIns/Site/Site.cpp
@@ -7,6 +7,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <fstream>
 #include <set>
 #include <stdexcept>
@@ -18,6 +19,8 @@
 
 constexpr const char *ConfigTopic = "keyed.op";
 constexpr const char *EndpointTopic = "keyed.servers";
+/// Versions of the configuration are not consecutive.
+constexpr std::uint64_t VersionStep = 3;
 
 double memoryMb(const std::string &Kind) {
   if (Kind == "h100")
@@ -58,6 +61,10 @@
 
 } // namespace
 
+std::string site::addedRoutePath(std::uint64_t Version) {
+  return fmt::format("/added-{}/1", Version);
+}
+
 Site::Site(SiteOptions Options)
     : Options_(std::move(Options)), Store_(Loop_, Time_), StoreServer_(Loop_, {}, Store_, Log_),
       HeartbeatTimer_(Loop_), Work_(boost::asio::make_work_guard(Loop_)) {
@@ -195,19 +202,56 @@
   runOnLoop([&] { writeConfigRecord({}); });
 }
 
+std::uint64_t Site::addRoute() {
+  return runOnLoop([&] {
+    AddedRoutes_.push_back(Version_ + VersionStep);
+    writeConfigRecord({{{"name", site::Customer}, {"api_keys", {"key-1"}}, {"priority", 1}}});
+    return Version_;
+  });
+}
+
+void Site::rewriteConfigs(std::size_t Count) {
+  runOnLoop([&] {
+    for (std::size_t I = ConfigRecords_.size() - std::min(Count, ConfigRecords_.size());
+         I < ConfigRecords_.size(); ++I)
+      Store_.append(ConfigTopic, {"config", ConfigRecords_[I]});
+  });
+}
+
+void Site::setUnusedRoutes(int Count) {
+  runOnLoop([&] { UnusedRoutes_ = Count; });
+}
+
+boost::json::array Site::routes() const {
+  boost::json::array Routes{
+      route("brief", "/brief/", "streaming", "engines", 20'000, 500, 2),
+      route("book", "/book/", "non_idempotent", "desk", 3'000, 100, 1),
+      route("lookup", "/lookup/", "idempotent", "desk", 3'000, 100, 2),
+  };
+  for (const std::uint64_t Version : AddedRoutes_) {
+    const std::string Name = fmt::format("added-{}", Version);
+    Routes.push_back(
+        route(Name.c_str(), ("/" + Name + "/").c_str(), "idempotent", "desk", 3'000, 100, 2));
+  }
+  for (int I = 0; I < UnusedRoutes_; ++I) {
+    const std::string Name = fmt::format("unused-{}", I);
+    Routes.push_back(
+        route(Name.c_str(), ("/" + Name + "/").c_str(), "idempotent", "desk", 3'000, 100, 2));
+  }
+  return Routes;
+}
+
 void Site::writeConfigRecord(boost::json::array Customers) {
-  Version_ += 3;
+  Version_ += VersionStep;
   const boost::json::object Config{
       {"version", Version_},
-      {"routes",
-       {route("brief", "/brief/", "streaming", "engines", 20'000, 500, 2),
-        route("book", "/book/", "non_idempotent", "desk", 3'000, 100, 1),
-        route("lookup", "/lookup/", "idempotent", "desk", 3'000, 100, 2)}},
+      {"routes", routes()},
       {"services",
        {{{"name", "engines"}, {"max_conns", 900}, {"engine", engineModel()}},
         {{"name", "desk"}, {"max_conns", 100}}}},
       {"tenants", std::move(Customers)}};
-  Store_.append(ConfigTopic, {"config", boost::json::serialize(Config)});
+  ConfigRecords_.push_back(boost::json::serialize(Config));
+  Store_.append(ConfigTopic, {"config", ConfigRecords_.back()});
 }
 
 void Site::setStoreFault(StoreFault Fault) {
@@ -222,6 +266,18 @@
   runOnLoop([&] { Store_.truncateLogs(); });
 }
 
+void Site::copyStore() {
+  runOnLoop([&] { Store_.takeCopy(); });
+}
+
+void Site::returnStoreFromCopy(ReadsAtReturn Reads) {
+  runOnLoop([&] { Store_.returnFromCopy(Reads); });
+}
+
+void Site::setStoreNamesEra(bool NamesEra) {
+  runOnLoop([&] { Store_.setNamesEra(NamesEra); });
+}
+
 void Site::setEngineRunState(const std::string &Id, FakeLayerEngine::RunState State) {
   runOnLoop([&] {
     for (const auto &Engine : Engines_)
--- a/Source/StandIns/Site/Site.h
+++ b/Source/StandIns/Site/Site.h
@@ -75,6 +75,12 @@
   std::uint64_t storeCalls() const;
   /// Removes all records from the logs of the store; the newest values stay.
   void truncateLogs();
+  /// Keeps a copy of the store as it is now.
+  void copyStore();
+  /// The store returns from its last copy.
+  void returnStoreFromCopy(ReadsAtReturn Reads);
+  /// Whether answers of the store name its era.
+  void setStoreNamesEra(bool NamesEra);
   void setEngineRunState(const std::string &Id, FakeLayerEngine::RunState State);
   /// Makes an engine announce that it leaves and refuse new streams.
   void drainEngine(const std::string &Id);
@@ -100,6 +106,13 @@
   void writeConfig(const std::vector<std::string> &Keys);
   /// Writes the next version of the configuration, with an empty list of customers.
   void writeConfigWithoutCustomers();
+  /// Writes the next version of the configuration, with one more route to the desks. Returns the
+  /// version.
+  std::uint64_t addRoute();
+  /// Writes the newest Count versions of the configuration again, the oldest of them first.
+  void rewriteConfigs(std::size_t Count);
+  /// Adds Count routes to all versions that are written later; nobody sends requests there.
+  void setUnusedRoutes(int Count);
 
   ActivityLog activity() const;
   /// For each engine id, the number of streams that have it as their first engine and of which at
@@ -127,6 +140,7 @@
 
   /// Writes the next version of the configuration. Runs on the site's thread.
   void writeConfigRecord(boost::json::array Customers);
+  boost::json::array routes() const;
   /// Starts the engines and desks of all data centres.
   void startEndpoints();
   void writeEndpointEntries();
@@ -147,6 +161,11 @@
   NetAddress StoreAddress_;
   Timer HeartbeatTimer_;
   std::uint64_t Version_ = 0;
+  /// The versions whose routes were added by addRoute().
+  std::vector<std::uint64_t> AddedRoutes_;
+  int UnusedRoutes_ = 0;
+  /// All records of the configuration that were written, each once.
+  std::vector<std::string> ConfigRecords_;
   std::uint64_t HeartbeatCount_ = 0;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work_;
   std::thread Thread_;
@@ -159,6 +178,8 @@
 inline constexpr const char *BookPath = "/book/1";
 inline constexpr const char *LookupPath = "/lookup/1";
 inline constexpr const char *Customer = "crew";
+/// The path of the route that Site::addRoute() added with that version.
+std::string addedRoutePath(std::uint64_t Version);
 inline constexpr std::uint32_t Layers = 80;
 } // namespace site
 
