Positions in the store's logs hold in one era only

Callers got 404 from all gateways for a route that the operators had added after the store came back from a copy. Cause: gateways read on at an offset that the store had given out again. If the log ends where it ended before, such a read succeeds and finds nothing, and what was written in between is never read. Receivers trusted an end of the log that a reader had announced before the return.

Each answer of the store names its era (Store-Era). On a return the followers give up their calls and list everything anew, spread over 250 ms; missing entries of the list are kept for as long as after an outage. What readers publish names the era and is used only in the same one; a later era makes a receiver ask the store, which alone can confirm it. Datagrams of gateways that name no era are not used by those that know one, so both may run side by side.

--- a/Schemas/Gateway_generated.h
+++ b/Schemas/Gateway_generated.h
@@ -1818,6 +1818,8 @@
   bool config_known = false;
   uint64_t config_end = 0;
   std::vector<std::string> pass_to{};
+  bool era_known = false;
+  uint64_t era = 0;
   ListChangesT() = default;
   ListChangesT(const ListChangesT &o);
   ListChangesT(ListChangesT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1840,7 +1842,9 @@
     VT_CHANGES = 22,
     VT_CONFIG_KNOWN = 24,
     VT_CONFIG_END = 26,
-    VT_PASS_TO = 28
+    VT_PASS_TO = 28,
+    VT_ERA_KNOWN = 30,
+    VT_ERA = 32
   };
   const flatbuffers::String *data_center() const {
     return GetPointer<const flatbuffers::String *>(VT_DATA_CENTER);
@@ -1881,6 +1885,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *pass_to() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_PASS_TO);
   }
+  bool era_known() const {
+    return GetField<uint8_t>(VT_ERA_KNOWN, 0) != 0;
+  }
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_DATA_CENTER) &&
@@ -1901,6 +1911,8 @@
            VerifyOffset(verifier, VT_PASS_TO) &&
            verifier.VerifyVector(pass_to()) &&
            verifier.VerifyVectorOfStrings(pass_to()) &&
+           VerifyField<uint8_t>(verifier, VT_ERA_KNOWN, 1) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            verifier.EndTable();
   }
   ListChangesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1951,6 +1963,12 @@
   void add_pass_to(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> pass_to) {
     fbb_.AddOffset(ListChanges::VT_PASS_TO, pass_to);
   }
+  void add_era_known(bool era_known) {
+    fbb_.AddElement<uint8_t>(ListChanges::VT_ERA_KNOWN, static_cast<uint8_t>(era_known), 0);
+  }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(ListChanges::VT_ERA, era, 0);
+  }
   explicit ListChangesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1976,8 +1994,11 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<rattancart::wire::ListChange>>> changes = 0,
     bool config_known = false,
     uint64_t config_end = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> pass_to = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> pass_to = 0,
+    bool era_known = false,
+    uint64_t era = 0) {
   ListChangesBuilder builder_(_fbb);
+  builder_.add_era(era);
   builder_.add_config_end(config_end);
   builder_.add_digest(digest);
   builder_.add_to(to);
@@ -1988,6 +2009,7 @@
   builder_.add_pass_to(pass_to);
   builder_.add_changes(changes);
   builder_.add_data_center(data_center);
+  builder_.add_era_known(era_known);
   builder_.add_config_known(config_known);
   builder_.add_at_end(at_end);
   builder_.add_has_span(has_span);
@@ -2008,7 +2030,9 @@
     const std::vector<flatbuffers::Offset<rattancart::wire::ListChange>> *changes = nullptr,
     bool config_known = false,
     uint64_t config_end = 0,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *pass_to = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *pass_to = nullptr,
+    bool era_known = false,
+    uint64_t era = 0) {
   auto data_center__ = data_center ? _fbb.CreateString(data_center) : 0;
   auto changes__ = changes ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::ListChange>>(*changes) : 0;
   auto pass_to__ = pass_to ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*pass_to) : 0;
@@ -2026,7 +2050,9 @@
       changes__,
       config_known,
       config_end,
-      pass_to__);
+      pass_to__,
+      era_known,
+      era);
 }
 
 flatbuffers::Offset<ListChanges> CreateListChanges(flatbuffers::FlatBufferBuilder &_fbb, const ListChangesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2714,7 +2740,9 @@
         digest(o.digest),
         config_known(o.config_known),
         config_end(o.config_end),
-        pass_to(o.pass_to) {
+        pass_to(o.pass_to),
+        era_known(o.era_known),
+        era(o.era) {
   changes.reserve(o.changes.size());
   for (const auto &changes_ : o.changes) { changes.emplace_back((changes_) ? new rattancart::wire::ListChangeT(*changes_) : nullptr); }
 }
@@ -2733,6 +2761,8 @@
   std::swap(config_known, o.config_known);
   std::swap(config_end, o.config_end);
   std::swap(pass_to, o.pass_to);
+  std::swap(era_known, o.era_known);
+  std::swap(era, o.era);
   return *this;
 }
 
@@ -2758,6 +2788,8 @@
   { auto _e = config_known(); _o->config_known = _e; }
   { auto _e = config_end(); _o->config_end = _e; }
   { auto _e = pass_to(); if (_e) { _o->pass_to.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pass_to[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = era_known(); _o->era_known = _e; }
+  { auto _e = era(); _o->era = _e; }
 }
 
 inline flatbuffers::Offset<ListChanges> ListChanges::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ListChangesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2781,6 +2813,8 @@
   auto _config_known = _o->config_known;
   auto _config_end = _o->config_end;
   auto _pass_to = _o->pass_to.size() ? _fbb.CreateVectorOfStrings(_o->pass_to) : 0;
+  auto _era_known = _o->era_known;
+  auto _era = _o->era;
   return rattancart::wire::CreateListChanges(
       _fbb,
       _data_center,
@@ -2795,7 +2829,9 @@
       _changes,
       _config_known,
       _config_end,
-      _pass_to);
+      _pass_to,
+      _era_known,
+      _era);
 }
 
 inline GatewayDatagramT *GatewayDatagram::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Core/Common/Ids.h
+++ b/Source/Core/Common/Ids.h
@@ -49,4 +49,8 @@
 /// Counts the turns at something that one process of the deployment at a time may do, from 1.
 using TurnNumber = StrongNumber<struct TurnTag>;
 
+/// Counts how often the platform's store has returned from a copy of itself that lacks what it had
+/// acknowledged last. Positions in its logs and generations of its groups hold in one era only.
+using StoreEra = StrongNumber<struct StoreEraTag>;
+
 } // namespace rattancart
--- a/Source/Core/Membership/ListJournal.h
+++ b/Source/Core/Membership/ListJournal.h
@@ -32,6 +32,8 @@
   /// If it did, the digest of all entries at To_.
   std::uint64_t Digest_ = 0;
   std::vector<ListChange> Changes_;
+  /// The era of the store in which the positions hold, if it is known.
+  std::optional<StoreEra> Era_;
 };
 
 /// The changes that a reader of the list has seen in the last seconds, and the entries by which it
--- a/Source/Core/Membership/ListRelay.cpp
+++ b/Source/Core/Membership/ListRelay.cpp
@@ -1,6 +1,7 @@
 #include "Core/Membership/ListRelay.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace rattancart {
 
@@ -54,6 +55,20 @@
 ListRelay::ListRelay(Options Use, std::mt19937::result_type Seed)
     : Options_(Use), Random_(Seed), OwnReadInterval_(MinOwnReadInterval) {}
 
+void ListRelay::setEra(StoreEra Era) {
+  if (Era_ == Era)
+    return;
+  const bool First = !std::exchange(Era_, Era);
+  NamedEra_.reset();
+  FollowedEra_.reset();
+  Announcements_.clear();
+  if (First)
+    return;
+  onConfigLost();
+  PublishedReadAt_.reset();
+  Diverged_ = false;
+}
+
 void ListRelay::onListEntry(const EndpointId &Id, const std::optional<EndpointListing> &Listing) {
   Journal_.learn(Id, Listing);
 }
@@ -105,6 +120,8 @@
                               TimePoint Now, std::vector<ListChange> &Changes) {
   if (!isReceiving())
     return SpanOutcome::Untrusted;
+  if (Span.Era_ != Era_)
+    return SpanOutcome::OtherEra;
   // Guards against datagrams that are late: of an earlier state, or of the log before it shrank.
   if (ReadAt <= KnownAt_)
     return SpanOutcome::Old;
@@ -152,8 +169,13 @@
   ConfigPosition_.reset();
 }
 
-void ListRelay::onConfigAnnounced(GatewayRun Reader, ListPosition End, TimePoint SentAt,
-                                  TimePoint Now) {
+void ListRelay::onConfigAnnounced(GatewayRun Reader, ListPosition End, std::optional<StoreEra> Era,
+                                  TimePoint SentAt, TimePoint Now) {
+  if (Era != Era_) {
+    if (Era && Era_ && *Era > *Era_)
+      NamedEra_ = std::max(NamedEra_, Era);
+    return;
+  }
   std::erase_if(Announcements_, [&](const auto &Entry) { return !isFresh(Entry.second, Now); });
   const auto [Known, Added] = Announcements_.emplace(Reader, Announcement{End, SentAt, Now, false});
   if (Added || SentAt <= Known->second.SentAt_)
@@ -184,6 +206,10 @@
 }
 
 ConfigReadEnd ListRelay::configReadEnd(TimePoint Now) {
+  if (ConfigReadBegan_ && ConfigReadWait_ > Duration{} && NamedEra_ != FollowedEra_) {
+    FollowedEra_ = NamedEra_;
+    return ConfigReadEnd::LaterEra;
+  }
   if (!ConfigReadBegan_ || ConfigReadWait_ <= Options_.ConfigWait_)
     return ConfigReadEnd::None;
   if (Role_ != StoreRole::Receiver || !Trusted_ || !hasFreshAnnouncement(Now))
@@ -203,6 +229,7 @@
   if (Role_ != StoreRole::Reader || !Trusted_)
     return std::nullopt;
   ListPublication Content;
+  Content.Era_ = Era_;
   Content.ListReadAt_ = PublishedReadAt_;
   if (PublishedReadAt_)
     Content.Spans_ = Journal_.spans();
--- a/Source/Core/Membership/ListRelay.h
+++ b/Source/Core/Membership/ListRelay.h
@@ -34,6 +34,8 @@
   std::vector<ListSpan> Spans_;
   /// The end of the configuration's log; nothing if it is not known for certain.
   std::optional<ListPosition> ConfigEnd_;
+  /// The era of the store in which these positions hold, if the store names eras.
+  std::optional<StoreEra> Era_;
 };
 
 /// Why a read of the list is due.
@@ -52,6 +54,8 @@
   Announced,
   /// Readers announce nothing more, or this gateway is no receiver any more.
   Unannounced,
+  /// A reader named a later era of the store, which only an answer of the store can confirm.
+  LaterEra,
 };
 
 /// What becomes of a span that a reader published.
@@ -65,6 +69,8 @@
   Diverged,
   /// This gateway trusts only its own reads now.
   Untrusted,
+  /// Its positions are those of another era of the store.
+  OtherEra,
 };
 
 /// Decides when a gateway reads the store, what a reader publishes, and what a receiver takes over.
@@ -76,7 +82,9 @@
 ///
 /// Renewals of entries, which correct the list of a gateway that reads alone, are not relayed. So
 /// readers publish a digest of all entries. A receiver that differs lists anew, and until then uses
-/// only its own reads. Not thread-safe.
+/// only its own reads.
+///
+/// Positions are compared only within one era of the store. Not thread-safe.
 class ListRelay {
 public:
   struct Options {
@@ -94,6 +102,10 @@
   /// the gateway uses only its own reads and publishes nothing.
   void setTrusted(bool Trusted) { Trusted_ = Trusted; }
 
+  /// The store names this era. If it named another one before, nothing that was learned from the
+  /// store or from readers is used any more, until the list and the configuration were listed anew.
+  void setEra(StoreEra Era);
+
   /// An entry of a listing, or one that a complete listing lacks.
   void onListEntry(const EndpointId &Id, const std::optional<EndpointListing> &Listing);
   /// A listing that began at ReadAt is complete; the log is followed from Position.
@@ -127,8 +139,10 @@
   void onConfigRead(ListPosition Position);
   /// A read of the configuration failed or was given up, or its listing begins anew.
   void onConfigLost();
-  /// A reader announced at SentAt or later the end of the configuration's log.
-  void onConfigAnnounced(GatewayRun Reader, ListPosition End, TimePoint SentAt, TimePoint Now);
+  /// A reader announced at SentAt or later the end of the configuration's log in that era of the
+  /// store; no era if the reader knows of none.
+  void onConfigAnnounced(GatewayRun Reader, ListPosition End, std::optional<StoreEra> Era,
+                         TimePoint SentAt, TimePoint Now);
   /// How long the store may hold the next read of the configuration.
   Duration configWait(TimePoint Now) const;
   /// Whether to give up the read of the configuration that is under way, and why.
@@ -172,6 +186,11 @@
   TimePoint DivergedAt_{};
   /// The position in the configuration's log; nothing after a failure.
   std::optional<ListPosition> ConfigPosition_;
+  std::optional<StoreEra> Era_;
+  /// The latest era that a reader has named and that a read was given up for.
+  std::optional<StoreEra> FollowedEra_;
+  /// The latest era that a reader has named.
+  std::optional<StoreEra> NamedEra_;
   /// The read of the configuration that is under way.
   std::optional<TimePoint> ConfigReadBegan_;
   ListPosition ConfigReadFrom_ = 0;
--- a/Source/Core/Recovery/StorePolling.cpp
+++ b/Source/Core/Recovery/StorePolling.cpp
@@ -24,6 +24,9 @@
 constexpr Duration MaxReturnDelay = std::chrono::milliseconds(900);
 /// Minimum time between two reads of the list while entries may reappear.
 constexpr Duration ReappearInterval = std::chrono::milliseconds(300);
+/// Spreads the listings of all gateways after a return of the store over this time. A part of the
+/// time within which a configuration must be in force.
+constexpr Duration MaxRelistDelay = std::chrono::milliseconds(250);
 /// How long the store holds a read of the list that finds no record.
 constexpr Duration ListWait = std::chrono::milliseconds(500);
 /// Time for a read that fails and the next one.
@@ -48,6 +51,10 @@
           Duration{}};
 }
 
+Duration relistDelay(std::mt19937 &Random) {
+  return Duration(std::uniform_int_distribution<Duration::rep>(0, MaxRelistDelay.count())(Random));
+}
+
 Duration StoreBackoff::afterFailure(std::mt19937 &Random) {
   const Duration Base =
       std::min(MinRetryWait * (1 << std::min(Failures_, MaxDoublings)), MaxRetryWait);
--- a/Source/Core/Recovery/StorePolling.h
+++ b/Source/Core/Recovery/StorePolling.h
@@ -33,6 +33,10 @@
 /// than the bound. Thread-safe.
 PollTiming configPollTiming(const FreshnessBounds &Bounds);
 
+/// How long a gateway waits before it lists everything anew after the store has returned from a
+/// copy. Random, since all gateways do so at the same time. Thread-safe if Random is.
+Duration relistDelay(std::mt19937 &Random);
+
 /// Computes the waits between failed calls to the store. Not thread-safe.
 class StoreBackoff {
 public:
@@ -57,6 +61,9 @@
   /// is the start of a call without any answer and the end of a call that was refused. Returns
   /// whether an outage has begun.
   bool onFailed(TimePoint UnreachableAt);
+  /// The store has returned from a copy, which is known since Now: entries that were written after
+  /// the copy are missing until their endpoints have written them again.
+  void onReturned(TimePoint Now) { OutageEndedAt_ = Now; }
   /// The time until which an entry that is missing from the list now may reappear, since it may
   /// only have expired in the last outage; nothing if a missing entry is gone.
   std::optional<TimePoint> entriesMayReappearUntil(TimePoint Now) const;
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -271,6 +271,11 @@
             {"kept_ms", Missing ? (*MayReappearUntil - Now) / milliseconds(1) : 0}});
 }
 
+void GatewayProcess::onStoreReturned(const StoreReturn &) {
+  // What is in force stays: an older configuration is ignored, and endpoints that are missing from
+  // the copy are kept until they have had time to register again.
+}
+
 void GatewayProcess::onListComplete() {
   ListComplete_ = true;
   routeWaitingRequests();
--- a/Source/Gateway/GatewayProcess.h
+++ b/Source/Gateway/GatewayProcess.h
@@ -49,6 +49,7 @@
   void onConfig(ServingConfig Config) override;
   void onListed(EndpointListing Listing) override;
   void onUnlisted(const EndpointId &Id, std::optional<TimePoint> MayReappearUntil) override;
+  void onStoreReturned(const StoreReturn &Return) override;
   void onListComplete() override;
   void onStoreReachable(bool Reachable) override;
 
--- a/Source/Gateway/MetadataStore.h
+++ b/Source/Gateway/MetadataStore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/Common/Ids.h"
 #include "Core/Membership/ListRelay.h"
 #include "Core/Serving/EndpointRoster.h"
 #include "Core/Serving/ServingConfig.h"
@@ -12,6 +13,12 @@
 
 namespace rattancart {
 
+/// The store returned from a copy of itself.
+struct StoreReturn {
+  StoreEra Before_;
+  StoreEra After_;
+};
+
 /// Receives the contents of the platform's store. Called on the event loop.
 class StoreObserver {
 public:
@@ -22,6 +29,10 @@
   /// An entry was removed from the list. MayReappearUntil is set if the store was out of reach
   /// shortly before, so that the entry may have expired although the endpoint still runs.
   virtual void onUnlisted(const EndpointId &Id, std::optional<TimePoint> MayReappearUntil) = 0;
+  /// The store lost what it had acknowledged last. Everything in it is listed anew after this, and
+  /// may be older than what was passed on before. It is unchanged for the operators' and the
+  /// endpoints' records that they have not yet written again.
+  virtual void onStoreReturned(const StoreReturn &Return) = 0;
   /// The whole list was read at least once.
   virtual void onListComplete() = 0;
   /// The store was lost or regained.
--- a/Source/Gateway/StoreRelay.cpp
+++ b/Source/Gateway/StoreRelay.cpp
@@ -63,8 +63,12 @@
   return Change;
 }
 
+std::optional<StoreEra> era(const wire::ListChangesT &Received) {
+  return Received.era_known ? std::optional(StoreEra(Received.era)) : std::nullopt;
+}
+
 ListSpan spanFromWire(const wire::ListChangesT &Received) {
-  ListSpan Span{Received.from, Received.to, Received.at_end, Received.digest, {}};
+  ListSpan Span{Received.from, Received.to, Received.at_end, Received.digest, {}, era(Received)};
   for (const auto &Each : Received.changes)
     if (Each)
       Span.Changes_.push_back(fromWire(*Each, Received.from));
@@ -93,6 +97,8 @@
     return "elsewhere";
   case SpanOutcome::Diverged:
     return "diverged";
+  case SpanOutcome::OtherEra:
+    return "other era";
   case SpanOutcome::Untrusted:
     break;
   }
@@ -246,6 +252,8 @@
     Datagram.sent_us = toMicroseconds(sinceEpoch());
     Datagram.config_known = Content.ConfigEnd_.has_value();
     Datagram.config_end = Content.ConfigEnd_.value_or(0);
+    Datagram.era_known = Content.Era_.has_value();
+    Datagram.era = Content.Era_.value_or(StoreEra(0)).value();
   }
   return Datagrams;
 }
@@ -262,7 +270,7 @@
     return;
   }
   if (Received.config_known)
-    Relay_.onConfigAnnounced(Reader, Received.config_end, *SentAt, Now);
+    Relay_.onConfigAnnounced(Reader, Received.config_end, era(Received), *SentAt, Now);
   if (!Received.has_span)
     return;
   const ListSpan Span = spanFromWire(Received);
--- a/Tests/Core/Membership/ListRelayScheduleTest.cpp
+++ b/Tests/Core/Membership/ListRelayScheduleTest.cpp
@@ -150,6 +150,7 @@
   Duration SentAt_{};
   std::vector<ListSpan> Spans_;
   std::optional<ListPosition> ConfigEnd_;
+  std::optional<StoreEra> Era_;
 };
 
 class Site;
@@ -476,7 +477,8 @@
     return;
   PublishedAt_ = Now;
   PublishedRead_ = Content->ListReadAt_;
-  Message Sent{GatewayRun(Index_), 0ms, clock(), Content->Spans_, Content->ConfigEnd_};
+  Message Sent{GatewayRun(Index_),  0ms,          clock(), Content->Spans_,
+               Content->ConfigEnd_, Content->Era_};
   if (Content->ListReadAt_)
     Sent.ReadAt_ = Content->ListReadAt_->time_since_epoch() - ClockAhead_;
   for (const auto &Each : Site_.Gateways_)
@@ -491,7 +493,7 @@
   if (!SentAt || !ReadAt)
     return;
   if (Received.ConfigEnd_)
-    Relay_.onConfigAnnounced(Received.Run_, *Received.ConfigEnd_, *SentAt, Now);
+    Relay_.onConfigAnnounced(Received.Run_, *Received.ConfigEnd_, Received.Era_, *SentAt, Now);
   for (const ListSpan &Span : Received.Spans_) {
     if (!Idle_)
       return;
--- a/Tests/Core/Membership/ListRelayTest.cpp
+++ b/Tests/Core/Membership/ListRelayTest.cpp
@@ -310,7 +310,7 @@
   Relay.setTrusted(Case.Trusted_);
   Relay.onConfigRead(7);
   if (Case.Announced_)
-    Relay.onConfigAnnounced(Reader, *Case.Announced_, Start - Case.Age_, Start);
+    Relay.onConfigAnnounced(Reader, *Case.Announced_, std::nullopt, Start - Case.Age_, Start);
   BOOST_TEST((Relay.configWait(Start) == Case.Wait_));
 }
 
@@ -319,13 +319,14 @@
   ListRelay Relay(Usual, 1);
   Relay.setRole(StoreRole::Receiver);
   Relay.onConfigRead(7);
-  Relay.onConfigAnnounced(Reader, 7, Start, Start);
+  Relay.onConfigAnnounced(Reader, 7, std::nullopt, Start, Start);
   Relay.onConfigReadBegins(7, Relay.configWait(Start), Start);
   Duration GivenUp{};
   ConfigReadEnd End = ConfigReadEnd::None;
   for (Duration At = 100ms; At < 9s && End == ConfigReadEnd::None; At += 100ms) {
     if (At % 200ms == 0ms && At < Case.SilentFrom_)
-      Relay.onConfigAnnounced(Reader, At < 400ms ? 7 : Case.Announced_, Start + At, Start + At);
+      Relay.onConfigAnnounced(Reader, At < 400ms ? 7 : Case.Announced_, std::nullopt, Start + At,
+                              Start + At);
     End = Relay.configReadEnd(Start + At);
     GivenUp = End == ConfigReadEnd::None ? 0ms : At;
   }
@@ -341,7 +342,7 @@
   int Anew = 0;
   Relay.onConfigReadBegins(7, 10s, Start);
   for (Duration At = 0ms; At < 10s; At += 100ms) {
-    Relay.onConfigAnnounced(Reader, 9, Start + At, Start + At);
+    Relay.onConfigAnnounced(Reader, 9, std::nullopt, Start + At, Start + At);
     if (Relay.configReadEnd(Start + At) == ConfigReadEnd::None)
       continue;
     ++Anew;
@@ -391,3 +392,70 @@
   BOOST_TEST(!Clocks.earliest(Reader, 5min + 2s, Start + 1s).has_value());
   BOOST_TEST(Clocks.earliest(Reader, 5min + 1s, Start + 1s).has_value());
 }
+
+namespace {
+
+/// What a receiver in an era of the store does with what a reader publishes in another one.
+struct EraCase {
+  const char *Name_;
+  std::optional<StoreEra> Own_;
+  std::optional<StoreEra> Readers_;
+  SpanOutcome Outcome_;
+  /// Whether the announcement lets reads of the configuration wait long.
+  bool Waits_ = false;
+  ConfigReadEnd End_ = ConfigReadEnd::None;
+};
+
+std::ostream &operator<<(std::ostream &Out, const EraCase &Case) { return Out << Case.Name_; }
+
+const EraCase EraCases[] = {
+    {"no eras", {}, {}, SpanOutcome::Applied, true},
+    {"the same era", StoreEra(3), StoreEra(3), SpanOutcome::Applied, true},
+    {"an earlier era", StoreEra(3), StoreEra(2), SpanOutcome::OtherEra},
+    {"a later era", StoreEra(3), StoreEra(4), SpanOutcome::OtherEra, false,
+     ConfigReadEnd::LaterEra},
+    {"a reader without an era", StoreEra(3), {}, SpanOutcome::OtherEra},
+    {"a receiver without an era", {}, StoreEra(3), SpanOutcome::OtherEra},
+};
+
+} // namespace
+
+// Guards against positions of one era that are compared with those of another, and against a
+// receiver that does not look when a reader knows a later era.
+BOOST_DATA_TEST_CASE(PositionsOfOtherErasAreNotUsed, EraCases, Case) {
+  ListRelay Relay(Usual, 1);
+  Relay.setRole(StoreRole::Receiver);
+  if (Case.Own_)
+    Relay.setEra(*Case.Own_);
+  Relay.onListed(100, Start);
+  Relay.onConfigRead(7);
+  std::vector<ListChange> Changes;
+  const ListSpan Span{.From_ = 100, .To_ = 102, .Era_ = Case.Readers_};
+  BOOST_TEST((Relay.accept(Span, Start + 1s, 100, Start + 1s, Changes) == Case.Outcome_));
+  Relay.onConfigAnnounced(Reader, 7, Case.Readers_, Start, Start);
+  BOOST_TEST((Relay.configWait(Start) > Usual.ConfigWait_) == Case.Waits_);
+  Relay.onConfigReadBegins(7, Relay.configWait(Start), Start);
+  BOOST_TEST((Relay.configReadEnd(Start + 100ms) == Case.End_));
+  BOOST_TEST((Relay.configReadEnd(Start + 200ms) == ConfigReadEnd::None));
+}
+
+// Guards against a reader that publishes positions of the era before the store returned.
+BOOST_AUTO_TEST_CASE(AReaderPublishesNothingUntilItHasListedAnew) {
+  ListRelay Relay(Usual, 1);
+  Relay.setRole(StoreRole::Reader);
+  Relay.setEra(StoreEra(3));
+  Relay.onListed(100, Start);
+  Relay.onListRead(100, 100, Start);
+  Relay.onConfigRead(7);
+  BOOST_TEST(Relay.publication(Start)->ConfigEnd_.has_value());
+  Relay.setEra(StoreEra(4));
+  BOOST_TEST(!Relay.publication(Start)->ConfigEnd_.has_value());
+  BOOST_TEST(!Relay.publication(Start)->ListReadAt_.has_value());
+  Relay.onListed(90, Start + 1s);
+  Relay.onListRead(91, 91, Start + 1s);
+  Relay.onConfigRead(6);
+  const auto Content = Relay.publication(Start + 1s);
+  BOOST_TEST(Content->ConfigEnd_.has_value());
+  BOOST_TEST(Content->ListReadAt_.has_value());
+  BOOST_TEST((Content->Era_ == StoreEra(4)));
+}
--- a/Tests/platform/TopicFollowerTest.cpp
+++ b/Tests/platform/TopicFollowerTest.cpp
@@ -57,7 +57,7 @@
   /// Returns whether the whole list was read within the limit.
   bool readList(Duration TimeLimit) {
     HttpClient Client(Loop_);
-    StoreClient Calls(Client, Metrics_, Server_.address());
+    StoreClient Calls(Time_, Client, Metrics_, Server_.address());
     TopicFollower Follower(Loop_, Time_, Calls, topic::Endpoints,
                            {std::chrono::milliseconds(100), std::chrono::milliseconds(100)},
                            {[this](const KeyedRecord &Record) { Seen_.insert(Record.Key_); },
@@ -79,6 +79,61 @@
   std::set<std::string> Seen_;
 };
 
+/// A return of the store from a copy, seen from a follower that has read two records since.
+struct EndCase {
+  const char *Name_;
+  /// Records that are written after the return, the last one with the key "newest".
+  int Written_;
+  ReadsAtReturn Reads_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const EndCase &Case) { return Out << Case.Name_; }
+
+const EndCase EndCases[] = {
+    {"the end before the old one", 1, ReadsAtReturn::Closed},
+    {"the old end", 2, ReadsAtReturn::Closed},
+    {"the end behind the old one", 3, ReadsAtReturn::Closed},
+    {"the end before the old one, read goes on", 1, ReadsAtReturn::Kept},
+    {"the old end, read goes on", 2, ReadsAtReturn::Kept},
+    {"the end behind the old one, read goes on", 3, ReadsAtReturn::Kept},
+};
+
+/// A value of the header that names the era.
+struct HeaderCase {
+  const char *Value_;
+  std::optional<std::uint64_t> Era_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const HeaderCase &Case) { return Out << Case.Value_; }
+
+const HeaderCase HeaderCases[] = {
+    {"1", 1},
+    {"0", 0},
+    {"18446744073709551615", ~std::uint64_t{0}},
+    {"01", 1},
+    {"", {}},
+    {"-1", {}},
+    {"1.5", {}},
+    {"18446744073709551616", {}},
+    {"2 3", {}},
+    {"x", {}},
+};
+
+/// Answers each call with an empty page and this value of the header.
+class EraHandler final : public HttpHandler {
+public:
+  explicit EraHandler(std::string Value) : Value_(std::move(Value)) {}
+  void handle(HttpRequest, HttpResponderPtr Responder) override {
+    HttpResponse Answer;
+    Answer.Headers_.add("Store-Era", Value_);
+    Answer.Body_ = std::string(16, '\0');
+    Responder->send(std::move(Answer));
+  }
+
+private:
+  std::string Value_;
+};
+
 } // namespace
 
 // A store that has reached its call limit refuses some of the calls. A listing that restarted after
@@ -109,7 +164,7 @@
   ListFixture List;
   List.append("a");
   HttpClient Client(List.Loop_);
-  StoreClient Calls(Client, List.Metrics_, List.Server_.address());
+  StoreClient Calls(List.Time_, Client, List.Metrics_, List.Server_.address());
   std::vector<std::string> Keys;
   std::size_t Failures = 0;
   const Duration Wait = std::chrono::seconds(20);
@@ -141,7 +196,7 @@
   ListFixture List;
   List.append("a");
   HttpClient Client(List.Loop_);
-  StoreClient Calls(Client, List.Metrics_, List.Server_.address());
+  StoreClient Calls(List.Time_, Client, List.Metrics_, List.Server_.address());
   std::vector<std::string> Keys;
   TimePoint Due = TimePoint::max();
   TopicFollower::Handlers Callbacks;
@@ -165,3 +220,54 @@
   BOOST_TEST(Keys == std::vector<std::string>({"a", "d"}), boost::test_tools::per_element());
   BOOST_TEST(Follower.position() == 4U);
 }
+
+// Guards against records that a follower never reads because the store has given out their offsets
+// again.
+BOOST_DATA_TEST_CASE(TheNewestRecordIsReadAfterAStoreReturn, EndCases, Case) {
+  ListFixture List;
+  List.append("a");
+  List.Store_.takeCopy();
+  HttpClient Client(List.Loop_);
+  StoreClient Calls(List.Time_, Client, List.Metrics_, List.Server_.address());
+  const Duration Wait = std::chrono::milliseconds(500);
+  TopicFollower::Handlers Callbacks;
+  Callbacks.OnRecord_ = [&](const KeyedRecord &Record) { List.Seen_.insert(Record.Key_); };
+  Callbacks.OnComplete_ = [] {};
+  Callbacks.OnCallEnded_ = [](std::error_code, TimePoint) {};
+  TopicFollower Follower(List.Loop_, List.Time_, Calls, topic::Endpoints, {Wait, {}}, Callbacks);
+  std::size_t Returns = 0;
+  Calls.onReturned([&](StoreEra, StoreEra) {
+    ++Returns;
+    Follower.restart({});
+  });
+  Follower.start();
+  List.Loop_.run_for(std::chrono::milliseconds(100));
+  List.append("b");
+  List.append("c");
+  List.Loop_.run_for(std::chrono::milliseconds(100));
+  BOOST_TEST(Follower.position() == 3U);
+  List.Store_.returnFromCopy(Case.Reads_);
+  for (int I = 1; I < Case.Written_; ++I)
+    List.append("again-" + std::to_string(I));
+  List.append("newest");
+  List.Loop_.run_for(std::chrono::seconds(2));
+  BOOST_TEST(List.Seen_.contains("newest"));
+  BOOST_TEST(Follower.position() == static_cast<std::uint64_t>(1 + Case.Written_));
+  BOOST_TEST(Returns == 1U);
+}
+
+// Guards against an era that is taken from a value that can't be read.
+BOOST_DATA_TEST_CASE(TheEraIsReadFromItsHeader, HeaderCases, Case) {
+  ListFixture List;
+  EraHandler Handler(Case.Value_);
+  HttpServer Server(List.Loop_, {}, Handler, List.Log_);
+  BOOST_REQUIRE(!Server.listen(NetAddress("127.0.0.1:0")));
+  HttpClient Client(List.Loop_);
+  StoreClient Calls(List.Time_, Client, List.Metrics_, Server.address());
+  Calls.read(topic::Endpoints, 0, {}, [&](const Result<LogPage> &) { List.Loop_.stop(); });
+  List.Loop_.run_for(Limit);
+  BOOST_TEST(Calls.era().has_value() == Case.Era_.has_value());
+  if (Case.Era_)
+    BOOST_TEST(Calls.era()->value() == *Case.Era_);
+  Server.stop();
+}
