--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -237,7 +237,8 @@
 
     def change(self, avoid=""):
         self.generation += 1
-        names = sorted(name for name in self.members if name != avoid) or sorted(self.members)
+        # Members in the order in which they joined.
+        names = [name for name in self.members if name != avoid] or list(self.members)
         if self.target not in names:
             self.target = names[0] if names else ""
         if self.holder not in self.members:
