--- a/Source/Core/Membership/ListRelay.cpp
+++ b/Source/Core/Membership/ListRelay.cpp
@@ -194,6 +194,14 @@
                      [&](const auto &Entry) { return isFresh(Entry.second, Now); });
 }
 
+std::optional<ListPosition> ListRelay::laterConfigEnd(TimePoint Now) const {
+  std::optional<ListPosition> Latest;
+  for (const auto &[Reader, Each] : Announcements_)
+    if (ConfigPosition_ && isFresh(Each, Now) && Each.End_ > *ConfigPosition_)
+      Latest = std::max(Latest, std::optional(Each.End_));
+  return Latest;
+}
+
 Duration ListRelay::configWait(TimePoint Now) const {
   if (Role_ == StoreRole::Reader && Trusted_)
     return Options_.ConfigWait_ / ReaderRate;
--- a/Source/Core/Membership/ListRelay.h
+++ b/Source/Core/Membership/ListRelay.h
@@ -143,6 +143,9 @@
   /// store; no era if the reader knows of none.
   void onConfigAnnounced(GatewayRun Reader, ListPosition End, std::optional<StoreEra> Era,
                          TimePoint SentAt, TimePoint Now);
+  /// The latest end of the configuration's log that readers announce now, if it lies after the
+  /// position of this gateway.
+  std::optional<ListPosition> laterConfigEnd(TimePoint Now) const;
   /// How long the store may hold the next read of the configuration.
   Duration configWait(TimePoint Now) const;
   /// Whether to give up the read of the configuration that is under way, and why.
--- a/Source/Gateway/StoreRelay.cpp
+++ b/Source/Gateway/StoreRelay.cpp
@@ -137,12 +137,21 @@
 
 void StoreRelay::tick() {
   updateRole();
+  logLaterConfig();
   Use_.Store_.reconsiderReads();
   if (Use_.Time_.now() - SubscribedAt_ >= SubscribeInterval)
     subscribe();
   publish();
 }
 
+void StoreRelay::logLaterConfig() {
+  const auto End = Relay_.laterConfigEnd(Use_.Time_.now());
+  if (!End || End == LoggedConfigEnd_)
+    return;
+  LoggedConfigEnd_ = End;
+  Use_.Log_.log(LogEvent::ConfigAnnounced, {{"end", *End}});
+}
+
 std::vector<std::string> StoreRelay::findReaders() const {
   const EngineStateBroadcast &Broadcast = Use_.StateBroadcast_;
   if (!Broadcast.isOwner()) {
--- a/Source/Gateway/StoreRelay.h
+++ b/Source/Gateway/StoreRelay.h
@@ -51,6 +51,8 @@
   void updateRole();
   void subscribe();
   void publish();
+  /// Logs an end of the configuration's log that lies after the position here, once.
+  void logLaterConfig();
   void onDatagram(wire::GatewayDatagramT &Content, const DatagramSocket::Endpoint &From);
   void onSubscribe(const wire::ListSubscribeT &Request, const DatagramSocket::Endpoint &From);
   void onChanges(const wire::ListChangesT &Received);
@@ -74,6 +76,7 @@
   /// What was published last.
   std::optional<TimePoint> PublishedRead_;
   std::optional<ListPosition> PublishedConfigEnd_;
+  std::optional<ListPosition> LoggedConfigEnd_;
 };
 
 } // namespace rattancart
