--- a/Source/StandIns/Site/FakeStoreHandler.cpp
+++ b/Source/StandIns/Site/FakeStoreHandler.cpp
@@ -74,7 +74,7 @@
 } // namespace
 
 FakeStoreHandler::FakeStoreHandler(boost::asio::io_context &Loop, const Clock &Time)
-    : Loop_(Loop), Time_(Time), Timer_(Loop) {
+    : Loop_(Loop), Time_(Time), Timer_(Loop), Pipe_(Loop, Time) {
   Timer_.every(CheckInterval, [this] { answerWaitingReads(); });
 }
 
@@ -93,7 +93,7 @@
   // StoreFault::LosesAnswers: a join or an append takes effect, and the connection closes without
   // an answer. Reads are answered, as the platform's store answers them.
   if (Request.path() == "/-/log-newest")
-    return readNewest(Request, *Responder);
+    return readNewest(Request, Responder);
   if (Request.path() == "/-/log-append")
     applyAppend(Request);
   if (Request.path() == "/-/log-join")
@@ -109,7 +109,7 @@
   if (Path == "/-/log-read")
     return read(Request, Responder);
   if (Path == "/-/log-newest")
-    return readNewest(Request, *Responder);
+    return readNewest(Request, Responder);
   if (Path == "/-/log-append")
     return appendRecord(Request, *Responder);
   if (Path == "/-/log-join")
@@ -154,6 +154,13 @@
   Responder.send(std::move(Answer));
 }
 
+void FakeStoreHandler::sendRead(const HttpResponderPtr &Responder, HttpResponse Answer) {
+  const std::size_t Bytes = Answer.Body_.size();
+  Pipe_.pass(Bytes, [this, Responder, Answer = std::move(Answer)]() mutable {
+    send(*Responder, std::move(Answer));
+  });
+}
+
 void FakeStoreHandler::read(const HttpRequest &Request, const HttpResponderPtr &Responder) {
   const std::string Topic(Request.query("topic"));
   const std::uint64_t From = numberQuery(Request, "from");
@@ -180,7 +187,7 @@
                                   Record.Key_ + Record.Value_.value_or("");
       Answer.Body_ += bigEndian(Content.size(), 4) + Content;
     }
-  send(*Read.Responder_, std::move(Answer));
+  sendRead(Read.Responder_, std::move(Answer));
 }
 
 void FakeStoreHandler::answerWaitingReads() {
@@ -196,11 +203,11 @@
   }
 }
 
-void FakeStoreHandler::readNewest(const HttpRequest &Request, HttpResponder &Responder) {
+void FakeStoreHandler::readNewest(const HttpRequest &Request, const HttpResponderPtr &Responder) {
   const KeyedTopic &Log = Topics_[std::string(Request.query("topic"))];
   const auto From = decodedQuery(Request.query("after"));
   if (!From)
-    return send(Responder, jsonAnswer(400, "{}"));
+    return send(*Responder, jsonAnswer(400, "{}"));
   const std::string &After = *From;
   // Small, so that tests make callers request more than one page.
   constexpr std::size_t PageRecords = 5;
@@ -215,9 +222,10 @@
     }
     Items.push_back({{"key", Key}, {"value", base64(Value)}, {"offset", 0}});
   }
-  send(Responder,
-       jsonAnswer(200, boost::json::serialize(boost::json::object{
-                           {"items", std::move(Items)}, {"has_more", More}, {"end", Log.end()}})));
+  sendRead(
+      Responder,
+      jsonAnswer(200, boost::json::serialize(boost::json::object{
+                          {"items", std::move(Items)}, {"has_more", More}, {"end", Log.end()}})));
 }
 
 std::optional<std::uint64_t> FakeStoreHandler::applyAppend(const HttpRequest &Request) {
--- a/Source/StandIns/Site/FakeStoreHandler.h
+++ b/Source/StandIns/Site/FakeStoreHandler.h
@@ -3,6 +3,7 @@
 #include "Net/HttpServer.h"
 #include "Net/Timer.h"
 #include "StandIns/Site/KeyedStore.h"
+#include "StandIns/Site/ReadPipe.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -59,6 +60,10 @@
   void setNamesEra(bool NamesEra) { NamesEra_ = NamesEra; }
   void setFault(StoreFault Fault) { Fault_ = Fault; }
   std::uint64_t calls() const { return Calls_; }
+  /// Limits the bytes a second of the answers to all reads and listings together; 0: no limit.
+  void setReadRate(std::size_t BytesPerSecond) { Pipe_.setRate(BytesPerSecond); }
+  /// Bytes of the answers to reads and listings so far.
+  std::uint64_t readBytes() const { return Pipe_.passedBytes(); }
 
 private:
   /// A read at the end of a log that waits for a record.
@@ -77,9 +82,11 @@
 
   /// Sends an answer, with the era as the store names it in all answers.
   void send(HttpResponder &Responder, HttpResponse Answer) const;
+  /// Sends the answer to a read or listing as the rate of reads allows.
+  void sendRead(const HttpResponderPtr &Responder, HttpResponse Answer);
   void dispatch(const HttpRequest &Request, const HttpResponderPtr &Responder);
   void read(const HttpRequest &Request, const HttpResponderPtr &Responder);
-  void readNewest(const HttpRequest &Request, HttpResponder &Responder);
+  void readNewest(const HttpRequest &Request, const HttpResponderPtr &Responder);
   /// Appends the record of the body if the log ends where the request says; returns its offset.
   std::optional<std::uint64_t> applyAppend(const HttpRequest &Request);
   void appendRecord(const HttpRequest &Request, HttpResponder &Responder);
@@ -93,6 +100,7 @@
   boost::asio::io_context &Loop_;
   const Clock &Time_;
   Timer Timer_;
+  ReadPipe Pipe_;
   std::map<std::string, KeyedTopic> Topics_;
   std::map<std::string, MemberGroup> Groups_;
   std::list<WaitingRead> Waiting_;
