A silent read of the store gets a second attempt and keeps its place

Cause: each call to the store ended 1.2 s after its wait, whatever had arrived. All gateways read a version at the same moment from a store of limited rate. Reads that were about to be answered were given up, what the store had sent or queued for them was lost, and all began again together at the end of the queue: a store that is saturated by calls that never end. Class: a time limit on the whole of a transfer that many begin together.

Change: ReadAttempts decides by silence. A read without a sign of its answer 0.5 s after its wait gets a second attempt over a fresh connection, a third one 1 s later and so on, and all of them go on until one is answered; an answer that arrives is never cut. 1.2 s of silence count as a failed call, as before, so that outages are detected as they were. A read that a reader's announcement calls for also leaves the waiting one its place.

ALostReadDelaysNoRecord fails before in both cases (2 s, 3 s) and passes after.

--- a/Tests/platform/TopicFollowerTest.cpp
+++ b/Tests/platform/TopicFollowerTest.cpp
@@ -98,6 +98,19 @@
     {"the end behind the old one, read goes on", 3, ReadsAtReturn::Kept},
 };
 
+/// A gateway that reads a topic alone, and the time within which it must know of a record.
+struct LostReadCase {
+  const char *Name_;
+  FreshnessBounds Bounds_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const LostReadCase &Case) { return Out << Case.Name_; }
+
+const LostReadCase LostReadCases[] = {
+    {"2 s", {.Configuration_ = std::chrono::seconds(2)}},
+    {"3 s", {.Configuration_ = std::chrono::seconds(3)}},
+};
+
 /// A value of the header that names the era.
 struct HeaderCase {
   const char *Value_;
@@ -191,6 +204,27 @@
   BOOST_TEST(Follower.position() == 2U);
 }
 
+// Guards against a configuration that comes into force late at a gateway that reads alone, since
+// the connection of its waiting read is lost while new ones work.
+BOOST_DATA_TEST_CASE(ALostReadDelaysNoRecord, LostReadCases, Case) {
+  ListFixture List;
+  HttpClient Client(List.Loop_);
+  StoreClient Calls(List.Time_, Client, List.Metrics_, List.Server_.address());
+  TopicFollower::Handlers Callbacks;
+  Callbacks.OnRecord_ = [&](const KeyedRecord &) { List.Loop_.stop(); };
+  // The read after the listing is never answered.
+  Callbacks.OnComplete_ = [&] { List.Store_.setFault(StoreFault::Silent); };
+  Callbacks.OnCallEnded_ = [](std::error_code, TimePoint) {};
+  TopicFollower Follower(List.Loop_, List.Time_, Calls, topic::Endpoints,
+                         configPollTiming(Case.Bounds_), Callbacks);
+  Follower.start();
+  List.Loop_.run_for(std::chrono::milliseconds(50));
+  List.Store_.setFault(StoreFault::None);
+  List.append("a");
+  List.Loop_.run_for(Case.Bounds_.Configuration_);
+  BOOST_TEST(List.Loop_.stopped());
+}
+
 // Guards against changes that another gateway has passed on and that are read again, or skipped.
 BOOST_AUTO_TEST_CASE(ReadsContinueAfterWhatWasLearnedOtherwise) {
   ListFixture List;
@@ -264,7 +298,8 @@
   BOOST_REQUIRE(!Server.listen(NetAddress("127.0.0.1:0")));
   HttpClient Client(List.Loop_);
   StoreClient Calls(List.Time_, Client, List.Metrics_, Server.address());
-  Calls.read(topic::Endpoints, 0, {}, [&](const Result<LogPage> &) { List.Loop_.stop(); });
+  Calls.read(topic::Endpoints, 0, {}, ConnectionUse::Pooled,
+             [&](const Result<LogPage> &) { List.Loop_.stop(); });
   List.Loop_.run_for(Limit);
   BOOST_TEST(Calls.era().has_value() == Case.Era_.has_value());
   if (Case.Era_)
