Configurations spread between the gateways of a data centre

With reads that keep their place, the store delivers a version to all gateways in gateways x bytes / rate: 1.4 s for 132 gateways and 0.87 MB, over 5 s for 3 MB, and more with each gateway that is added.

Cause: each gateway read each version whole from the store, though its readers already knew it and though most of it was in force here.

Change: a reader announces with the end of the configuration's log the address at which it hands the version out. A receiver names the version that it has by its digest and gets the difference as a Zstandard frame, or the whole version compressed. ListRelay decides: receivers rely on offers while announcements are fresh, read the store themselves every 8 to 10 s, at once when announcements stop, when no reader hands out what it announces, and 1 s after the first announcement of an end that was not reached, whatever else is announced since. The store stays the source; gateways of earlier versions see no difference.

--- a/Schemas/Gateway_generated.h
+++ b/Schemas/Gateway_generated.h
@@ -1820,6 +1820,7 @@
   std::vector<std::string> pass_to{};
   bool era_known = false;
   uint64_t era = 0;
+  std::string config_source{};
   ListChangesT() = default;
   ListChangesT(const ListChangesT &o);
   ListChangesT(ListChangesT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1844,7 +1845,8 @@
     VT_CONFIG_END = 26,
     VT_PASS_TO = 28,
     VT_ERA_KNOWN = 30,
-    VT_ERA = 32
+    VT_ERA = 32,
+    VT_CONFIG_SOURCE = 34
   };
   const flatbuffers::String *data_center() const {
     return GetPointer<const flatbuffers::String *>(VT_DATA_CENTER);
@@ -1891,6 +1893,9 @@
   uint64_t era() const {
     return GetField<uint64_t>(VT_ERA, 0);
   }
+  const flatbuffers::String *config_source() const {
+    return GetPointer<const flatbuffers::String *>(VT_CONFIG_SOURCE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_DATA_CENTER) &&
@@ -1913,6 +1918,8 @@
            verifier.VerifyVectorOfStrings(pass_to()) &&
            VerifyField<uint8_t>(verifier, VT_ERA_KNOWN, 1) &&
            VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
+           VerifyOffset(verifier, VT_CONFIG_SOURCE) &&
+           verifier.VerifyString(config_source()) &&
            verifier.EndTable();
   }
   ListChangesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1969,6 +1976,9 @@
   void add_era(uint64_t era) {
     fbb_.AddElement<uint64_t>(ListChanges::VT_ERA, era, 0);
   }
+  void add_config_source(flatbuffers::Offset<flatbuffers::String> config_source) {
+    fbb_.AddOffset(ListChanges::VT_CONFIG_SOURCE, config_source);
+  }
   explicit ListChangesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1996,7 +2006,8 @@
     uint64_t config_end = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> pass_to = 0,
     bool era_known = false,
-    uint64_t era = 0) {
+    uint64_t era = 0,
+    flatbuffers::Offset<flatbuffers::String> config_source = 0) {
   ListChangesBuilder builder_(_fbb);
   builder_.add_era(era);
   builder_.add_config_end(config_end);
@@ -2006,6 +2017,7 @@
   builder_.add_sent_us(sent_us);
   builder_.add_read_us(read_us);
   builder_.add_run(run);
+  builder_.add_config_source(config_source);
   builder_.add_pass_to(pass_to);
   builder_.add_changes(changes);
   builder_.add_data_center(data_center);
@@ -2032,10 +2044,12 @@
     uint64_t config_end = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *pass_to = nullptr,
     bool era_known = false,
-    uint64_t era = 0) {
+    uint64_t era = 0,
+    const char *config_source = nullptr) {
   auto data_center__ = data_center ? _fbb.CreateString(data_center) : 0;
   auto changes__ = changes ? _fbb.CreateVector<flatbuffers::Offset<rattancart::wire::ListChange>>(*changes) : 0;
   auto pass_to__ = pass_to ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*pass_to) : 0;
+  auto config_source__ = config_source ? _fbb.CreateString(config_source) : 0;
   return rattancart::wire::CreateListChanges(
       _fbb,
       data_center__,
@@ -2052,7 +2066,8 @@
       config_end,
       pass_to__,
       era_known,
-      era);
+      era,
+      config_source__);
 }
 
 flatbuffers::Offset<ListChanges> CreateListChanges(flatbuffers::FlatBufferBuilder &_fbb, const ListChangesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2742,7 +2757,8 @@
         config_end(o.config_end),
         pass_to(o.pass_to),
         era_known(o.era_known),
-        era(o.era) {
+        era(o.era),
+        config_source(o.config_source) {
   changes.reserve(o.changes.size());
   for (const auto &changes_ : o.changes) { changes.emplace_back((changes_) ? new rattancart::wire::ListChangeT(*changes_) : nullptr); }
 }
@@ -2763,6 +2779,7 @@
   std::swap(pass_to, o.pass_to);
   std::swap(era_known, o.era_known);
   std::swap(era, o.era);
+  std::swap(config_source, o.config_source);
   return *this;
 }
 
@@ -2790,6 +2807,7 @@
   { auto _e = pass_to(); if (_e) { _o->pass_to.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pass_to[_i] = _e->Get(_i)->str(); } } }
   { auto _e = era_known(); _o->era_known = _e; }
   { auto _e = era(); _o->era = _e; }
+  { auto _e = config_source(); if (_e) _o->config_source = _e->str(); }
 }
 
 inline flatbuffers::Offset<ListChanges> ListChanges::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ListChangesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2815,6 +2833,7 @@
   auto _pass_to = _o->pass_to.size() ? _fbb.CreateVectorOfStrings(_o->pass_to) : 0;
   auto _era_known = _o->era_known;
   auto _era = _o->era;
+  auto _config_source = _o->config_source.empty() ? 0 : _fbb.CreateString(_o->config_source);
   return rattancart::wire::CreateListChanges(
       _fbb,
       _data_center,
@@ -2831,7 +2850,8 @@
       _config_end,
       _pass_to,
       _era_known,
-      _era);
+      _era,
+      _config_source);
 }
 
 inline GatewayDatagramT *GatewayDatagram::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Source/Core/Membership/ListRelay.cpp
+++ b/Source/Core/Membership/ListRelay.cpp
@@ -32,6 +32,9 @@
 constexpr Duration MaxAnnouncementLifetime = milliseconds(1000);
 /// The store answers a waiting read within this time after a record was written.
 constexpr Duration AnswerTime = milliseconds(300);
+/// A gateway reads the store itself if it has not reached an announced end of the configuration's
+/// log within this time, whatever other gateways offer.
+constexpr Duration FetchPatience = milliseconds(1000);
 
 } // namespace
 
@@ -53,7 +56,13 @@
 }
 
 ListRelay::ListRelay(Options Use, std::mt19937::result_type Seed)
-    : Options_(Use), Random_(Seed), OwnReadInterval_(MinOwnReadInterval) {}
+    : Options_(Use), Random_(Seed), OwnReadInterval_(MinOwnReadInterval),
+      OwnConfigReadInterval_(MinOwnReadInterval) {}
+
+Duration ListRelay::drawOwnReadInterval() {
+  return Duration(std::uniform_int_distribution<Duration::rep>(
+      MinOwnReadInterval.count(), MaxOwnReadInterval.count())(Random_));
+}
 
 void ListRelay::setEra(StoreEra Era) {
   if (Era_ == Era)
@@ -88,8 +97,7 @@
 
 void ListRelay::onListRead(ListPosition Position, ListPosition End, TimePoint ReadAt) {
   OwnReadAt_ = ReadAt;
-  OwnReadInterval_ = Duration(std::uniform_int_distribution<Duration::rep>(
-      MinOwnReadInterval.count(), MaxOwnReadInterval.count())(Random_));
+  OwnReadInterval_ = drawOwnReadInterval();
   if (Position < End)
     return;
   KnownAt_ = std::max(KnownAt_, ReadAt);
@@ -157,32 +165,115 @@
   ConfigReadBegan_ = Now;
   ConfigReadFrom_ = Position;
   ConfigReadWait_ = Wait;
+  // The answer to a read that does not wait names the era.
+  if (Wait == Duration{})
+    FollowedEra_ = NamedEra_;
 }
 
-void ListRelay::onConfigRead(ListPosition Position) {
+void ListRelay::onConfigRead(ListPosition Position, TimePoint Now) {
+  for (auto &[Reader, Each] : Announcements_)
+    if (ConfigReadBegan_ && *ConfigReadBegan_ >= Each.Since_ && Each.End_ != Position)
+      Each.Followed_ = true;
+  if (ConfigReadBegan_ && ConfigLag_ && *ConfigReadBegan_ >= ConfigLag_->Since_)
+    ConfigLag_.reset();
   ConfigReadBegan_.reset();
   ConfigPosition_ = Position;
+  updateConfigLag();
+  OwnConfigReadAt_ = Now;
+  OwnConfigReadInterval_ = drawOwnReadInterval();
 }
 
 void ListRelay::onConfigLost() {
   ConfigReadBegan_.reset();
   ConfigPosition_.reset();
+  ConfigLag_.reset();
 }
 
 void ListRelay::onConfigAnnounced(GatewayRun Reader, ListPosition End, std::optional<StoreEra> Era,
-                                  TimePoint SentAt, TimePoint Now) {
+                                  TimePoint SentAt, TimePoint Now, std::string Source) {
   if (Era != Era_) {
     if (Era && Era_ && *Era > *Era_)
       NamedEra_ = std::max(NamedEra_, Era);
     return;
   }
   std::erase_if(Announcements_, [&](const auto &Entry) { return !isFresh(Entry.second, Now); });
-  const auto [Known, Added] = Announcements_.emplace(Reader, Announcement{End, SentAt, Now, false});
-  if (Added || SentAt <= Known->second.SentAt_)
+  const auto [Known, Added] =
+      Announcements_.try_emplace(Reader, Announcement{End, SentAt, Now, false, Source});
+  if (!Added && SentAt > Known->second.SentAt_) {
+    Known->second.SentAt_ = SentAt;
+    if (Known->second.End_ != End)
+      Known->second = {End, SentAt, Now, false, Source};
+    Known->second.Source_ = std::move(Source);
+  }
+  updateConfigLag();
+}
+
+void ListRelay::updateConfigLag() {
+  // An announcement of a later end does not make the earlier one any newer.
+  if (!ConfigPosition_ || (ConfigLag_ && ConfigLag_->End_ > *ConfigPosition_))
     return;
-  Known->second.SentAt_ = SentAt;
-  if (Known->second.End_ != End)
-    Known->second = {End, SentAt, Now, false};
+  ConfigLag_.reset();
+  for (const auto &[Reader, Each] : Announcements_)
+    if (Each.End_ > *ConfigPosition_ && !Each.Followed_ &&
+        (!ConfigLag_ || Each.Since_ < ConfigLag_->Since_))
+      ConfigLag_ = {Each.End_, Each.Since_};
+}
+
+bool ListRelay::reliesOnOffers(TimePoint Now) const {
+  return Role_ == StoreRole::Receiver && Trusted_ && ConfigPosition_ &&
+         std::any_of(Announcements_.begin(), Announcements_.end(), [&](const auto &Entry) {
+           return isFresh(Entry.second, Now) && !Entry.second.Source_.empty();
+         });
+}
+
+std::optional<ConfigOffer> ListRelay::configOffer(TimePoint Now) {
+  if (!reliesOnOffers(Now))
+    return std::nullopt;
+  std::vector<ConfigOffer> Latest;
+  for (const auto &[Reader, Each] : Announcements_) {
+    if (!isFresh(Each, Now) || Each.Source_.empty() || Each.Refused_ ||
+        Each.End_ <= *ConfigPosition_)
+      continue;
+    if (!Latest.empty() && Each.End_ > Latest.front().End_)
+      Latest.clear();
+    if (Latest.empty() || Each.End_ == Latest.front().End_)
+      Latest.push_back({Reader, Each.Source_, Each.End_});
+  }
+  if (Latest.empty())
+    return std::nullopt;
+  // The receivers spread over the readers.
+  return Latest[std::uniform_int_distribution<std::size_t>(0, Latest.size() - 1)(Random_)];
+}
+
+void ListRelay::onConfigFetchFailed(GatewayRun Reader) {
+  if (const auto Known = Announcements_.find(Reader); Known != Announcements_.end())
+    Known->second.Refused_ = true;
+}
+
+void ListRelay::onConfigFetched(ListPosition Position) {
+  ConfigReadBegan_.reset();
+  ConfigPosition_ = Position;
+  updateConfigLag();
+}
+
+TimePoint ListRelay::configReadDue(TimePoint Now) const {
+  if (!reliesOnOffers(Now))
+    return Now;
+  if (NamedEra_ != FollowedEra_)
+    return Now;
+  if (ConfigLag_ && Now - ConfigLag_->Since_ >= FetchPatience)
+    return Now;
+  bool Offered = false;
+  bool Differs = false;
+  for (const auto &[Reader, Each] : Announcements_) {
+    if (!isFresh(Each, Now) || Each.End_ == *ConfigPosition_)
+      continue;
+    Offered = Offered || (Each.End_ > *ConfigPosition_ && !Each.Source_.empty() && !Each.Refused_);
+    Differs = Differs || (Now - Each.Since_ >= AnswerTime && !Each.Followed_);
+  }
+  if (Differs && !Offered)
+    return Now;
+  return OwnConfigReadAt_ + OwnConfigReadInterval_;
 }
 
 bool ListRelay::isFresh(const Announcement &Each, TimePoint Now) const {
@@ -205,6 +296,10 @@
 Duration ListRelay::configWait(TimePoint Now) const {
   if (Role_ == StoreRole::Reader && Trusted_)
     return Options_.ConfigWait_ / ReaderRate;
+  // The store may answer a read that waits only at the end of its wait, also for a record that came
+  // while this gateway made no read.
+  if (reliesOnOffers(Now) || (ConfigPosition_ && Now - OwnConfigReadAt_ > AnswerTime))
+    return Duration{};
   if (Role_ != StoreRole::Receiver || !Trusted_ || !ConfigPosition_ || !hasFreshAnnouncement(Now))
     return Options_.ConfigWait_;
   for (const auto &[Reader, Each] : Announcements_)
--- a/Source/Core/Membership/ListRelay.h
+++ b/Source/Core/Membership/ListRelay.h
@@ -58,6 +58,15 @@
   LaterEra,
 };
 
+/// A configuration that a reader offers to other gateways.
+struct ConfigOffer {
+  GatewayRun Reader_;
+  /// The address at which the reader hands it out.
+  std::string Source_;
+  /// The end of the configuration's log that it has read.
+  ListPosition End_ = 0;
+};
+
 /// What becomes of a span that a reader published.
 enum class SpanOutcome : std::uint8_t {
   Applied,
@@ -98,6 +107,8 @@
 
   void setRole(StoreRole Role) { Role_ = Role; }
   StoreRole role() const { return Role_; }
+  /// The era of the store, if it names eras.
+  std::optional<StoreEra> era() const { return Era_; }
   /// While Trusted is false, because the store is out of reach or entries of the list may reappear,
   /// the gateway uses only its own reads and publishes nothing.
   void setTrusted(bool Trusted) { Trusted_ = Trusted; }
@@ -135,14 +146,25 @@
 
   /// A read of the configuration from Position begins; the store holds it for Wait.
   void onConfigReadBegins(ListPosition Position, Duration Wait, TimePoint Now);
-  /// A read or listing of the configuration was answered and led to Position.
-  void onConfigRead(ListPosition Position);
+  /// A read or listing of the configuration was answered at Now and led to Position.
+  void onConfigRead(ListPosition Position, TimePoint Now);
   /// A read of the configuration failed or was given up, or its listing begins anew.
   void onConfigLost();
   /// A reader announced at SentAt or later the end of the configuration's log in that era of the
-  /// store; no era if the reader knows of none.
+  /// store; no era if the reader knows of none. It hands the configuration out at Source, unless
+  /// that is empty.
   void onConfigAnnounced(GatewayRun Reader, ListPosition End, std::optional<StoreEra> Era,
-                         TimePoint SentAt, TimePoint Now);
+                         TimePoint SentAt, TimePoint Now, std::string Source = {});
+  /// The offer of a later configuration to take now; nothing if there is none.
+  std::optional<ConfigOffer> configOffer(TimePoint Now);
+  /// A fetch ended without a configuration that could be used: the reader's offer is taken no
+  /// further.
+  void onConfigFetchFailed(GatewayRun Reader);
+  /// A configuration was fetched and led to Position.
+  void onConfigFetched(ListPosition Position);
+  /// When the next own read of the configuration is due. It is due at once unless readers offer
+  /// what they read: then they are relied on, and checked from time to time.
+  TimePoint configReadDue(TimePoint Now) const;
   /// The latest end of the configuration's log that readers announce now, if it lies after the
   /// position of this gateway.
   std::optional<ListPosition> laterConfigEnd(TimePoint Now) const;
@@ -160,15 +182,28 @@
     TimePoint SentAt_;
     /// Since when the reader announces this end.
     TimePoint Since_;
-    /// A read was given up for this end; the log did not show it.
+    /// A read was given up for this end, or one that began later did not show it.
     bool Followed_ = false;
+    std::string Source_;
+    /// The reader did not hand out the configuration at this end.
+    bool Refused_ = false;
   };
 
+  /// An end of the configuration's log that readers have announced since then.
+  struct ConfigLag {
+    ListPosition End_ = 0;
+    TimePoint Since_;
+  };
+  void updateConfigLag();
+
   /// Whether this gateway uses what readers publish now.
   bool isReceiving() const { return Role_ == StoreRole::Receiver && Trusted_ && !Diverged_; }
   void onDiverged(TimePoint Now);
+  Duration drawOwnReadInterval();
   bool isFresh(const Announcement &Each, TimePoint Now) const;
   bool hasFreshAnnouncement(TimePoint Now) const;
+  /// Whether this gateway relies on readers that offer the configuration.
+  bool reliesOnOffers(TimePoint Now) const;
 
   Options Options_;
   mutable std::mt19937 Random_;
@@ -198,6 +233,12 @@
   std::optional<TimePoint> ConfigReadBegan_;
   ListPosition ConfigReadFrom_ = 0;
   Duration ConfigReadWait_{};
+  /// When the last own read of the configuration was answered, and the time to the next one if
+  /// readers spare all others.
+  TimePoint OwnConfigReadAt_{};
+  Duration OwnConfigReadInterval_{};
+  /// The first announced end of the configuration's log that this gateway has not reached yet.
+  std::optional<ConfigLag> ConfigLag_;
   std::map<GatewayRun, Announcement> Announcements_;
 };
 
--- a/Source/Gateway/GatewayProcess.cpp
+++ b/Source/Gateway/GatewayProcess.cpp
@@ -89,7 +89,7 @@
       SlowStart_(Settings_.SlowStart_),
       StateBroadcast_(Loop_, Time, Log, Datagrams_, *Store_, Roster_, CountEstimator_, Quarantine_,
                       Limiter_, Settings_.Process_.DataCenter_, Settings_.DataCenters_),
-      StoreRelay_({Loop_, Time, Log, Metrics_, *Store_, Datagrams_, StateBroadcast_},
+      StoreRelay_({Loop_, Time, Log, Metrics_, *Store_, Datagrams_, StateBroadcast_, Client_},
                   Settings_.Process_.DataCenter_, Settings_.StoreReaders_,
                   {listPollTiming(Settings_.Freshness_).Interval_,
                    configPollTiming(Settings_.Freshness_).Wait_}),
@@ -138,6 +138,9 @@
   RequestHandler_.queueUntilReady({.MaxWait_ = Settings_.StartupMaxWait_}, Time_.now());
   subscribeToEngineEvents();
   startForwarding();
+  PeerHandler_.onConfigRequest([this](const HttpRequest &Request, const HttpResponderPtr &To) {
+    StoreRelay_.handOutConfig(Request, To);
+  });
   StoreRelay_.start();
   Store_->follow(*this);
   PlacementCoordinator_.start();
--- a/Source/Gateway/MetadataStore.h
+++ b/Source/Gateway/MetadataStore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Common/Ids.h"
+#include "Core/Membership/ConfigHistory.h"
 #include "Core/Membership/ListRelay.h"
 #include "Core/Serving/EndpointRoster.h"
 #include "Core/Serving/ServingConfig.h"
@@ -55,9 +56,14 @@
   /// did not answer.
   using OwnerDone = std::function<void(std::optional<std::string>)>;
 
-  /// Lets Relay decide when the store is read, and reports to it what was read. Precondition:
-  /// called before follow(), and Relay outlives the store.
-  virtual void shareReads(ListRelay &Relay) = 0;
+  /// Lets Relay decide when the store is read, and reports to it what was read. Adds the versions
+  /// of the configuration to History. Precondition: called before follow(), and both outlive the
+  /// store.
+  virtual void shareReads(ListRelay &Relay, ConfigHistory &History) = 0;
+  /// Takes over the newest version of the configuration that another gateway has read up to End in
+  /// the log. Returns whether that is later than what was read here. Precondition: shareReads() was
+  /// called.
+  virtual bool applyConfig(std::string Text, ListPosition End) = 0;
   /// Applies a span of the list that another gateway read; that read began at ReadAt or later.
   /// Precondition: shareReads() was called.
   virtual SpanOutcome applySpan(const ListSpan &Span, TimePoint ReadAt) = 0;
--- a/Source/Gateway/PeerForwarding.cpp
+++ b/Source/Gateway/PeerForwarding.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/PeerForwarding.h"
 
+#include "Gateway/ConfigExchange.h"
 #include "Gateway/GatewayRequestHandler.h"
 
 #include <charconv>
@@ -80,6 +81,8 @@
 }
 
 void PeerRequestHandler::handle(HttpRequest Request, HttpResponderPtr Responder) {
+  if (ServeConfig_ && ConfigServer::isForConfig(Request))
+    return ServeConfig_(Request, Responder);
   const RequestId Id = Context_.Protocol_.parseRequest(Request).Id_;
   auto Peer = std::make_shared<PeerResponder>(std::move(Responder), Context_.Protocol_, Id);
   const std::string_view Reason = declineReason(Request);
--- a/Source/Gateway/PeerForwarding.h
+++ b/Source/Gateway/PeerForwarding.h
@@ -72,7 +72,8 @@
 
 using PeerResponderPtr = std::shared_ptr<PeerResponder>;
 
-/// Takes the requests that other gateways forward. Not thread-safe.
+/// Takes the requests that other gateways forward, and those for the configuration. Not
+/// thread-safe.
 class PeerRequestHandler final : public HttpHandler {
 public:
   /// Precondition: all arguments outlive the handler.
@@ -81,6 +82,10 @@
       : Context_(Context), Config_(Config), Handler_(Handler) {}
 
   void handle(HttpRequest Request, HttpResponderPtr Responder) override;
+  /// Sets the handler of requests for the configuration.
+  void onConfigRequest(std::function<void(const HttpRequest &, const HttpResponderPtr &)> Serve) {
+    ServeConfig_ = std::move(Serve);
+  }
   /// Sets whether requests are taken; they are by default.
   void setAccepting(bool Accepting) { Accepting_ = Accepting; }
 
@@ -91,6 +96,7 @@
   GatewayContext &Context_;
   const ConfigHolder &Config_;
   GatewayRequestHandler &Handler_;
+  std::function<void(const HttpRequest &, const HttpResponderPtr &)> ServeConfig_;
   bool Accepting_ = true;
 };
 
--- a/Source/Gateway/StoreRelay.cpp
+++ b/Source/Gateway/StoreRelay.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/StoreRelay.h"
 
+#include "Core/Common/ErrorCode.h"
+
 #include <algorithm>
 #include <memory>
 #include <random>
@@ -19,6 +21,10 @@
 /// A subscription that is not renewed for this long ends; it survives three lost datagrams.
 constexpr Duration SubscriptionLifetime = milliseconds(3500);
 
+/// Versions of the configuration that a reader can name differences to. Most receivers have the one
+/// before the newest.
+constexpr std::size_t OfferedBases = 4;
+
 /// An owner that is silent for this long may be replaced by one that is not known yet.
 constexpr Duration OwnerSilenceLimit = milliseconds(1500);
 /// Without an owner for this long, each gateway reads for itself.
@@ -122,12 +128,13 @@
 StoreRelay::StoreRelay(Dependencies Use, DataCenterId Home, std::size_t Readers,
                        ListRelay::Options Timing)
     : Use_(Use), Home_(std::move(Home)), ReaderCount_(Readers), Run_(randomRun()),
-      Relay_(Timing, std::random_device{}()), Timer_(Use.Loop_) {}
+      Relay_(Timing, std::random_device{}()), ConfigServer_(History_, Use.Metrics_),
+      Fetcher_(Use.Loop_, Use.Time_, Use.Client_, History_), Timer_(Use.Loop_) {}
 
 void StoreRelay::start() {
   if (!enabled())
     return;
-  Use_.Store_.shareReads(Relay_);
+  Use_.Store_.shareReads(Relay_, History_);
   Use_.Datagrams_.onDatagram(
       [this](wire::GatewayDatagramT &Content, const DatagramSocket::Endpoint &From) {
         onDatagram(Content, From);
@@ -138,6 +145,7 @@
 void StoreRelay::tick() {
   updateRole();
   logLaterConfig();
+  fetchConfig();
   Use_.Store_.reconsiderReads();
   if (Use_.Time_.now() - SubscribedAt_ >= SubscribeInterval)
     subscribe();
@@ -152,6 +160,41 @@
   Use_.Log_.log(LogEvent::ConfigAnnounced, {{"end", *End}});
 }
 
+void StoreRelay::fetchConfig() {
+  const TimePoint Now = Use_.Time_.now();
+  if (Fetcher_.isBusy())
+    return;
+  const auto Offer = Relay_.configOffer(Now);
+  if (!Offer)
+    return;
+  Fetcher_.fetch(NetAddress(Offer->Source_),
+                 [this, Offer = *Offer, Now](Result<FetchedConfig> Fetched) {
+                   onConfigFetched(Offer, Now, std::move(Fetched));
+                 });
+}
+
+void StoreRelay::onConfigFetched(const ConfigOffer &Offer, TimePoint BeganAt,
+                                 Result<FetchedConfig> Fetched) {
+  if (Fetched && Fetched->Era_ != Relay_.era())
+    Fetched = Error{ErrorCode::StoreReturned, "of another era of the store"};
+  if (!Fetched) {
+    Use_.Metrics_.count("configs_fetched_total", "failed");
+    Use_.Log_.log(LogEvent::ConfigFetchFailed, {{"from", Offer.Source_},
+                                                {"error", Fetched.error().Code_.value()},
+                                                {"reason", Fetched.error().Detail_}});
+    return Relay_.onConfigFetchFailed(Offer.Reader_);
+  }
+  Use_.Metrics_.count("configs_fetched_total", "taken");
+  Use_.Log_.log(LogEvent::ConfigFetched,
+                {{"from", Offer.Source_},
+                 {"end", Fetched->End_},
+                 {"bytes", Fetched->Bytes_.size()},
+                 {"transferred", Fetched->TransferredBytes_},
+                 {"took_ms", (Use_.Time_.now() - BeganAt) / milliseconds(1)}});
+  if (!Use_.Store_.applyConfig(std::move(Fetched->Bytes_), Fetched->End_))
+    Relay_.onConfigFetchFailed(Offer.Reader_);
+}
+
 std::vector<std::string> StoreRelay::findReaders() const {
   const EngineStateBroadcast &Broadcast = Use_.StateBroadcast_;
   if (!Broadcast.isOwner()) {
@@ -179,6 +222,7 @@
                                                {"before", roleName(Relay_.role())},
                                                {"readers", joined(Readers_)}});
   Relay_.setRole(Role);
+  History_.keep(Role == StoreRole::Reader ? OfferedBases : 1);
   if (NewReaders)
     subscribe();
 }
@@ -261,6 +305,8 @@
     Datagram.sent_us = toMicroseconds(sinceEpoch());
     Datagram.config_known = Content.ConfigEnd_.has_value();
     Datagram.config_end = Content.ConfigEnd_.value_or(0);
+    if (Content.ConfigEnd_ && Content.ConfigEnd_ == History_.end())
+      Datagram.config_source = Use_.StateBroadcast_.member();
     Datagram.era_known = Content.Era_.has_value();
     Datagram.era = Content.Era_.value_or(StoreEra(0)).value();
   }
@@ -279,7 +325,9 @@
     return;
   }
   if (Received.config_known)
-    Relay_.onConfigAnnounced(Reader, Received.config_end, era(Received), *SentAt, Now);
+    Relay_.onConfigAnnounced(Reader, Received.config_end, era(Received), *SentAt, Now,
+                             Received.config_source);
+  fetchConfig();
   if (!Received.has_span)
     return;
   const ListSpan Span = spanFromWire(Received);
--- a/Source/Gateway/StoreRelay.h
+++ b/Source/Gateway/StoreRelay.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "Core/Common/Logger.h"
+#include "Core/Membership/ConfigHistory.h"
 #include "Core/Membership/ListRelay.h"
+#include "Gateway/ConfigExchange.h"
 #include "Gateway/DatagramSocket.h"
 #include "Gateway/EngineStateBroadcast.h"
 #include "Gateway/MetadataStore.h"
@@ -18,7 +20,8 @@
 namespace rattancart {
 
 /// Lets a few gateways of each data centre read the platform's store for the others: sends what a
-/// reader has read to its subscribers, and passes what arrives from readers to the store's client.
+/// reader has read to its subscribers, passes what arrives from readers to the store's client, and
+/// gets the configurations that readers offer.
 /// ListRelay decides; a lost datagram is not repeated, since the next one replaces it. Not
 /// thread-safe.
 class StoreRelay {
@@ -32,6 +35,8 @@
     MetadataStore &Store_;
     DatagramSocket &Datagrams_;
     const EngineStateBroadcast &StateBroadcast_;
+    /// Sends requests to other gateways.
+    HttpSender &Client_;
   };
 
   /// Readers is the number of readers in each data centre; 0 switches the relay off.
@@ -43,6 +48,10 @@
   StoreRole role() const { return Relay_.role(); }
   /// The time up to which the list is known to be complete; the epoch before the first listing.
   TimePoint listKnownAt() const { return Relay_.listKnownAt(); }
+  /// Answers another gateway that asks for the configuration; see ConfigServer::handle().
+  void handOutConfig(const HttpRequest &Request, const HttpResponderPtr &Responder) {
+    ConfigServer_.handle(Request, Relay_.era(), Responder);
+  }
 
 private:
   void tick();
@@ -51,6 +60,9 @@
   void updateRole();
   void subscribe();
   void publish();
+  /// Gets the configuration that a reader offers, if there is a later one.
+  void fetchConfig();
+  void onConfigFetched(const ConfigOffer &Offer, TimePoint BeganAt, Result<FetchedConfig> Fetched);
   /// Logs an end of the configuration's log that lies after the position here, once.
   void logLaterConfig();
   void onDatagram(wire::GatewayDatagramT &Content, const DatagramSocket::Endpoint &From);
@@ -66,6 +78,9 @@
   std::size_t ReaderCount_;
   GatewayRun Run_;
   ListRelay Relay_;
+  ConfigHistory History_;
+  ConfigServer ConfigServer_;
+  ConfigFetcher Fetcher_;
   ReaderClocks Clocks_;
   Timer Timer_;
   std::vector<std::string> Readers_;
--- a/Source/StandIns/Site/Site.cpp
+++ b/Source/StandIns/Site/Site.cpp
@@ -262,6 +262,14 @@
   return runOnLoop([this] { return Store_.calls(); });
 }
 
+void Site::setStoreReadRate(std::size_t BytesPerSecond) {
+  runOnLoop([&] { Store_.setReadRate(BytesPerSecond); });
+}
+
+std::uint64_t Site::storeReadBytes() const {
+  return runOnLoop([this] { return Store_.readBytes(); });
+}
+
 void Site::truncateLogs() {
   runOnLoop([&] { Store_.truncateLogs(); });
 }
--- a/Tests/Core/Membership/ListRelayScheduleTest.cpp
+++ b/Tests/Core/Membership/ListRelayScheduleTest.cpp
@@ -51,6 +51,12 @@
   std::size_t Gateways_ = FewGateways;
   /// The configuration changes all the time.
   bool ConfigChanges_ = true;
+  /// Readers hand the configuration out, and that many of these transfers fail, stop for good or
+  /// take up to 2 s.
+  bool Offers_ = false;
+  double FetchesFail_ = 0;
+  double FetchesStop_ = 0;
+  double FetchesSlow_ = 0;
 };
 
 std::ostream &operator<<(std::ostream &Out, const Faults &Case) { return Out << Case.Name_; }
@@ -68,6 +74,11 @@
     {.Name_ = "store away", .Lost_ = 0.05, .Late_ = 0.2, .Twice_ = 0.1, .StoreAway_ = true},
     {.Name_ = "logs shrink", .Lost_ = 0.05, .Late_ = 0.3, .Twice_ = 0.1, .LogsShrink_ = true},
     {.Name_ = "missed wake-ups", .Lost_ = 0.1, .Late_ = 0.1, .MissedWakeups_ = 0.5},
+    {.Name_ = "transfers between gateways fail",
+     .Lost_ = 0.1,
+     .FetchesFail_ = 0.4,
+     .FetchesStop_ = 0.3,
+     .FetchesSlow_ = 0.2},
     {.Name_ = "everything",
      .Lost_ = 0.2,
      .Late_ = 0.2,
@@ -77,7 +88,25 @@
      .GatewaysCutOff_ = true,
      .StoreAway_ = true,
      .LogsShrink_ = true,
-     .MissedWakeups_ = 0.2},
+     .MissedWakeups_ = 0.2,
+     .FetchesFail_ = 0.2,
+     .FetchesStop_ = 0.1,
+     .FetchesSlow_ = 0.1},
+};
+
+/// What gateways share with each other.
+struct SharingCase {
+  const char *Name_;
+  std::size_t Readers_;
+  bool Offers_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const SharingCase &Case) { return Out << Case.Name_; }
+
+const SharingCase SharingCases[] = {
+    {"no readers", 0, false},
+    {"readers", Readers, false},
+    {"readers that hand the configuration out", Readers, true},
 };
 
 struct TimeRange {
@@ -151,6 +180,8 @@
   std::vector<ListSpan> Spans_;
   std::optional<ListPosition> ConfigEnd_;
   std::optional<StoreEra> Era_;
+  /// Where the reader hands the configuration out; empty if it doesn't.
+  std::string Source_;
 };
 
 class Site;
@@ -189,6 +220,10 @@
   void readConfig(Duration Wait);
   void pollConfig(std::uint64_t Number, TimePoint Until, bool Misses);
   void onConfigAnswer();
+  /// Makes the next own read of the configuration when it is due.
+  void scheduleConfigRead();
+  void fetchConfig();
+  void takeFetched(const ConfigOffer &Offer, const Gateway &From, std::uint64_t Number);
   void publish();
 
   Site &Site_;
@@ -206,6 +241,10 @@
   std::uint64_t ScheduledRead_ = 0;
   ListPosition ConfigPosition_ = 0;
   std::uint64_t ConfigRead_ = 0;
+  bool ConfigIdle_ = false;
+  std::uint64_t ConfigSchedule_ = 0;
+  std::uint64_t ConfigFetch_ = 0;
+  bool Fetching_ = false;
   std::set<EndpointId> Removed_;
   TimePoint SubscribedAt_{};
   TimePoint PublishedAt_{};
@@ -238,6 +277,8 @@
   std::size_t Reappeared_ = 0;
   std::size_t Applied_ = 0;
   std::size_t Diverged_ = 0;
+  /// Configurations that came from other gateways.
+  std::size_t Fetched_ = 0;
   std::size_t Checked_ = 0;
 
 private:
@@ -379,14 +420,63 @@
       return retry([this] { listConfig(); });
     Revision_ = std::max(Revision_, Site_.Store_.Config_.back());
     ConfigPosition_ = Site_.Store_.Config_.size();
-    Relay_.onConfigRead(ConfigPosition_);
-    readConfig(Relay_.configWait(Site_.Events_.now()));
+    Relay_.onConfigRead(ConfigPosition_, Site_.Events_.now());
+    scheduleConfigRead();
+  });
+}
+
+void Gateway::scheduleConfigRead() {
+  ConfigIdle_ = true;
+  const TimePoint Now = Site_.Events_.now();
+  Site_.Events_.at(std::max(Relay_.configReadDue(Now), Now), [this, Number = ++ConfigSchedule_] {
+    run([this, Number] {
+      if (Number == ConfigSchedule_ && ConfigIdle_)
+        readConfig(Relay_.configWait(Site_.Events_.now()));
+    });
   });
 }
 
+void Gateway::fetchConfig() {
+  const TimePoint Now = Site_.Events_.now();
+  const auto Offer = Fetching_ ? std::nullopt : Relay_.configOffer(Now);
+  if (!Offer)
+    return;
+  Fetching_ = true;
+  const Gateway &From = *Site_.Gateways_[Offer->Reader_.value()];
+  const Faults &Case = Site_.Faults_;
+  const double Fate = Site_.randomFraction();
+  const bool Slow = Fate < Case.FetchesSlow_;
+  const bool Fails = From.isEnded() || (!Slow && Fate < Case.FetchesSlow_ + Case.FetchesFail_);
+  const bool Stops =
+      anyContains(From.Paused_, Now) ||
+      (!Slow && !Fails && Fate < Case.FetchesSlow_ + Case.FetchesFail_ + Case.FetchesStop_);
+  const Duration Took = Stops ? 700ms : Slow ? Site_.draw(500ms, 2s) : Site_.draw(2ms, 200ms);
+  Site_.Events_.at(Now + Took,
+                   [this, Offer = *Offer, &From, Lost = Fails || Stops, Number = ++ConfigFetch_] {
+                     run([this, Offer, &From, Lost, Number] {
+                       Fetching_ = false;
+                       if (Lost)
+                         return Relay_.onConfigFetchFailed(Offer.Reader_);
+                       takeFetched(Offer, From, Number);
+                     });
+                   });
+}
+
+void Gateway::takeFetched(const ConfigOffer &Offer, const Gateway &From, std::uint64_t Number) {
+  if (Number != ConfigFetch_ || From.ConfigPosition_ <= ConfigPosition_)
+    return Relay_.onConfigFetchFailed(Offer.Reader_);
+  ++Site_.Fetched_;
+  ++ConfigRead_;
+  ConfigPosition_ = From.ConfigPosition_;
+  Revision_ = std::max(Revision_, From.Revision_);
+  Relay_.onConfigFetched(ConfigPosition_);
+  scheduleConfigRead();
+}
+
 void Gateway::readConfig(Duration Wait) {
   const TimePoint Now = Site_.Events_.now();
   const bool Misses = Site_.randomFraction() < Site_.Faults_.MissedWakeups_;
+  ConfigIdle_ = false;
   Relay_.onConfigReadBegins(ConfigPosition_, Wait, Now);
   call(Wait, [this, Until = Now + Wait, Misses, Number = ++ConfigRead_](bool Answered) {
     if (Number != ConfigRead_)
@@ -432,8 +522,8 @@
     return listConfig();
   Revision_ = std::max(Revision_, Log.back());
   ConfigPosition_ = Log.size();
-  Relay_.onConfigRead(ConfigPosition_);
-  readConfig(Relay_.configWait(Site_.Events_.now()));
+  Relay_.onConfigRead(ConfigPosition_, Site_.Events_.now());
+  scheduleConfigRead();
 }
 
 void Gateway::tick() {
@@ -447,8 +537,11 @@
                                 : StoreRole::Receiver;
   Relay_.setRole(Role_);
   Relay_.setTrusted(!Outage_.entriesMayReappearUntil(Now));
+  fetchConfig();
   if (Relay_.configReadEnd(Now) != ConfigReadEnd::None)
     readConfig(0ms);
+  if (ConfigIdle_)
+    scheduleConfigRead();
   if (Idle_ && Relay_.listingDue(Now)) {
     ++Site_.Diverged_;
     list();
@@ -477,8 +570,13 @@
     return;
   PublishedAt_ = Now;
   PublishedRead_ = Content->ListReadAt_;
-  Message Sent{GatewayRun(Index_),  0ms,          clock(), Content->Spans_,
-               Content->ConfigEnd_, Content->Era_};
+  Message Sent{GatewayRun(Index_),
+               0ms,
+               clock(),
+               Content->Spans_,
+               Content->ConfigEnd_,
+               Content->Era_,
+               Site_.Faults_.Offers_ ? "reader" : ""};
   if (Content->ListReadAt_)
     Sent.ReadAt_ = Content->ListReadAt_->time_since_epoch() - ClockAhead_;
   for (const auto &Each : Site_.Gateways_)
@@ -493,7 +591,8 @@
   if (!SentAt || !ReadAt)
     return;
   if (Received.ConfigEnd_)
-    Relay_.onConfigAnnounced(Received.Run_, *Received.ConfigEnd_, Received.Era_, *SentAt, Now);
+    Relay_.onConfigAnnounced(Received.Run_, *Received.ConfigEnd_, Received.Era_, *SentAt, Now,
+                             Received.Source_);
   for (const ListSpan &Span : Received.Spans_) {
     if (!Idle_)
       return;
@@ -674,10 +773,11 @@
 // readers and datagrams, and against late datagrams that bring back what was removed.
 BOOST_DATA_TEST_CASE(ChangesTakeEffectInTimeWhateverReadersDo,
                      boost::unit_test::data::make(FaultCases) *
-                         boost::unit_test::data::make({std::size_t{0}, Readers}),
-                     Case, ReaderCount) {
+                         boost::unit_test::data::make(SharingCases),
+                     Case, Sharing) {
   Faults Varied = Case;
-  Varied.Readers_ = ReaderCount;
+  Varied.Readers_ = Sharing.Readers_;
+  Varied.Offers_ = Sharing.Offers_;
   for (unsigned Seed = 1; Seed <= seeds(); ++Seed) {
     Site Simulated(Varied, Seed);
     Simulated.run();
@@ -688,7 +788,8 @@
       BOOST_TEST(Simulated.Checked_ > 0U);
       // Only a log that shrank makes gateways differ.
       BOOST_TEST((Simulated.Diverged_ == 0 || Case.LogsShrink_));
-      BOOST_TEST((Simulated.Applied_ > 0) == (ReaderCount > 0 && Case.Lost_ < 1));
+      BOOST_TEST((Simulated.Applied_ > 0) == (Sharing.Readers_ > 0 && Case.Lost_ < 1));
+      BOOST_TEST((Simulated.Fetched_ > 0) == (Sharing.Offers_ && Case.Lost_ < 1));
     }
   }
 }
--- a/Tests/Core/Membership/ListRelayTest.cpp
+++ b/Tests/Core/Membership/ListRelayTest.cpp
@@ -308,7 +308,7 @@
   ListRelay Relay(Usual, 1);
   Relay.setRole(Case.Role_);
   Relay.setTrusted(Case.Trusted_);
-  Relay.onConfigRead(7);
+  Relay.onConfigRead(7, Start);
   if (Case.Announced_)
     Relay.onConfigAnnounced(Reader, *Case.Announced_, std::nullopt, Start - Case.Age_, Start);
   BOOST_TEST((Relay.configWait(Start) == Case.Wait_));
@@ -318,7 +318,7 @@
 BOOST_DATA_TEST_CASE(ALongReadIsGivenUpWhenAnnouncementsSaySo, GiveUpCases, Case) {
   ListRelay Relay(Usual, 1);
   Relay.setRole(StoreRole::Receiver);
-  Relay.onConfigRead(7);
+  Relay.onConfigRead(7, Start);
   Relay.onConfigAnnounced(Reader, 7, std::nullopt, Start, Start);
   Relay.onConfigReadBegins(7, Relay.configWait(Start), Start);
   Duration GivenUp{};
@@ -338,7 +338,7 @@
 BOOST_AUTO_TEST_CASE(AnEndThatTheLogDoesNotShowIsFollowedOnce) {
   ListRelay Relay(Usual, 1);
   Relay.setRole(StoreRole::Receiver);
-  Relay.onConfigRead(7);
+  Relay.onConfigRead(7, Start);
   int Anew = 0;
   Relay.onConfigReadBegins(7, 10s, Start);
   for (Duration At = 0ms; At < 10s; At += 100ms) {
@@ -346,7 +346,7 @@
     if (Relay.configReadEnd(Start + At) == ConfigReadEnd::None)
       continue;
     ++Anew;
-    Relay.onConfigRead(7);
+    Relay.onConfigRead(7, Start + At);
     BOOST_TEST((Relay.configWait(Start + At) == 2s));
     Relay.onConfigReadBegins(7, 10s, Start + At);
   }
@@ -358,11 +358,11 @@
   ListRelay Relay(Usual, 1);
   Relay.setRole(StoreRole::Reader);
   BOOST_TEST(!Relay.publication(Start)->ConfigEnd_.has_value());
-  Relay.onConfigRead(7);
+  Relay.onConfigRead(7, Start);
   Relay.onConfigReadBegins(7, 2s, Start);
   BOOST_TEST(Relay.publication(Start + 2s)->ConfigEnd_.value_or(0) == 7U);
   BOOST_TEST(!Relay.publication(Start + 2500ms)->ConfigEnd_.has_value());
-  Relay.onConfigRead(7);
+  Relay.onConfigRead(7, Start);
   Relay.onConfigLost();
   BOOST_TEST(!Relay.publication(Start + 2500ms)->ConfigEnd_.has_value());
 }
@@ -428,7 +428,7 @@
   if (Case.Own_)
     Relay.setEra(*Case.Own_);
   Relay.onListed(100, Start);
-  Relay.onConfigRead(7);
+  Relay.onConfigRead(7, Start);
   std::vector<ListChange> Changes;
   const ListSpan Span{.From_ = 100, .To_ = 102, .Era_ = Case.Readers_};
   BOOST_TEST((Relay.accept(Span, Start + 1s, 100, Start + 1s, Changes) == Case.Outcome_));
@@ -446,14 +446,14 @@
   Relay.setEra(StoreEra(3));
   Relay.onListed(100, Start);
   Relay.onListRead(100, 100, Start);
-  Relay.onConfigRead(7);
+  Relay.onConfigRead(7, Start);
   BOOST_TEST(Relay.publication(Start)->ConfigEnd_.has_value());
   Relay.setEra(StoreEra(4));
   BOOST_TEST(!Relay.publication(Start)->ConfigEnd_.has_value());
   BOOST_TEST(!Relay.publication(Start)->ListReadAt_.has_value());
   Relay.onListed(90, Start + 1s);
   Relay.onListRead(91, 91, Start + 1s);
-  Relay.onConfigRead(6);
+  Relay.onConfigRead(6, Start);
   const auto Content = Relay.publication(Start + 1s);
   BOOST_TEST(Content->ConfigEnd_.has_value());
   BOOST_TEST(Content->ListReadAt_.has_value());
--- a/Tests/Gateway/StateSubscriptionsTest.cpp
+++ b/Tests/Gateway/StateSubscriptionsTest.cpp
@@ -25,7 +25,8 @@
 /// Names one owner, or does not answer.
 class OwnerStore final : public MetadataStore {
 public:
-  void shareReads(ListRelay &) override {}
+  void shareReads(ListRelay &, ConfigHistory &) override {}
+  bool applyConfig(std::string, ListPosition) override { return false; }
   SpanOutcome applySpan(const ListSpan &, TimePoint) override { return SpanOutcome::Elsewhere; }
   void reconsiderReads() override {}
   void follow(StoreObserver &) override {}
