A fetched configuration leaves no connection behind

Each fetch opens a connection of its own, since one that is reused may be lost. Its connection went to the pool, where nothing takes it: up to 16 idle ones for each reader at each receiver, and 27 x 16 at a reader of 56 gateways. Requests for the configuration now ask for the end of the connection. The check in config_exchange_test fails before in the four cases that are answered and passes after.

--- a/Source/Gateway/ConfigExchange.cpp
+++ b/Source/Gateway/ConfigExchange.cpp
@@ -144,6 +144,8 @@
   const ConfigText *Known = History_.newest();
   Request.Headers_.add(std::string(config_exchange::Base),
                        Known ? digestText(Known->Digest_) : std::string());
+  // The next fetch opens its own connection.
+  Request.Headers_.add("Connection", "close");
   Fetch_ = std::make_shared<Fetch>();
   Fetch_->Time_ = &Time_;
   Fetch_->HeardAt_ = Time_.now();
--- a/Tests/Gateway/ConfigExchangeTest.cpp
+++ b/Tests/Gateway/ConfigExchangeTest.cpp
@@ -180,6 +180,7 @@
   Loop.run_for(50ms);
   BOOST_TEST(Ends == 1);
   BOOST_TEST(!Fetcher.isBusy());
+  BOOST_TEST(Client.stats().Idle_ == 0U);
   Server.stop();
 }
 
