A silent store is tried again each second

At six gateways the next attempt after 9.75 s came at 13.75 s.

Cause: the silence before a further attempt at a read doubled up to 4 s, so that a store that was back was reached late.

Change: an attempt begins after each second of silence. At most four are under way; beyond that the newest is replaced, and counts as a failed call. The oldest keep their places in a busy store.

--- a/Source/Core/Recovery/ReadAttempts.cpp
+++ b/Source/Core/Recovery/ReadAttempts.cpp
@@ -11,8 +11,10 @@
 /// an answer, it is shorter than the time within which a configuration must be in force, so that a
 /// lost connection delays none.
 constexpr Duration FirstSilence = std::chrono::milliseconds(500);
+/// The silence before each later one.
+constexpr Duration LaterSilence = std::chrono::milliseconds(1000);
 /// Attempts that may be under way at a time.
-constexpr std::size_t MaxAttempts = 5;
+constexpr std::size_t MaxAttempts = 4;
 /// A silence this long counts as a failed call, and as the loss of an answer that had begun. The
 /// store answers in 4 ms, and in 50 times that while it is slow.
 constexpr Duration SilenceLimit = std::chrono::milliseconds(1200);
@@ -36,17 +38,30 @@
 
 TimePoint ReadAttempts::silentAt(const Attempt &Each) { return Each.SilentSince_ + SilenceLimit; }
 
+std::size_t ReadAttempts::underWay() const {
+  return static_cast<std::size_t>(std::count_if(Attempts_.begin(), Attempts_.end(),
+                                                [](const Attempt &Each) { return !Each.Ended_; }));
+}
+
+std::optional<std::size_t> ReadAttempts::replaced() const {
+  if (underWay() < MaxAttempts)
+    return std::nullopt;
+  std::size_t Newest = Attempts_.size() - 1;
+  while (Attempts_[Newest].Ended_)
+    --Newest;
+  return Newest;
+}
+
 TimePoint ReadAttempts::furtherDueAt() const {
-  const auto UnderWay = static_cast<std::size_t>(std::count_if(
-      Attempts_.begin(), Attempts_.end(), [](const Attempt &Each) { return !Each.Ended_; }));
-  if (UnderWay == 0 || UnderWay >= MaxAttempts)
+  if (underWay() == 0)
     return TimePoint::max();
   // An answer that has begun to arrive needs no second one, unless it stops.
   TimePoint Due{};
   for (const Attempt &Each : Attempts_)
     if (!Each.Ended_ && Each.Receiving_)
       Due = std::max(Due, silentAt(Each));
-  return std::max(Due, Attempts_.back().SilentSince_ + FirstSilence * (1 << (UnderWay - 1)));
+  return std::max(Due, Attempts_.back().SilentSince_ +
+                           (Attempts_.size() == 1 ? FirstSilence : LaterSilence));
 }
 
 bool ReadAttempts::isFurtherDue(TimePoint Now) const { return Now >= furtherDueAt(); }
--- a/Source/Core/Recovery/ReadAttempts.h
+++ b/Source/Core/Recovery/ReadAttempts.h
@@ -13,9 +13,10 @@
 ///
 /// A silent attempt may have lost its connection, or its answer may wait behind those to other
 /// readers: nothing tells which. So a further attempt begins beside the earlier ones, and the first
-/// answer counts. An attempt that was given up would lose its place in the store. The silence
-/// before the next attempt doubles each time, since readers that wait for a busy store must not
-/// fill it with copies of their reads.
+/// answer counts: an attempt that is given up loses its place in the store. The number of attempts
+/// is limited, since readers that wait for a busy store must not fill it with copies of their
+/// reads. Beyond it, the newest attempt is replaced, so that a store that is back after a silence
+/// is reached soon.
 ///
 /// Attempts are numbered from 0 in the order in which they begin. Not thread-safe.
 class ReadAttempts {
@@ -33,6 +34,8 @@
   TimePoint beganAt(std::size_t Number) const { return Attempts_[Number].BeganAt_; }
   /// Whether a further attempt is due.
   bool isFurtherDue(TimePoint Now) const;
+  /// The attempt to give up before a further one begins; nothing if none need be.
+  std::optional<std::size_t> replaced() const;
   /// An attempt whose silence counts as a failed call from now on; each is returned once.
   std::optional<std::size_t> takeSilent(TimePoint Now);
   /// When the answers to the two questions above may change, if nothing arrives until then.
@@ -48,6 +51,7 @@
     bool Reported_ = false;
   };
   TimePoint furtherDueAt() const;
+  std::size_t underWay() const;
   static TimePoint silentAt(const Attempt &Each);
 
   std::vector<Attempt> Attempts_;
--- a/Tests/Core/Recovery/ReadAttemptsTest.cpp
+++ b/Tests/Core/Recovery/ReadAttemptsTest.cpp
@@ -22,7 +22,7 @@
   std::vector<Duration> Parts_;
   /// When the attempt fails; never if it is negative.
   Duration FailsAt_;
-  /// When further attempts begin, and when attempts count as failed by their silence, within 9 s.
+  /// When further attempts begin, and when attempts count as failed by their silence, within 6 s.
   std::vector<Duration> Further_;
   std::vector<Duration> Silent_;
 };
@@ -34,17 +34,17 @@
      0ms,
      {},
      -1ms,
-     {500ms, 1500ms, 3500ms, 7500ms},
-     {1200ms, 1700ms, 2700ms, 4700ms, 8700ms}},
+     {500ms, 1500ms, 2500ms, 3500ms, 4500ms, 5500ms},
+     {1200ms, 1700ms, 2700ms}},
     {"nothing arrives after the wait",
      2000ms,
      {},
      -1ms,
-     {2500ms, 3500ms, 5500ms},
-     {3200ms, 3700ms, 4700ms, 6700ms}},
+     {2500ms, 3500ms, 4500ms, 5500ms},
+     {3200ms, 3700ms, 4700ms}},
     {"parts arrive all the time",
      0ms,
-     {400ms, 1500ms, 2600ms, 3700ms, 4800ms, 5900ms, 7000ms, 8100ms},
+     {400ms, 1500ms, 2600ms, 3700ms, 4800ms, 5900ms},
      -1ms,
      {},
      {}},
@@ -52,8 +52,8 @@
      0ms,
      {400ms, 1000ms},
      -1ms,
-     {2200ms, 3200ms, 5200ms},
-     {2200ms, 3400ms, 4400ms, 6400ms}},
+     {2200ms, 3200ms, 4200ms, 5200ms},
+     {2200ms, 3400ms, 4400ms}},
     {"the attempt fails", 0ms, {}, 100ms, {}, {}},
 };
 
@@ -66,7 +66,7 @@
   Attempts.begin(Start, Case.Wait_);
   std::vector<Duration> Further;
   std::vector<Duration> Silent;
-  for (TimePoint Now = Start; Now < Start + 9s; Now += Step) {
+  for (TimePoint Now = Start; Now < Start + 6s; Now += Step) {
     for (const Duration Part : Case.Parts_)
       if (Now == Start + Part)
         Attempts.onProgress(0, Now);
@@ -81,6 +81,8 @@
     if (!Due)
       continue;
     Further.push_back(Now - Start);
+    if (const auto Replaced = Attempts.replaced())
+      Attempts.onFailed(*Replaced);
     Attempts.begin(Now, 0ms);
   }
   BOOST_TEST((Further == Case.Further_));
--- a/Tests/platform/TopicFollowerTest.cpp
+++ b/Tests/platform/TopicFollowerTest.cpp
@@ -111,6 +111,21 @@
     {"3 s", {.Configuration_ = std::chrono::seconds(3)}},
 };
 
+/// A time in which the store accepts calls and answers none.
+struct OutageCase {
+  const char *Name_;
+  Duration Length_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const OutageCase &Case) { return Out << Case.Name_; }
+
+const OutageCase OutageCases[] = {
+    {"1 s", std::chrono::milliseconds(1000)},
+    {"2.3 s", std::chrono::milliseconds(2300)},
+    {"4.5 s", std::chrono::milliseconds(4500)},
+    {"8 s", std::chrono::milliseconds(8000)},
+};
+
 /// A value of the header that names the era.
 struct HeaderCase {
   const char *Value_;
@@ -225,6 +240,30 @@
   BOOST_TEST(List.Loop_.stopped());
 }
 
+// Guards against a gateway that tries ever more seldom to read from a store that lost its answers,
+// and so knows late of what was written meanwhile.
+BOOST_DATA_TEST_CASE(RecordsAreReadSoonAfterASilentOutage, OutageCases, Case) {
+  ListFixture List;
+  HttpClient Client(List.Loop_);
+  StoreClient Calls(List.Time_, Client, List.Metrics_, List.Server_.address());
+  TopicFollower::Handlers Callbacks;
+  Callbacks.OnRecord_ = [&](const KeyedRecord &) { List.Loop_.stop(); };
+  // The read after the listing is the first one without an answer.
+  Callbacks.OnComplete_ = [&] { List.Store_.setFault(StoreFault::Silent); };
+  Callbacks.OnCallEnded_ = [](std::error_code, TimePoint) {};
+  const FreshnessBounds Bounds;
+  TopicFollower Follower(List.Loop_, List.Time_, Calls, topic::Endpoints, configPollTiming(Bounds),
+                         Callbacks);
+  Follower.start();
+  List.Loop_.run_for(std::chrono::milliseconds(50));
+  List.append("a");
+  List.Loop_.run_for(Case.Length_);
+  BOOST_TEST(!List.Loop_.stopped());
+  List.Store_.setFault(StoreFault::None);
+  List.Loop_.run_for(Bounds.Configuration_);
+  BOOST_TEST(List.Loop_.stopped());
+}
+
 // Guards against changes that another gateway has passed on and that are read again, or skipped.
 BOOST_AUTO_TEST_CASE(ReadsContinueAfterWhatWasLearnedOtherwise) {
   ListFixture List;
