Tests: offers of configurations, lost connections to the store, a gateway that just started

ConfigSpreadTest asks every gateway for the newest route 2 s after it was written, now also with lost connections of waiting reads, with gateways that read alone and with one that has just started; OffersAreTakenOrTheStoreIsRead tells when a receiver fetches and when it reads the store.

--- a/Source/StandIns/Site/FakeStoreHandler.cpp
+++ b/Source/StandIns/Site/FakeStoreHandler.cpp
@@ -148,6 +148,12 @@
   answerWaitingReads();
 }
 
+void FakeStoreHandler::loseWaitingReads() {
+  for (const WaitingRead &Read : Waiting_)
+    Unanswered_.push_back(Read.Responder_);
+  Waiting_.clear();
+}
+
 void FakeStoreHandler::send(HttpResponder &Responder, HttpResponse Answer) const {
   if (NamesEra_)
     Answer.Headers_.add("Store-Era", std::to_string(Era_));
--- a/Source/StandIns/Site/FakeStoreHandler.h
+++ b/Source/StandIns/Site/FakeStoreHandler.h
@@ -56,6 +56,8 @@
   void takeCopy();
   /// Replaces all topics and groups by those of the last copy, and raises the era.
   void returnFromCopy(ReadsAtReturn Reads);
+  /// The reads that wait now are never answered, and their connections stay open.
+  void loseWaitingReads();
   /// Whether answers name the era.
   void setNamesEra(bool NamesEra) { NamesEra_ = NamesEra; }
   void setFault(StoreFault Fault) { Fault_ = Fault; }
--- a/Source/StandIns/Site/Site.cpp
+++ b/Source/StandIns/Site/Site.cpp
@@ -262,6 +262,10 @@
   return runOnLoop([this] { return Store_.calls(); });
 }
 
+void Site::loseWaitingStoreReads() {
+  runOnLoop([&] { Store_.loseWaitingReads(); });
+}
+
 void Site::setStoreReadRate(std::size_t BytesPerSecond) {
   runOnLoop([&] { Store_.setReadRate(BytesPerSecond); });
 }
--- a/Source/StandIns/Site/Site.h
+++ b/Source/StandIns/Site/Site.h
@@ -73,7 +73,8 @@
   void setStoreFault(StoreFault Fault);
   /// The number of calls that the store has received.
   std::uint64_t storeCalls() const;
-  /// See FakeStoreHandler::setReadRate() and readBytes().
+  /// See FakeStoreHandler::loseWaitingReads(), setReadRate() and readBytes().
+  void loseWaitingStoreReads();
   void setStoreReadRate(std::size_t BytesPerSecond);
   std::uint64_t storeReadBytes() const;
   /// Removes all records from the logs of the store; the newest values stay.
--- a/Tests/Core/Membership/ListRelayTest.cpp
+++ b/Tests/Core/Membership/ListRelayTest.cpp
@@ -166,6 +166,38 @@
     {"the datagram was late", 1ms, 1ms, 4s},
 };
 
+/// What a gateway at position 7 of the configuration's log is told, and what it does 500 ms later.
+struct OfferCase {
+  const char *Name_;
+  StoreRole Role_;
+  bool Trusted_;
+  ListPosition End_;
+  const char *Source_;
+  /// The reader did not hand the configuration out.
+  bool Refused_;
+  /// An own read that began after the announcement still led to position 7.
+  bool Disproved_;
+  /// Whether it fetches the configuration, and whether it reads the store at once.
+  bool Fetches_;
+  bool Reads_;
+};
+
+std::ostream &operator<<(std::ostream &Out, const OfferCase &Case) { return Out << Case.Name_; }
+
+const OfferCase OfferCases[] = {
+    {"a later end", StoreRole::Receiver, true, 9, "a:1", false, false, true, false},
+    {"the same end", StoreRole::Receiver, true, 7, "a:1", false, false, false, false},
+    {"an earlier end", StoreRole::Receiver, true, 6, "a:1", false, false, false, true},
+    {"an earlier end that is wrong", StoreRole::Receiver, true, 6, "a:1", false, true, false,
+     false},
+    {"declined", StoreRole::Receiver, true, 9, "a:1", true, false, false, true},
+    {"declined, and wrong", StoreRole::Receiver, true, 9, "a:1", true, true, false, false},
+    {"not handed out", StoreRole::Receiver, true, 9, "", false, false, false, true},
+    {"the store is away", StoreRole::Receiver, false, 9, "a:1", false, false, false, true},
+    {"a reader", StoreRole::Reader, true, 9, "a:1", false, false, false, true},
+    {"alone", StoreRole::Alone, true, 9, "a:1", false, false, false, true},
+};
+
 } // namespace
 
 BOOST_DATA_TEST_CASE(TheOwnerAndTheFirstStandInsRead, ReadersCases, Case) {
@@ -353,6 +385,44 @@
   BOOST_TEST(Anew == 1);
 }
 
+// Guards against a receiver that reads a configuration from the store although readers hand it out,
+// and against one that relies on an offer which leads nowhere.
+BOOST_DATA_TEST_CASE(OffersAreTakenOrTheStoreIsRead, OfferCases, Case) {
+  ListRelay Relay(Usual, 1);
+  Relay.setRole(Case.Role_);
+  Relay.setTrusted(Case.Trusted_);
+  Relay.onConfigRead(7, Start);
+  Relay.onConfigAnnounced(Reader, Case.End_, std::nullopt, Start, Start, Case.Source_);
+  if (Case.Refused_)
+    Relay.onConfigFetchFailed(Reader);
+  if (Case.Disproved_) {
+    Relay.onConfigReadBegins(7, 0ms, Start + 300ms);
+    Relay.onConfigRead(7, Start + 310ms);
+  }
+  const TimePoint Now = Start + 500ms;
+  const auto Offer = Relay.configOffer(Now);
+  BOOST_TEST(Offer.has_value() == Case.Fetches_);
+  if (Offer)
+    BOOST_TEST(Offer->End_ == Case.End_);
+  BOOST_TEST((Relay.configReadDue(Now) <= Now) == Case.Reads_);
+}
+
+// Guards against versions in a row that postpone the own read of a receiver whose fetches fail.
+BOOST_AUTO_TEST_CASE(NewOffersDoNotPostponeTheOwnRead) {
+  ListRelay Relay(Usual, 1);
+  Relay.setRole(StoreRole::Receiver);
+  Relay.onConfigRead(7, Start);
+  Duration ReadAt{};
+  for (Duration At = 0ms; At < 3s && ReadAt == 0ms; At += 100ms) {
+    const TimePoint Now = Start + At;
+    Relay.onConfigAnnounced(Reader, 8 + static_cast<ListPosition>(At / 300ms), std::nullopt, Now,
+                            Now, "a:1");
+    if (Relay.configReadDue(Now) <= Now)
+      ReadAt = At;
+  }
+  BOOST_TEST((ReadAt == 1000ms));
+}
+
 // Guards against a reader that vouches for a configuration that it can't follow itself.
 BOOST_AUTO_TEST_CASE(AReaderAnnouncesNoConfigurationThatItDoesNotFollow) {
   ListRelay Relay(Usual, 1);
--- a/Tests/System/ConfigSpreadTest.cpp
+++ b/Tests/System/ConfigSpreadTest.cpp
@@ -13,7 +13,6 @@
 
 using SteadyClock = std::chrono::steady_clock;
 
-constexpr int Readers = 2;
 /// Within this time, a new configuration is in force.
 constexpr Duration Bound = 2s;
 
@@ -26,8 +25,13 @@
   /// Versions in a row, this long after each other.
   int Versions_ = 1;
   Duration Gap_{};
+  int Readers_ = 2;
   /// The owner of the placement, which is a reader, is killed just before.
   bool ReaderKilled_ = false;
+  /// The connections of all reads that wait in the store are lost just before.
+  bool ReadsLost_ = false;
+  /// A gateway is killed just before and started again.
+  bool Restarted_ = false;
 };
 
 std::ostream &operator<<(std::ostream &Out, const SpreadCase &Case) { return Out << Case.Name_; }
@@ -40,10 +44,28 @@
      .Routes_ = 2500,
      .BytesPerSecond_ = 1'500'000,
      .ReaderKilled_ = true},
+    {.Name_ = "connections to the store are lost",
+     .Gateways_ = 10,
+     .Routes_ = 2500,
+     .BytesPerSecond_ = 6'000'000,
+     .ReadsLost_ = true},
+    {.Name_ = "connections of gateways that read alone are lost",
+     .Gateways_ = 3,
+     .Routes_ = 500,
+     .BytesPerSecond_ = 6'000'000,
+     .Readers_ = 0,
+     .ReadsLost_ = true},
+    {.Name_ = "a gateway has just started",
+     .Gateways_ = 10,
+     .Routes_ = 2500,
+     .BytesPerSecond_ = 6'000'000,
+     .Restarted_ = true},
 };
 
 /// Waits until all gateways know which of them read the store.
-void awaitReaders(const GatewayDeployment &Deployment) {
+void awaitReaders(const GatewayDeployment &Deployment, int Readers) {
+  if (Readers == 0)
+    return;
   GatewayDeployment::await(
       [&] {
         std::size_t Receivers = 0;
@@ -51,7 +73,7 @@
           const std::string Text = Deployment.metrics(I);
           Receivers += Text.find("relayed_spans_total{kind=\"applied\"}") != std::string::npos;
         }
-        return Receivers == Deployment.size() - Readers;
+        return Receivers == Deployment.size() - static_cast<std::size_t>(Readers);
       },
       "the others to hear from two readers");
 }
@@ -62,16 +84,23 @@
 // from the store at the same moment.
 BOOST_DATA_TEST_CASE(ALargeConfigurationIsInForceInTimeAtAllGateways, SpreadCases, Case) {
   GatewayDeployment Deployment(std::vector<std::string>(Case.Gateways_, "east"),
-                               {.Engines_ = {{"east", {}}}, .StoreReaders_ = Readers});
+                               {.Engines_ = {{"east", {}}}, .StoreReaders_ = Case.Readers_});
   Deployment.site().setUnusedRoutes(Case.Routes_);
   Deployment.site().addRoute();
-  awaitReaders(Deployment);
+  awaitReaders(Deployment, Case.Readers_);
   std::this_thread::sleep_for(2s);
   const std::uint64_t ReadBefore = Deployment.site().storeReadBytes();
   Deployment.site().setStoreReadRate(Case.BytesPerSecond_);
   const std::size_t Owner = Deployment.placementOwner("east");
   if (Case.ReaderKilled_)
     Deployment.gateway(Owner).kill();
+  const std::size_t Other = (Owner + 1) % Deployment.size();
+  if (Case.Restarted_) {
+    Deployment.gateway(Other).kill();
+    Deployment.restart(Other);
+  }
+  if (Case.ReadsLost_)
+    Deployment.site().loseWaitingStoreReads();
   std::uint64_t Version = 0;
   for (int I = 0; I < Case.Versions_; ++I) {
     if (I > 0)
