--- a/Tests/Core/Membership/ListRelayTest.cpp
+++ b/Tests/Core/Membership/ListRelayTest.cpp
@@ -423,6 +423,20 @@
   BOOST_TEST((ReadAt == 1000ms));
 }
 
+// Guards against a first read after the loss of the readers that the store answers only at the end
+// of its wait.
+BOOST_AUTO_TEST_CASE(AReadAfterATimeWithoutReadsDoesNotWait) {
+  ListRelay Relay(Usual, 1);
+  Relay.setRole(StoreRole::Receiver);
+  Relay.onConfigRead(7, Start);
+  Relay.onConfigAnnounced(Reader, 7, std::nullopt, Start + 1s, Start + 1s, "a:1");
+  BOOST_TEST((Relay.configReadDue(Start + 1500ms) > Start + 1500ms));
+  BOOST_TEST((Relay.configReadDue(Start + 3s) <= Start + 3s));
+  BOOST_TEST((Relay.configWait(Start + 3s) == 0ms));
+  Relay.onConfigRead(7, Start + 3s);
+  BOOST_TEST((Relay.configWait(Start + 3s) == Usual.ConfigWait_));
+}
+
 // Guards against a reader that vouches for a configuration that it can't follow itself.
 BOOST_AUTO_TEST_CASE(AReaderAnnouncesNoConfigurationThatItDoesNotFollow) {
   ListRelay Relay(Usual, 1);
